--- /dev/null
+++ b/errors.go
@@ -0,0 +1,52 @@
+package cyclamendyke
+
+import "fmt"
+
+// Kind classifies an error of any interface in this package and is itself comparable with errors.Is.
+type Kind string
+
+// The kinds of error that callers of the interfaces tell apart.
+const (
+	KindNotFound    Kind = "not found"
+	KindConflict    Kind = "conflict"
+	KindUnavailable Kind = "unavailable"     // The call had no effect.
+	KindUnknown     Kind = "outcome unknown" // The call may have taken effect.
+	KindLimited     Kind = "rate limited"    // The call had no effect.
+	KindTooLarge    Kind = "too large"
+	KindFenced      Kind = "fenced"     // A higher epoch holds the worker.
+	KindSessionHeld Kind = "held"       // Another epoch's session has not lapsed.
+	KindNoSession   Kind = "no session" // The caller's session has lapsed.
+	KindNoRoom      Kind = "no room"
+	KindInvalid     Kind = "invalid"
+)
+
+// Error returns the kind's text.
+func (k Kind) Error() string {
+	return string(k)
+}
+
+// Error is the error type of this package's interfaces.
+type Error struct {
+	Op   string // The operation, such as "store.get".
+	Kind Kind
+	Err  error // The cause, which may be nil.
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string {
+	if e.Err == nil {
+		return fmt.Sprintf("%s: %s", e.Op, e.Kind)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Is reports whether target is this error's kind.
+func (e *Error) Is(target error) bool {
+	kind, ok := target.(Kind)
+	return ok && kind == e.Kind
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
