Add the inner protocol, the HTTP interface and the daemon's control loop

The inner protocol is JSON-RPC 2.0 over long-lived connections with heartbeats; a peer is lost only after a fresh connection has failed too.

--- /dev/null
+++ b/daemon/workerevents.go
@@ -0,0 +1,66 @@
+package daemon
+
+import (
+	"errors"
+	"time"
+
+	"cyclamendyke"
+)
+
+// claimed takes in the complete listing of a worker that has granted its session.
+func (c *controller) claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) {
+	c.ask(func(now time.Time) {
+		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
+		if c.scheduler != nil && c.epoch == claim.Epoch {
+			c.run(c.scheduler.Claimed(now, report, sent))
+		}
+	})
+}
+
+// renewed takes in the changes of a worker that has extended its session.
+func (c *controller) renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) {
+	c.ask(func(now time.Time) {
+		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
+		if c.scheduler != nil && c.epoch == claim.Epoch {
+			c.run(c.scheduler.Renewed(now, report, sent))
+		}
+	})
+}
+
+// refused takes in a worker's refusal of the session.
+func (c *controller) refused(worker cyclamendyke.WorkerName, err error) {
+	var refusal *cyclamendyke.Error
+	if !errors.As(err, &refusal) {
+		return
+	}
+	c.ask(func(now time.Time) {
+		c.runRole(c.cfg.Role.SessionRefused(now, worker, refusal.Kind, refusal.Fence))
+	})
+}
+
+// unreachable takes in that a worker answers on no connection.
+func (c *controller) unreachable(worker cyclamendyke.WorkerName) {
+	c.ask(func(now time.Time) {
+		if c.scheduler != nil {
+			c.run(c.scheduler.Unreachable(now, worker))
+		}
+	})
+}
+
+// startAnswered takes in the answer to a start.
+func (c *controller) startAnswered(worker cyclamendyke.WorkerName, task cyclamendyke.TaskID, err error) {
+	c.post(func(now time.Time) {
+		if c.scheduler != nil {
+			c.run(c.scheduler.StartAnswered(now, worker, task, err))
+		}
+	})
+}
+
+// stopAnswered takes in the answer to a stop.
+func (c *controller) stopAnswered(worker cyclamendyke.WorkerName, task cyclamendyke.TaskID, mode cyclamendyke.StopMode, err error) {
+	c.post(func(now time.Time) {
+		if c.scheduler != nil {
+			c.run(c.scheduler.StopAnswered(now, worker, task, mode, err))
+		}
+	})
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,148 @@
+package caller
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cyclamendyke"
+)
+
+// Limits on what a caller may send, in bytes.
+const (
+	maxSubmissionBytes = 256 << 10
+	maxTablesBytes     = 2 << 20
+)
+
+// Config configures the HTTP server.
+type Config struct {
+	Listener net.Listener
+	Service  Service
+	Gatherer prometheus.Gatherer
+	Healthy  func() bool // Whether the balancer should send callers here.
+}
+
+// api holds what the handlers share.
+type api struct {
+	service Service
+	healthy func() bool
+}
+
+// NewServer returns the server, which the application starts and stops.
+func NewServer(cfg Config) *khttp.Server {
+	a := &api{service: cfg.Service, healthy: cfg.Healthy}
+	// The server's own time limit would cut off waiting callers; each call has its own.
+	server := khttp.NewServer(khttp.Listener(cfg.Listener), khttp.Timeout(0))
+	r := server.Route("/v1")
+	r.POST("/jobs", a.submit)
+	r.GET("/jobs/{request}", a.status)
+	r.DELETE("/jobs/{request}", a.cancel)
+	r.GET("/tables", a.operator(a.tables))
+	r.PUT("/tables", a.operator(a.editTables))
+	r.POST("/tables/check", a.operator(a.checkTables))
+	r.GET("/members", a.operator(a.members))
+	r.POST("/keys", a.operator(a.grantKey))
+	r.GET("/keys", a.operator(a.keys))
+	r.DELETE("/keys/{id}", a.operator(a.withdrawKey))
+	r.GET("/workers", a.operator(a.workers))
+	r.GET("/allotments", a.operator(a.allotments))
+	r.GET("/timeline", a.operator(a.timeline))
+	r.GET("/account", a.operator(a.account))
+	server.Handle("/metrics", promhttp.HandlerFor(cfg.Gatherer, promhttp.HandlerOpts{}))
+	server.HandleFunc("/healthz", a.health)
+	return server
+}
+
+// bearer returns the key sent with a request, or an empty string.
+func bearer(r *http.Request) string {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
+}
+
+// decode reads a JSON body of at most limit bytes without unknown fields.
+func decode(ctx khttp.Context, limit int64, into any) error {
+	body := http.MaxBytesReader(ctx.Response(), ctx.Request().Body, limit)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return &Error{Op: "decode", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	if decoder.More() {
+		return &Error{Op: "decode", Kind: cyclamendyke.KindInvalid, Err: errors.New("more than one value in the body")}
+	}
+	return nil
+}
+
+// fault answers an operator's call with a typed reason.
+func fault(ctx khttp.Context, err error) error {
+	code, reason := faultStatus(err)
+	return ctx.JSON(code, struct {
+		Reason string `json:"reason"`
+		Detail string `json:"detail"`
+	}{reason, err.Error()})
+}
+
+func faultStatus(err error) (int, string) {
+	switch {
+	case errors.Is(err, KindDenied):
+		return http.StatusUnauthorized, string(cyclamendyke.ReasonBadKey)
+	case errors.Is(err, cyclamendyke.KindNotFound):
+		return http.StatusNotFound, string(cyclamendyke.ReasonNotFound)
+	case errors.Is(err, cyclamendyke.KindConflict):
+		return http.StatusConflict, string(cyclamendyke.ReasonConflict)
+	case errors.Is(err, cyclamendyke.KindInvalid), errors.Is(err, cyclamendyke.KindTooLarge):
+		return http.StatusBadRequest, string(cyclamendyke.ReasonBadRequest)
+	}
+	return http.StatusServiceUnavailable, string(cyclamendyke.ReasonStoreAway)
+}
+
+// outcomeStatus maps an outcome to its HTTP status code.
+func outcomeStatus(outcome cyclamendyke.Outcome) int {
+	switch outcome.Verdict {
+	case cyclamendyke.VerdictPending:
+		return http.StatusAccepted
+	case cyclamendyke.VerdictRan, cyclamendyke.VerdictMayHaveRun:
+		return http.StatusOK
+	}
+	switch outcome.Reason {
+	case cyclamendyke.ReasonBadKey:
+		return http.StatusUnauthorized
+	case cyclamendyke.ReasonWrongTeam:
+		return http.StatusForbidden
+	case cyclamendyke.ReasonBadRequest, cyclamendyke.ReasonUnknownRoute:
+		return http.StatusBadRequest
+	case cyclamendyke.ReasonNeverFits, cyclamendyke.ReasonOverLimit:
+		return http.StatusUnprocessableEntity
+	case cyclamendyke.ReasonQueueFull:
+		return http.StatusTooManyRequests
+	case cyclamendyke.ReasonNotFound:
+		return http.StatusNotFound
+	case cyclamendyke.ReasonConflict, cyclamendyke.ReasonCancelled:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+// answer writes an outcome with its status and the header Retry-After.
+func answer(ctx khttp.Context, outcome cyclamendyke.Outcome) error {
+	if outcome.RetryAfter > 0 {
+		seconds := int(math.Ceil(outcome.RetryAfter.Seconds()))
+		ctx.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
+	}
+	return ctx.JSON(outcomeStatus(outcome), outcome)
+}
+
+// retryLater is when to come back after a fault that says no better.
+const retryLater = 2 * time.Second
--- /dev/null
+++ b/io/caller/service.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+
+	"cyclamendyke"
+)
+
+// Error is the error type of this package; it matches its Kind with errors.Is.
+type Error struct {
+	Op   string
+	Kind cyclamendyke.Kind
+	Err  error
+}
+
+// Error returns operation, kind and cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("caller.%s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Is reports whether target is this error's kind.
+func (e *Error) Is(target error) bool {
+	kind, ok := target.(cyclamendyke.Kind)
+	return ok && kind == e.Kind
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// KindDenied says that the key is wrong or was withdrawn.
+const KindDenied cyclamendyke.Kind = "denied"
+
+// EditResult is the answer to an edit of the tables.
+type EditResult struct {
+	Revision cyclamendyke.Revision
+	Faults   []cyclamendyke.Fault // Not empty if the tables were refused.
+	Conflict bool                 // Another operator was first; Revision is theirs.
+}
+
+// GrantedKey is a new key, the only time that its text is shown.
+type GrantedKey struct {
+	ID  string
+	Key string
+}
+
+// Service is what the HTTP interface is served from; errors match KindDenied, KindNotFound, KindUnavailable, KindUnknown or KindInvalid.
+type Service interface {
+	// Submit runs or refuses a job; every refusal is an Outcome.
+	Submit(ctx context.Context, key string, submission cyclamendyke.Submission) cyclamendyke.Outcome
+	// Refused counts a request that could not be read, and returns its outcome.
+	Refused(reason cyclamendyke.Reason, detail string) cyclamendyke.Outcome
+	// Status returns the status of a request of the key's team.
+	Status(ctx context.Context, key string, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error)
+	// Cancel ends a job of the key's team.
+	Cancel(ctx context.Context, key string, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error)
+
+	// Operator reports whether the key is the operators' key.
+	Operator(key string) bool
+	// Tables returns the tables in force here.
+	Tables(ctx context.Context) (cyclamendyke.TablesText, cyclamendyke.Revision, error)
+	// CheckTables returns everything wrong with the tables.
+	CheckTables(text cyclamendyke.TablesText) []cyclamendyke.Fault
+	// EditTables replaces the tables if the revision is the expected one.
+	EditTables(ctx context.Context, text cyclamendyke.TablesText, expected cyclamendyke.Revision) (EditResult, error)
+	// Members returns the state of every process and the processes that did not answer.
+	Members(ctx context.Context) ([]cyclamendyke.MemberState, []cyclamendyke.Member)
+	// GrantKey makes a key for a team.
+	GrantKey(ctx context.Context, team cyclamendyke.TeamName) (GrantedKey, error)
+	// Keys lists the keys without their secrets.
+	Keys(ctx context.Context) ([]cyclamendyke.KeyRecord, error)
+	// WithdrawKey withdraws a key and returns the revision of the keys without it.
+	WithdrawKey(ctx context.Context, id string) (cyclamendyke.Revision, error)
+	// Workers returns the workers of a zone, or of this process's zone if none is named.
+	Workers(ctx context.Context, zone cyclamendyke.ZoneName) (cyclamendyke.ZoneName, []cyclamendyke.WorkerState, error)
+	// Allotments returns how each team's upper limit is divided.
+	Allotments(ctx context.Context) (map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments, cyclamendyke.Revision)
+	// Timeline returns this process's events.
+	Timeline(filter cyclamendyke.TimelineFilter) (cyclamendyke.MemberName, []cyclamendyke.TimelineEvent)
+	// Account returns the records kept in the store.
+	Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, error)
+}
--- /dev/null
+++ b/io/peer/link.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/creachadair/jrpc2"
+	"github.com/creachadair/jrpc2/channel"
+
+	"cyclamendyke"
+)
+
+// Dial opens a connection to the IP address and port of a peer.
+type Dial func(ctx context.Context, address string) (net.Conn, error)
+
+// link is the long-lived connection to one peer.
+type link struct {
+	member      cyclamendyke.Member
+	dial        Dial
+	dialTimeout time.Duration
+
+	mu     sync.Mutex
+	client *jrpc2.Client
+	alive  bool // The last heartbeat was answered.
+	cancel context.CancelFunc
+}
+
+// connect returns the open connection or dials a fresh one.
+func (l *link) connect(ctx context.Context) (*jrpc2.Client, error) {
+	l.mu.Lock()
+	client := l.client
+	l.mu.Unlock()
+	if client != nil && !client.IsStopped() {
+		return client, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.dialTimeout)
+	defer cancel()
+	conn, err := l.dial(ctx, l.member.Peer)
+	if err != nil {
+		return nil, &Error{Op: "dial", Kind: cyclamendyke.KindUnavailable, Err: err}
+	}
+	return l.install(jrpc2.NewClient(channel.Line(conn, conn), nil)), nil
+}
+
+// install keeps the fresh connection unless another call was faster.
+func (l *link) install(fresh *jrpc2.Client) *jrpc2.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil && !l.client.IsStopped() {
+		_ = fresh.Close()
+		return l.client
+	}
+	l.client = fresh
+	return fresh
+}
+
+// drop closes the connection, which ends the calls in progress on it.
+func (l *link) drop() {
+	l.mu.Lock()
+	client := l.client
+	l.client = nil
+	l.mu.Unlock()
+	if client != nil {
+		_ = client.Close()
+	}
+}
+
+// call makes one call; an error of KindUnavailable means that it was not sent.
+func (l *link) call(ctx context.Context, method string, params, result any) error {
+	client, err := l.connect(ctx)
+	if err != nil {
+		return err
+	}
+	if result == nil {
+		_, err = client.Call(ctx, method, params)
+		return callError(method, err)
+	}
+	return callError(method, client.CallResult(ctx, method, params, result))
+}
+
+// beat sends one heartbeat, on a fresh connection if the old one does not answer.
+func (l *link) beat(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) error {
+	err := l.beatOnce(ctx, state, timeout)
+	if err == nil || ctx.Err() != nil {
+		return err
+	}
+	l.drop()
+	return l.beatOnce(ctx, state, timeout)
+}
+
+func (l *link) beatOnce(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return l.call(ctx, methodHeartbeat, state, nil)
+}
+
+// setAlive notes the verdict and reports whether it changed.
+func (l *link) setAlive(alive bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.alive != alive
+	l.alive = alive
+	return changed
+}
+
+func (l *link) isAlive() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.alive
+}
