Let a term's record carry what a safe change of roster needs

Cause: a term that was recorded but never gained its majorities would hide the roster of the term before it, and a renewal delayed in the network could take a held session back to preemptible. The record now carries the rosters that may still hold sessions and whether the term was established, a claim the version of its mode, and a claim leaves the task leases alone so that a candidate without authority cannot prolong tasks that the holder counts as ended. Role gains SetRecord, ElectCommand gains Keep, and EstablishCommand is new.

--- a/member.go
+++ b/member.go
@@ -17,6 +17,9 @@
 	Epoch  Epoch        `json:"epoch"`
 	Member Member       `json:"member"`
 	Roster []WorkerName `json:"roster"` // The workers whose majority this term needs.
+	// Earlier holds the rosters of earlier terms, a majority of each of which this term needs until it is established.
+	Earlier     [][]WorkerName `json:"earlier,omitempty"`
+	Established bool           `json:"established,omitempty"`
 }
 
 // MemberState is what a process tells its peers in each heartbeat.
--- a/role.go
+++ b/role.go
@@ -11,12 +11,14 @@
 type Role interface {
 	// Tick returns what to do next; it is called at least once every RoleTickInterval.
 	Tick(now time.Time) []RoleCommand
-	// StoreElected reports the answer to an ElectCommand or RenewElectionCommand sent at sent; found is the record in the store if somebody else holds it.
+	// StoreElected reports the answer to an ElectCommand or RenewElectionCommand sent at sent; found is the record that the store then holds, zero if there is none.
 	StoreElected(now, sent time.Time, result ElectionResult, found ZoneScheduler) []RoleCommand
 	// SessionGranted reports that a worker granted or renewed the session, in an answer to a call sent at sent.
 	SessionGranted(now, sent time.Time, worker WorkerName, claim Claim) []RoleCommand
 	// SessionRefused reports a worker's refusal with its fence.
 	SessionRefused(now time.Time, worker WorkerName, kind Kind, fence Epoch) []RoleCommand
+	// SetRecord reports the latest record of the role as a watch of the store or a peer gave it; an older one is ignored.
+	SetRecord(now time.Time, record ZoneScheduler) []RoleCommand
 	// SetVMs brings the zone's list of workers up to date, from which the next term's roster is taken.
 	SetVMs(now time.Time, vms []VM) []RoleCommand
 	// Authority returns the present right to act.
@@ -43,11 +45,19 @@
 // RoleCommand is something that a Role asks its caller to carry out.
 type RoleCommand interface{ roleCommand() }
 
-// ElectCommand asks for the store's lease on the zone with an epoch of at least MinTerm above every earlier one.
+// ElectCommand asks for the store's lease on the zone, either for a new term or, if Keep is set, for the epoch that the caller already acts under.
+//
+// The record to write follows from the one found at the zone's epoch key.
 type ElectCommand struct {
 	MinTerm uint64
 	TTL     time.Duration
 	Roster  []WorkerName
+	Keep    Epoch
+}
+
+// EstablishCommand asks for the record of the epoch to be marked as established, best effort: an unmarked one only makes the next term need more majorities.
+type EstablishCommand struct {
+	Epoch Epoch
 }
 
 // RenewElectionCommand asks for the store's lease to be kept alive.
@@ -61,7 +71,7 @@
 	Claim   Claim
 }
 
-// ReleaseCommand asks for the sessions and the store's lease to be given up, best effort.
+// ReleaseCommand asks for the sessions and the store's lease of the epoch to be given up, best effort.
 type ReleaseCommand struct {
 	Epoch Epoch
 }
@@ -73,6 +83,7 @@
 }
 
 func (ElectCommand) roleCommand()         {}
+func (EstablishCommand) roleCommand()     {}
 func (RenewElectionCommand) roleCommand() {}
 func (ClaimAllCommand) roleCommand()      {}
 func (ReleaseCommand) roleCommand()       {}
--- a/worker.go
+++ b/worker.go
@@ -23,6 +23,8 @@
 	TaskTTL    time.Duration `json:"task-ttl-ns"` // Tasks outlive a lapsed session until this has passed since its last renewal.
 	Ack        uint64        `json:"ack"`         // Highest report sequence seen; the worker forgets results up to it.
 	Hold       time.Duration `json:"hold-ns"`     // How long a renewal may wait for something to report.
+	// ModeVersion rises with each change of Mode within an epoch; a worker ignores the mode of a lower version.
+	ModeVersion uint64 `json:"mode-version,omitempty"`
 }
 
 // RunningTask is one task that a worker holds.
@@ -70,7 +72,7 @@
 
 // Workers reaches the platform's workers; its errors match KindFenced, KindSessionHeld, KindNoSession, KindNoRoom, KindNotFound, KindUnavailable or KindUnknown.
 type Workers interface {
-	// Claim takes the worker's session for the epoch and lists everything it runs.
+	// Claim takes the worker's session for the epoch and lists everything it runs; it leaves the task leases as they are.
 	Claim(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
 	// Renew extends the session and every task lease, and waits up to claim.Hold for something to report.
 	Renew(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
