--- /dev/null
+++ b/core/config/errors.go
@@ -0,0 +1,15 @@
+package config
+
+import "cyclamendyke"
+
+type fault = cyclamendyke.Error
+
+// Error is the error type of this package and matches the kinds of the root package.
+type Error struct {
+	fault
+	Current cyclamendyke.Revision // The revision in the store, when an edit met another one.
+}
+
+func newError(op string, kind cyclamendyke.Kind, current cyclamendyke.Revision, err error) *Error {
+	return &Error{fault: fault{Op: "config." + op, Kind: kind, Err: err}, Current: current}
+}
--- /dev/null
+++ b/core/keys/record.go
@@ -0,0 +1,66 @@
+package keys
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
+
+// The bounds of the list of keys; withdrawn records stay in it for operators to read.
+const (
+	WithdrawnFor    = 30 * 24 * time.Hour // How long a withdrawn record is kept.
+	MaxWithdrawn    = 1000                // Withdrawn records kept, the latest first.
+	MaxEncodedBytes = 900_000             // A grant beyond this is refused.
+)
+
+// document is the value of the key that holds the keys.
+type document struct {
+	Keys []cyclamendyke.KeyRecord `json:"keys"`
+}
+
+// Decode reads the records from the store's value; an empty value holds none.
+func Decode(value []byte) ([]cyclamendyke.KeyRecord, error) {
+	var doc document
+	if len(value) == 0 {
+		return nil, nil
+	}
+	if err := json.Unmarshal(value, &doc); err != nil {
+		return nil, newError("decode", cyclamendyke.KindInvalid, err)
+	}
+	return doc.Keys, nil
+}
+
+// Encode writes the records as the store's value, in order of identifier.
+func Encode(records []cyclamendyke.KeyRecord) ([]byte, error) {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b cyclamendyke.KeyRecord) int { return cmp.Compare(a.ID, b.ID) })
+	value, err := json.Marshal(document{Keys: sorted})
+	if err != nil {
+		return nil, newError("encode", cyclamendyke.KindInvalid, err)
+	}
+	if len(value) > MaxEncodedBytes {
+		return nil, newError("encode", cyclamendyke.KindTooLarge, nil)
+	}
+	return value, nil
+}
+
+// prune drops withdrawn records past WithdrawnFor and, of the rest, all but the latest MaxWithdrawn.
+func prune(records []cyclamendyke.KeyRecord, now time.Time) []cyclamendyke.KeyRecord {
+	active := make([]cyclamendyke.KeyRecord, 0, len(records))
+	var withdrawn []cyclamendyke.KeyRecord
+	for _, record := range records {
+		switch {
+		case record.Withdrawn.IsZero():
+			active = append(active, record)
+		case now.Sub(record.Withdrawn) < WithdrawnFor:
+			withdrawn = append(withdrawn, record)
+		}
+	}
+	slices.SortFunc(withdrawn, func(a, b cyclamendyke.KeyRecord) int {
+		return cmp.Or(b.Withdrawn.Compare(a.Withdrawn), cmp.Compare(a.ID, b.ID))
+	})
+	return append(active, withdrawn[:min(len(withdrawn), MaxWithdrawn)]...)
+}
--- /dev/null
+++ b/core/keys/registry.go
@@ -0,0 +1,149 @@
+package keys
+
+import (
+	"cmp"
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"errors"
+	"io"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/cas"
+)
+
+const (
+	idBytes     = 8
+	secretBytes = 32
+)
+
+// Config sets up a Registry.
+type Config struct {
+	Writer *cas.Writer
+	Random io.Reader        // Source of secrets; crypto/rand if nil.
+	Now    func() time.Time // time.Now if nil.
+}
+
+// Registry grants and withdraws keys in the store; it is safe for concurrent use.
+type Registry struct {
+	config Config
+}
+
+// Granted is a new key; its text is not kept anywhere.
+type Granted struct {
+	ID       string
+	Key      string
+	Revision cyclamendyke.Revision
+}
+
+// New returns a registry that writes through config.Writer.
+func New(config Config) *Registry {
+	if config.Random == nil {
+		config.Random = rand.Reader
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	return &Registry{config: config}
+}
+
+// Grant adds a key for the team; after KindUnknown the key may be in force without anyone knowing its text.
+func (r *Registry) Grant(ctx context.Context, team cyclamendyke.TeamName) (Granted, error) {
+	random := make([]byte, idBytes+secretBytes)
+	if _, err := io.ReadFull(r.config.Random, random); err != nil {
+		return Granted{}, newError("grant", cyclamendyke.KindUnavailable, err)
+	}
+	id := hex.EncodeToString(random[:idBytes])
+	secret := base64.RawURLEncoding.EncodeToString(random[idBytes:])
+	hash := sha256.Sum256([]byte(secret))
+	record := cyclamendyke.KeyRecord{
+		ID:      id,
+		Team:    team,
+		Hash:    hex.EncodeToString(hash[:]),
+		Granted: r.now(),
+	}
+	revision, err := r.update(ctx, "grant", func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
+		at := slices.IndexFunc(records, hasID(id))
+		switch {
+		case at < 0:
+			return append(records, record), true, nil
+		case records[at].Hash != record.Hash:
+			return nil, false, newError("grant", cyclamendyke.KindConflict, nil)
+		default:
+			return records, false, nil // An earlier attempt whose answer was lost.
+		}
+	})
+	if err != nil {
+		return Granted{}, err
+	}
+	return Granted{ID: id, Key: join(id, secret), Revision: revision}, nil
+}
+
+// Withdraw ends a key and returns a revision of the keys without it, or KindNotFound; a key that was withdrawn before counts as withdrawn.
+func (r *Registry) Withdraw(ctx context.Context, id string) (cyclamendyke.Revision, error) {
+	now := r.now()
+	return r.update(ctx, "withdraw", func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
+		at := slices.IndexFunc(records, hasID(id))
+		switch {
+		case at < 0:
+			return nil, false, newError("withdraw", cyclamendyke.KindNotFound, nil)
+		case !records[at].Withdrawn.IsZero():
+			return records, false, nil
+		default:
+			records[at].Withdrawn = now
+			return records, true, nil
+		}
+	})
+}
+
+// List returns the records in order of identifier and the revision of the keys.
+func (r *Registry) List(ctx context.Context) ([]cyclamendyke.KeyRecord, cyclamendyke.Revision, error) {
+	entry, err := r.config.Writer.Get(ctx, cyclamendyke.KeysKey)
+	if err != nil {
+		return nil, 0, newError("list", cyclamendyke.KindUnavailable, err)
+	}
+	records, err := Decode(entry.Value)
+	return records, entry.Revision, err
+}
+
+type edit func(records []cyclamendyke.KeyRecord) (edited []cyclamendyke.KeyRecord, changed bool, err error)
+
+// update applies an edit that may be repeated, and prunes the list along with it.
+func (r *Registry) update(ctx context.Context, op string, edit edit) (cyclamendyke.Revision, error) {
+	entry, err := r.config.Writer.Update(ctx, cyclamendyke.KeysKey, func(entry cyclamendyke.Entry) ([]byte, bool, error) {
+		records, err := Decode(entry.Value)
+		if err != nil {
+			return nil, false, err
+		}
+		records, changed, err := edit(records)
+		if err != nil || !changed {
+			return nil, false, err
+		}
+		value, err := Encode(prune(records, r.now()))
+		return value, true, err
+	})
+	var own *Error
+	switch {
+	case err == nil:
+		return entry.Revision, nil
+	case errors.As(err, &own):
+		return 0, own
+	default:
+		return 0, newError(op, cmp.Or(cas.WriteKind(err), cyclamendyke.KindUnknown), err)
+	}
+}
+
+// now returns the wall time without the monotonic reading, which the store cannot hold.
+func (r *Registry) now() time.Time {
+	return r.config.Now().UTC().Round(0)
+}
+
+func hasID(id string) func(cyclamendyke.KeyRecord) bool {
+	return func(record cyclamendyke.KeyRecord) bool {
+		return record.ID == id
+	}
+}
--- /dev/null
+++ b/core/keys/ring.go
@@ -0,0 +1,81 @@
+package keys
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+
+	"cyclamendyke"
+)
+
+// Ring is the keys in force at one revision; it is never changed.
+type Ring struct {
+	Revision cyclamendyke.Revision
+	keys     map[string]ringKey
+}
+
+type ringKey struct {
+	team      cyclamendyke.TeamName
+	hash      [sha256.Size]byte
+	withdrawn bool
+}
+
+// NewRing returns the keys of a store entry; the zero entry holds none.
+func NewRing(entry cyclamendyke.Entry) (*Ring, error) {
+	records, err := Decode(entry.Value)
+	if err != nil {
+		return nil, err
+	}
+	ring := &Ring{Revision: entry.Revision, keys: make(map[string]ringKey, len(records))}
+	for _, record := range records {
+		key := ringKey{team: record.Team, withdrawn: !record.Withdrawn.IsZero()}
+		hash, err := hex.DecodeString(record.Hash)
+		if err != nil || len(hash) != sha256.Size {
+			return nil, newError("ring", cyclamendyke.KindInvalid, err)
+		}
+		copy(key.hash[:], hash)
+		ring.keys[record.ID] = key
+	}
+	return ring, nil
+}
+
+// Check returns the team of a key's text, KindNotFound if no such key is in force, or KindInvalid if the text is no key.
+func (r *Ring) Check(text string) (cyclamendyke.TeamName, error) {
+	id, secret, err := split(text)
+	if err != nil {
+		return "", err
+	}
+	key, found := r.keys[id]
+	hash := sha256.Sum256([]byte(secret))
+	equal := subtle.ConstantTimeCompare(hash[:], key.hash[:]) == 1
+	if !found || !equal || key.withdrawn {
+		return "", newError("check", cyclamendyke.KindNotFound, nil)
+	}
+	return key.team, nil
+}
+
+// KeyID returns the identifier in a key's text, or KindInvalid if the text is no key.
+func KeyID(text string) (string, error) {
+	id, _, err := split(text)
+	return id, err
+}
+
+const (
+	textPrefix    = "cyk"
+	textSeparator = "-"
+	maxTextBytes  = 128
+)
+
+// split parts a key's text; the identifier holds no separator, the secret may.
+func split(text string) (id, secret string, err error) {
+	parts := strings.SplitN(text, textSeparator, 3)
+	if len(text) > maxTextBytes || len(parts) != 3 || parts[0] != textPrefix || parts[1] == "" || parts[2] == "" {
+		return "", "", newError("check", cyclamendyke.KindInvalid, nil)
+	}
+	return parts[1], parts[2], nil
+}
+
+func join(id, secret string) string {
+	return strings.Join([]string{textPrefix, id, secret}, textSeparator)
+}
--- /dev/null
+++ b/core/once/errors.go
@@ -0,0 +1,14 @@
+package once
+
+import "cyclamendyke"
+
+type fault = cyclamendyke.Error
+
+// Error is the error type of this package and matches the kinds of the root package.
+type Error struct {
+	fault
+}
+
+func newError(op string, kind cyclamendyke.Kind, err error) *Error {
+	return &Error{fault{Op: "once." + op, Kind: kind, Err: err}}
+}
