Read and validate the two tables and the daemon's settings

gopkg.in/ini.v1 keeps no line numbers, merges repeated sections and keys and ignores unknown ones, so core/inifile scans the lines beside it and refuses what the library would merge, continue or ignore. core/tables joins routes, teams and pools and reports every fault with file, line, key and reason, or the tables whole. settings does the same for the daemon's file.

--- /dev/null
+++ b/core/tables/pool.go
@@ -0,0 +1,86 @@
+package tables
+
+import (
+	"cyclamendyke"
+	"cyclamendyke/core/inifile"
+	"cyclamendyke/core/size"
+)
+
+// The largest VM that a pool can describe; more is taken for a slip of the pen.
+const (
+	maxCores        = cyclamendyke.MilliCores(4096 * 1000)
+	maxMemory       = cyclamendyke.MiB(64 << 20)
+	maxAccelerators = 64
+	maxSlots        = 10_000
+	maxConnections  = 100_000
+	maxHeadroom     = 50 // Percent.
+)
+
+func parsePool(file *inifile.File, section *inifile.Section) cyclamendyke.Pool {
+	pool := cyclamendyke.Pool{
+		Name: cyclamendyke.PoolName(section.Name),
+		Shape: cyclamendyke.Resources{
+			Cores:        parseCores(file, section, "cores", 1, maxCores),
+			Memory:       parseMemory(file, section, "memory", 1, maxMemory),
+			Accelerators: int64(file.Int(section, "accelerators", 0, 0, maxAccelerators)),
+			Slots:        int64(file.Int(section, "slots", 0, 1, maxSlots)),
+			Connections:  int64(file.Int(section, "connections", 0, 1, maxConnections)),
+		},
+		Zones:    inifile.List[cyclamendyke.ZoneName](file, section, "zones"),
+		Kinds:    parseKinds(file, section),
+		Headroom: file.Int(section, "headroom", 0, 0, maxHeadroom),
+	}
+	if len(pool.Zones) == 0 {
+		file.AddKey(section, "zones", "the pool needs at least one zone")
+	}
+	for _, zone := range pool.Zones {
+		if !inifile.IsName(string(zone)) {
+			file.AddKey(section, "zones", "%q is no name in kebab-case", zone)
+		}
+	}
+	file.CheckUnread(section)
+	return pool
+}
+
+func parseKinds(file *inifile.File, section *inifile.Section) []cyclamendyke.JobKind {
+	kinds := inifile.List[cyclamendyke.JobKind](file, section, "kinds")
+	if len(kinds) == 0 {
+		file.AddKey(section, "kinds", "the pool needs at least one of service, batch, gang")
+	}
+	for _, kind := range kinds {
+		if !isKind(kind) {
+			file.AddKey(section, "kinds", "%q is none of service, batch, gang", kind)
+		}
+	}
+	return kinds
+}
+
+func isKind(kind cyclamendyke.JobKind) bool {
+	return kind == cyclamendyke.KindService || kind == cyclamendyke.KindBatch || kind == cyclamendyke.KindGang
+}
+
+func parseCores(file *inifile.File, section *inifile.Section, key string, least, most cyclamendyke.MilliCores) cyclamendyke.MilliCores {
+	cores, err := size.Cores(file.Text(section, key, "0"))
+	switch {
+	case err != nil:
+		file.AddKey(section, key, "%v", err)
+	case cores < least:
+		file.AddKey(section, key, "the section [%s] needs cores", section.Header())
+	case cores > most:
+		file.AddKey(section, key, "more than %d cores", most/1000)
+	}
+	return cores
+}
+
+func parseMemory(file *inifile.File, section *inifile.Section, key string, least, most cyclamendyke.MiB) cyclamendyke.MiB {
+	memory, err := size.MemoryFloor(file.Text(section, key, "0MiB"))
+	switch {
+	case err != nil:
+		file.AddKey(section, key, "%v", err)
+	case memory < least:
+		file.AddKey(section, key, "the section [%s] needs memory", section.Header())
+	case memory > most:
+		file.AddKey(section, key, "more than %d GiB", most/1024)
+	}
+	return memory
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads the INI settings file with which a daemon starts.
+package settings
