--- /dev/null
+++ b/core/role/sessions.go
@@ -0,0 +1,68 @@
+package role
+
+import (
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
+
+// session is what the holder knows of its session at one worker, on its own clock.
+type session struct {
+	until     time.Time // In any mode.
+	heldUntil time.Time // In mode held and its present version.
+}
+
+// sessionTable holds the sessions of one epoch.
+type sessionTable map[cyclamendyke.WorkerName]session
+
+func (t sessionTable) extend(worker cyclamendyke.WorkerName, until time.Time, held bool) {
+	s := t[worker]
+	s.until = later(s.until, until)
+	if held {
+		s.heldUntil = later(s.heldUntil, until)
+	}
+	t[worker] = s
+}
+
+func (t sessionTable) dropHeld() {
+	for worker, s := range t {
+		s.heldUntil = time.Time{}
+		t[worker] = s
+	}
+}
+
+// majorityUntil returns until when a majority of roster has sessions; workers that are gone do not belong to it any more.
+func (t sessionTable) majorityUntil(roster []cyclamendyke.WorkerName, gone func(cyclamendyke.WorkerName) bool, held bool) time.Time {
+	expiries := make([]time.Time, 0, len(roster))
+	for _, worker := range roster {
+		if gone(worker) {
+			continue
+		}
+		s := t[worker]
+		if held {
+			expiries = append(expiries, s.heldUntil)
+		} else {
+			expiries = append(expiries, s.until)
+		}
+	}
+	if len(expiries) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(expiries, func(a, b time.Time) int { return b.Compare(a) })
+	return expiries[len(expiries)/2]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/role.go
+++ b/role.go
@@ -11,7 +11,7 @@
 type Role interface {
 	// Tick returns what to do next; it is called at least once every RoleTickInterval.
 	Tick(now time.Time) []RoleCommand
-	// StoreElected reports the answer to an ElectCommand or RenewElectionCommand sent at sent; found is the record that the store then holds, zero if there is none.
+	// StoreElected reports the answer to an ElectCommand or RenewElectionCommand sent at sent; found is the record that the store then holds, which on ElectionWon names the epoch of the lease.
 	StoreElected(now, sent time.Time, result ElectionResult, found ZoneScheduler) []RoleCommand
 	// SessionGranted reports that a worker granted or renewed the session, in an answer to a call sent at sent.
 	SessionGranted(now, sent time.Time, worker WorkerName, claim Claim) []RoleCommand
@@ -23,7 +23,7 @@
 	SetVMs(now time.Time, vms []VM) []RoleCommand
 	// Authority returns the present right to act.
 	Authority(now time.Time) Authority
-	// Claim returns the claim to send to workers now, and whether any should be sent.
+	// Claim returns the claim to send to workers now, and whether any should be sent; renewals, which extend task leases, also need a valid Authority.
 	Claim(now time.Time) (Claim, bool)
 	// Resign gives up the role for a planned stop; the role is not taken again.
 	Resign(now time.Time) []RoleCommand
