--- /dev/null
+++ b/daemon/callers.go
@@ -0,0 +1,245 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/keys"
+	"cyclamendyke/core/once"
+	"cyclamendyke/io/caller"
+	"cyclamendyke/io/peer"
+)
+
+// When to come back after a refusal.
+const (
+	retryStopping  = time.Second
+	retryStoreAway = 5 * time.Second
+	retryKeysStale = 5 * time.Second
+	retryOverload  = 2 * time.Second
+)
+
+// Submit sees a caller's request through to its one answer.
+func (d *Daemon) Submit(ctx context.Context, key string, submission cyclamendyke.Submission) cyclamendyke.Outcome {
+	if !d.admit() {
+		return d.refuse(cyclamendyke.Job{Route: submission.Route, Team: submission.Team}, cyclamendyke.ReasonStopping, "this entry VM is stopping; send the request to another", retryStopping)
+	}
+	defer d.inFlight.Done()
+	d.metrics.inFlight.Inc()
+	defer d.metrics.inFlight.Dec()
+	job, refused := d.check(key, submission)
+	if refused != nil {
+		return d.counted(*refused)
+	}
+	if job.IdempotencyKey != "" || job.NotRepeatable {
+		return d.counted(d.runOnce(ctx, job))
+	}
+	return d.counted(d.entry.run(ctx, job))
+}
+
+// admit counts a request in, unless the process is stopping.
+func (d *Daemon) admit() bool {
+	d.accept.RLock()
+	defer d.accept.RUnlock()
+	if d.stopping.Load() {
+		return false
+	}
+	d.inFlight.Add(1)
+	return true
+}
+
+// counted counts an answer.
+func (d *Daemon) counted(outcome cyclamendyke.Outcome) cyclamendyke.Outcome {
+	d.metrics.outcomes.WithLabelValues(string(outcome.Verdict), string(outcome.Reason)).Inc()
+	return outcome
+}
+
+// refuse refuses work at the entry and notes it in the account and on the time line.
+func (d *Daemon) refuse(job cyclamendyke.Job, reason cyclamendyke.Reason, detail string, retryAfter time.Duration) cyclamendyke.Outcome {
+	if job.Request == "" {
+		job.Request = newRequest(d.member.Zone)
+	}
+	d.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventRefused, Request: job.Request, Team: job.Team, Detail: string(reason)})
+	d.records.account(cyclamendyke.AccountRecord{
+		At:      time.Now(),
+		Request: job.Request,
+		Team:    job.Team,
+		Route:   job.Route,
+		Verdict: cyclamendyke.VerdictNotRun,
+		Reason:  reason,
+		Tasks:   job.Tasks,
+		Count:   1,
+	})
+	return refusal(job.Request, reason, detail, retryAfter)
+}
+
+// Refused refuses a request that could not be read.
+func (d *Daemon) Refused(reason cyclamendyke.Reason, detail string) cyclamendyke.Outcome {
+	return d.counted(d.refuse(cyclamendyke.Job{}, reason, detail, 0))
+}
+
+// check turns a submission into a job with its home zone, or returns the refusal.
+func (d *Daemon) check(key string, submission cyclamendyke.Submission) (cyclamendyke.Job, *cyclamendyke.Outcome) {
+	refuse := func(reason cyclamendyke.Reason, detail string, retryAfter time.Duration) (cyclamendyke.Job, *cyclamendyke.Outcome) {
+		outcome := d.refuse(cyclamendyke.Job{Route: submission.Route, Team: submission.Team, Tasks: submission.Tasks}, reason, detail, retryAfter)
+		return cyclamendyke.Job{}, &outcome
+	}
+	tables := d.tables.Load()
+	if tables == nil {
+		return refuse(cyclamendyke.ReasonStoreAway, "no tables are in force here yet", retryStoreAway)
+	}
+	route, ok := tables.Routes[submission.Route]
+	if !ok {
+		return refuse(cyclamendyke.ReasonUnknownRoute, fmt.Sprintf("the table of routes has no route %q", submission.Route), 0)
+	}
+	team, reason, detail := d.authorise(key, submission.Team, route)
+	if reason != cyclamendyke.ReasonNone {
+		return refuse(reason, detail, retryOf(reason))
+	}
+	submission.Team = team
+	job, err := newJob(submission, route, team, time.Now())
+	if err != nil {
+		return refuse(cyclamendyke.ReasonBadRequest, err.Error(), 0)
+	}
+	if !fitsSomePool(tables, route, job.PerTask) {
+		return refuse(cyclamendyke.ReasonNeverFits, "no VM of the route's pools can hold one task of this size", 0)
+	}
+	job.Request = newRequest(d.homeZone(tables, route, job))
+	return job, nil
+}
+
+// retryOf returns when to come back after a refusal for the key's sake.
+func retryOf(reason cyclamendyke.Reason) time.Duration {
+	if reason == cyclamendyke.ReasonKeysStale {
+		return retryKeysStale
+	}
+	return 0
+}
+
+// authorise returns the team that the request is accepted for, or why it is not.
+func (d *Daemon) authorise(key string, claimed cyclamendyke.TeamName, route cyclamendyke.Route) (cyclamendyke.TeamName, cyclamendyke.Reason, string) {
+	if key == "" && route.Open {
+		return cyclamendyke.OpenTeam, cyclamendyke.ReasonNone, ""
+	}
+	team, err := d.keyRing.Load().Check(key)
+	switch {
+	case err != nil:
+		return "", cyclamendyke.ReasonBadKey, "the key is wrong or was withdrawn; ask an operator for a new one"
+	case claimed != "" && claimed != team:
+		return "", cyclamendyke.ReasonWrongTeam, fmt.Sprintf("the key is not one of team %s", claimed)
+	case !route.Open && !slices.Contains(route.Teams, team):
+		return "", cyclamendyke.ReasonWrongTeam, fmt.Sprintf("route %s is not open to team %s", route.Name, team)
+	case route.Open:
+		return team, cyclamendyke.ReasonNone, ""
+	case d.keysStale():
+		return "", cyclamendyke.ReasonKeysStale, "this zone can't learn at present whether the key was withdrawn"
+	}
+	return team, cyclamendyke.ReasonNone, ""
+}
+
+// keysStale reports whether a withdrawal may have been accepted that this process does not know of.
+func (d *Daemon) keysStale() bool {
+	peers := d.freshness.peers(d.known.list(), time.Now())
+	return keys.Judge(d.keyRing.Load().Revision, d.storeAge(), peers) == keys.FreshnessStale
+}
+
+// fitsSomePool reports whether an empty VM of one of the route's pools could hold a task.
+func fitsSomePool(tables *cyclamendyke.Tables, route cyclamendyke.Route, perTask cyclamendyke.Resources) bool {
+	return slices.ContainsFunc(route.Pools, func(name cyclamendyke.PoolName) bool {
+		return perTask.FitsIn(tables.Pools[name].Shape)
+	})
+}
+
+// runOnce reserves the idempotency key at the store before the job is handed on, or answers with the first request's outcome.
+func (d *Daemon) runOnce(ctx context.Context, job cyclamendyke.Job) cyclamendyke.Outcome {
+	if job.IdempotencyKey == "" {
+		job.IdempotencyKey = string(job.Request)
+	}
+	reservation, err := d.records.once.Reserve(ctx, job.Team, job.IdempotencyKey, job.Request)
+	switch {
+	case errors.Is(err, once.KindDoubt):
+		return d.refuse(job, cyclamendyke.ReasonStoreAway, "the key could not be reserved; nothing was started, repeat it with the same key", retryStoreAway)
+	case err != nil:
+		return d.refuse(job, cyclamendyke.ReasonStoreAway, "a request with an idempotency key needs the store, which does not answer", retryStoreAway)
+	}
+	if reservation.Outcome.Verdict.IsFinal() && reservation.Outcome.Request != "" {
+		return reservation.Outcome
+	}
+	if reservation.Request != job.Request {
+		job.Request = reservation.Request
+		job.Resubmitted = true
+	}
+	return d.entry.run(ctx, job)
+}
+
+// submit hands a job to its zone's scheduler, which may be this process.
+func (d *Daemon) submit(ctx context.Context, zone cyclamendyke.ZoneName, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
+	if zone == d.member.Zone {
+		if _, here := d.control.currentEpoch(); here {
+			return d.control.submit(ctx, job)
+		}
+	}
+	holder, ok := d.directory.scheduler(zone, time.Now())
+	if !ok || holder.Member.Name == d.member.Name {
+		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: peer.KindNotScheduler, Err: fmt.Errorf("zone %s has no scheduler at present", zone)}
+	}
+	return d.peers.Submit(ctx, holder.Member.Name, job)
+}
+
+// Status returns the status of a request of the key's team.
+func (d *Daemon) Status(ctx context.Context, key string, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	return d.ofTeam(ctx, key, request, d.control.status, d.peers.Status)
+}
+
+// Cancel ends a job of the key's team.
+func (d *Daemon) Cancel(ctx context.Context, key string, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	if _, err := d.Status(ctx, key, request); err != nil {
+		return cyclamendyke.JobStatus{}, err
+	}
+	return d.ofTeam(ctx, key, request, d.control.cancelJob, d.peers.Cancel)
+}
+
+// localCall and remoteCall make the same call here or at a peer.
+type (
+	localCall  func(ctx context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error)
+	remoteCall func(ctx context.Context, to cyclamendyke.MemberName, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error)
+)
+
+// ofTeam makes a call about a request at its home zone and hides the requests of other teams.
+func (d *Daemon) ofTeam(ctx context.Context, key string, request cyclamendyke.RequestID, local localCall, remote remoteCall) (cyclamendyke.JobStatus, error) {
+	team, err := d.keyRing.Load().Check(key)
+	if err != nil && key != "" {
+		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: caller.KindDenied, Err: errors.New("the key is wrong or was withdrawn")}
+	}
+	if key == "" {
+		team = cyclamendyke.OpenTeam
+	}
+	status, err := d.atHome(ctx, request, local, remote)
+	if err != nil {
+		return cyclamendyke.JobStatus{}, err
+	}
+	if status.Job.Team != team {
+		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: cyclamendyke.KindNotFound, Err: errors.New("the team has no such request")}
+	}
+	return status, nil
+}
+
+// atHome makes a call at the scheduler of the request's home zone.
+func (d *Daemon) atHome(ctx context.Context, request cyclamendyke.RequestID, local localCall, remote remoteCall) (cyclamendyke.JobStatus, error) {
+	zone := request.Zone()
+	if zone == d.member.Zone {
+		if _, here := d.control.currentEpoch(); here {
+			return local(ctx, request)
+		}
+	}
+	holder, ok := d.directory.scheduler(zone, time.Now())
+	if !ok {
+		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: cyclamendyke.KindUnavailable, Err: fmt.Errorf("zone %q has no scheduler at present", zone)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.Limits.PeerTimeout)
+	defer cancel()
+	return remote(ctx, holder.Member.Name, request)
+}
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -48,14 +48,13 @@
 	inbox  chan func(now time.Time)
 
 	// Owned by the control goroutine.
-	scheduler  cyclamendyke.Scheduler
-	epoch      cyclamendyke.Epoch
-	tables     *cyclamendyke.Tables
-	held       map[cyclamendyke.TeamName]cyclamendyke.Resources
-	vms        []cyclamendyke.VM
-	links      map[cyclamendyke.WorkerName]*workerLink
-	waiters    map[cyclamendyke.RequestID][]chan<- submitAnswer
-	recovering bool
+	scheduler cyclamendyke.Scheduler
+	epoch     cyclamendyke.Epoch
+	tables    *cyclamendyke.Tables
+	vms       []cyclamendyke.VM
+	links     map[cyclamendyke.WorkerName]*workerLink
+	waiters   map[cyclamendyke.RequestID][]chan<- submitAnswer
+	journaled bool // The journal's records were handed to this term's scheduler.
 
 	order      atomic.Pointer[sessionOrder]
 	scheduling atomic.Pointer[cyclamendyke.Epoch] // Nil while another process holds the role.
@@ -170,6 +169,8 @@
 			c.elect(command)
 		case cyclamendyke.RenewElectionCommand:
 			c.renewElection(command)
+		case cyclamendyke.EstablishCommand:
+			c.done.Go(func() { c.cfg.Election.establish(c.ctx, command.Epoch) })
 		case cyclamendyke.ClaimAllCommand:
 			c.publishOrder(time.Now())
 		case cyclamendyke.ReleaseCommand:
@@ -222,7 +223,7 @@
 			})
 		}
 		released.Wait()
-		c.cfg.Election.release(c.ctx)
+		c.cfg.Election.release()
 	})
 }
 
@@ -253,13 +254,13 @@
 	if c.tables != nil {
 		c.run(c.scheduler.SetTables(now, c.tables))
 	}
-	c.run(c.scheduler.SetAllotments(now, c.held))
 	c.run(c.scheduler.SetAuthority(now, authority))
 	c.run(c.scheduler.SetVMs(now, c.vms))
 	epoch := c.epoch
 	c.cfg.Recorder.open(epoch, func(records []cyclamendyke.JournalRecord) {
 		c.post(func(now time.Time) {
 			if c.scheduler != nil && c.epoch == epoch {
+				c.journaled = true
 				c.run(c.scheduler.Recover(now, records))
 			}
 		})
@@ -273,6 +274,7 @@
 // endTerm drops the scheduler; submissions that wait are to be sent to its successor.
 func (c *controller) endTerm() {
 	c.scheduler = nil
+	c.journaled = false
 	c.scheduling.Store(nil)
 	c.epoch = cyclamendyke.Epoch{}
 	moved := &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: errors.New("the scheduler role has moved")}
@@ -375,10 +377,11 @@
 func (c *controller) persist(command cyclamendyke.PersistCommand) {
 	epoch := c.epoch
 	request := command.Record.Job.Request
+	if !command.AwaitResult {
+		c.cfg.Recorder.keep(command.Record, nil)
+		return
+	}
 	c.cfg.Recorder.keep(command.Record, func(result cyclamendyke.PersistResult) {
-		if !command.AwaitResult {
-			return
-		}
 		c.post(func(now time.Time) {
 			if c.scheduler != nil && c.epoch == epoch {
 				c.run(c.scheduler.Persisted(now, request, result))
@@ -432,14 +435,37 @@
 	})
 }
 
-// setAllotments sets what each team may use in this zone.
-func (c *controller) setAllotments(held map[cyclamendyke.TeamName]cyclamendyke.Resources) bool {
-	return c.ask(func(now time.Time) {
-		c.held = held
+// setAllotments sets what each team may use in this zone; it reports false once the term is over.
+func (c *controller) setAllotments(epoch cyclamendyke.Epoch, held map[cyclamendyke.TeamName]cyclamendyke.Resources) bool {
+	current := false
+	c.ask(func(now time.Time) {
+		if c.scheduler == nil || c.epoch != epoch {
+			return
+		}
+		current = true
+		c.run(c.scheduler.SetAllotments(now, held))
+	})
+	return current
+}
+
+// setRecord takes in the holder of this zone's role as the store's watch gave it.
+func (c *controller) setRecord(records []cyclamendyke.ZoneScheduler, zone cyclamendyke.ZoneName) {
+	for _, record := range records {
+		if record.Member.Zone == zone {
+			c.post(func(now time.Time) { c.runRole(c.cfg.Role.SetRecord(now, record)) })
+		}
+	}
+}
+
+// summary returns the load of each pool if this process is the scheduler.
+func (c *controller) summary() map[cyclamendyke.PoolName]cyclamendyke.PoolState {
+	var pools map[cyclamendyke.PoolName]cyclamendyke.PoolState
+	c.ask(func(time.Time) {
 		if c.scheduler != nil {
-			c.run(c.scheduler.SetAllotments(now, held))
+			pools = c.scheduler.Summary()
 		}
 	})
+	return pools
 }
 
 // resign gives up the role for a planned stop.
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,256 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"cyclamendyke"
+	"cyclamendyke/core/cas"
+	"cyclamendyke/core/config"
+	"cyclamendyke/core/invariant"
+	"cyclamendyke/core/keys"
+	"cyclamendyke/core/role"
+	"cyclamendyke/core/scheduler"
+	"cyclamendyke/core/timeline"
+	"cyclamendyke/io/caller"
+	"cyclamendyke/io/peer"
+	"cyclamendyke/settings"
+)
+
+// Config configures a Daemon.
+type Config struct {
+	Settings *settings.Daemon
+	Platform Platform
+	Log      *log.Logger
+	Dial     peer.Dial // The system's dialer if nil.
+	Fatal    bool      // Panic at the first broken invariant, for tests.
+	Seed     uint64    // Of the jitter in the scheduler's retry times.
+}
+
+// Daemon is the process that runs on every entry VM.
+type Daemon struct {
+	cfg      Config
+	member   cyclamendyke.Member
+	platform Platform
+	log      *log.Logger
+	metrics  *metrics
+	clock    *timeline.Clock
+	ring     *timeline.Ring
+	checker  *invariant.Checker
+
+	directory *directory
+	known     *knownMembers
+	freshness *freshness
+	view      *config.View
+	editor    *config.Editor
+	registry  *keys.Registry
+	keyRing   atomic.Pointer[keys.Ring]
+	tables    atomic.Pointer[cyclamendyke.Tables]
+	pools     atomic.Pointer[map[cyclamendyke.PoolName]cyclamendyke.PoolState]
+	peers     *peer.Pool
+	peerSide  *peer.Server
+	control   *controller
+	records   *records
+	entry     *entry
+	http      *khttp.Server
+	httpLine  net.Listener
+
+	stopping atomic.Bool
+	inFlight sync.WaitGroup
+	accept   sync.RWMutex // Held for reading while a request is admitted, for writing when stopping begins.
+
+	ctx        context.Context
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+}
+
+// New listens on both addresses and starts everything but the HTTP server, which Run starts.
+func New(cfg Config) (*Daemon, error) {
+	httpLine, err := net.Listen("tcp", cfg.Settings.Member.HTTP)
+	if err != nil {
+		return nil, &Error{Op: "listen http", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	peerLine, err := net.Listen("tcp", cfg.Settings.Member.Peer)
+	if err != nil {
+		_ = httpLine.Close()
+		return nil, &Error{Op: "listen peer", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	d := assemble(cfg)
+	d.httpLine = httpLine
+	d.start(peerLine)
+	return d, nil
+}
+
+// assemble makes the parts that need no connection.
+func assemble(cfg Config) *Daemon {
+	ctx, cancel := context.WithCancel(context.Background())
+	member := cfg.Settings.Member
+	member.Started = time.Now()
+	counters := newMetrics()
+	clock := timeline.NewClock(timeline.ClockConfig{})
+	platform := cfg.Platform
+	platform.Store = &countedStore{Store: cfg.Platform.Store, metrics: counters}
+	d := &Daemon{
+		cfg:       cfg,
+		member:    member,
+		platform:  platform,
+		log:       cfg.Log,
+		metrics:   counters,
+		clock:     clock,
+		ring:      timeline.NewRing(timeline.RingConfig{Clock: clock, Member: member.Name, Size: cfg.Settings.Limits.TimelineEvents}),
+		directory: newDirectory(),
+		known:     newKnownMembers(member.Name),
+		freshness: newFreshness(),
+		ctx:       ctx,
+		cancel:    cancel,
+	}
+	d.keyRing.Store(&keys.Ring{})
+	d.checker = invariant.New(invariant.Config{Fatal: cfg.Fatal, OnViolation: d.violated})
+	writer := cas.New(cas.Config{Store: platform.Store, CallTimeout: cfg.Settings.Limits.StoreTimeout})
+	d.editor = config.NewEditor(writer)
+	d.registry = keys.New(keys.Config{Writer: writer})
+	d.records = newRecords(member, platform.Store)
+	d.peers = peer.NewPool(peer.PoolConfig{
+		Self:      member.Name,
+		Clock:     clock,
+		State:     d.state,
+		OnView:    d.peerView,
+		OnVerdict: d.peerVerdict,
+		Dial:      cfg.Dial,
+	})
+	d.control = newController(d.controllerConfig())
+	d.entry = newEntry(member.Zone, d, counters)
+	return d
+}
+
+// controllerConfig configures the zone's role and scheduler.
+func (d *Daemon) controllerConfig() controllerConfig {
+	timing := d.cfg.Settings.Scheduler
+	return controllerConfig{
+		Member: d.member,
+		Scheduler: func() cyclamendyke.Scheduler {
+			return scheduler.New(scheduler.Config{
+				Zone:     d.member.Zone,
+				TaskTTL:  timing.TaskTTL,
+				MaxJobs:  d.cfg.Settings.Limits.WaitingJobs,
+				Seed:     d.cfg.Seed,
+				Violated: d.checker.Violated,
+			})
+		},
+		Role: role.New(role.Config{
+			Member:        d.member.Name,
+			Zone:          d.member.Zone,
+			StoreLeaseTTL: timing.StoreLease,
+			SessionTTL:    timing.SessionTTL,
+			TaskTTL:       timing.TaskTTL,
+			Hold:          timing.Hold,
+		}),
+		Workers:   d.platform.Workers,
+		Election:  &election{store: d.platform.Store, member: d.member},
+		Recorder:  d.records,
+		Event:     d.event,
+		Metrics:   d.metrics,
+		RoleMoved: d.roleMoved,
+	}
+}
+
+// start begins everything that runs in the background.
+func (d *Daemon) start(peerLine net.Listener) {
+	d.peerSide = peer.NewServer(peer.ServerConfig{Listener: peerLine, Handler: peerHandler{d}, Clock: d.clock})
+	d.view = config.New(config.Config{
+		Store:       d.platform.Store,
+		CallTimeout: d.cfg.Settings.Limits.StoreTimeout,
+		OnChange:    d.followConfiguration,
+		OnStore:     d.storeState,
+	})
+	registration := &membership{store: d.platform.Store, member: d.member}
+	d.background.Go(func() { registration.keep(d.ctx) })
+	d.background.Go(func() { d.followVMs(d.ctx) })
+	d.background.Go(func() { d.keepAllotments(d.ctx) })
+	d.background.Go(func() { d.keepOwnState(d.ctx) })
+	d.http = caller.NewServer(caller.Config{
+		Listener: d.httpLine,
+		Service:  d,
+		Gatherer: d.metrics.registry,
+		Healthy:  d.healthy,
+	})
+}
+
+// Run serves callers until ctx ends or the process is told to stop, and then stops without cutting off a request.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info("serving", "member", d.member.Name, "zone", d.member.Zone, "http", d.member.HTTP, "peer", d.member.Peer)
+	app := kratos.New(
+		kratos.Name("cyclamendyked"),
+		kratos.ID(string(d.member.Name)),
+		kratos.Context(ctx),
+		kratos.Server(d.http),
+		kratos.BeforeStop(func(context.Context) error { d.drain(); return nil }),
+		kratos.StopTimeout(d.cfg.Settings.Limits.StopTimeout),
+	)
+	err := app.Run()
+	d.close()
+	return err
+}
+
+// drain hands over the role and waits until every request in progress is answered, for StopTimeout at most.
+func (d *Daemon) drain() {
+	d.accept.Lock()
+	d.stopping.Store(true)
+	d.accept.Unlock()
+	d.log.Info("stopping")
+	d.control.resign()
+	answered := make(chan struct{})
+	go func() {
+		d.inFlight.Wait()
+		close(answered)
+	}()
+	timer := time.NewTimer(d.cfg.Settings.Limits.StopTimeout)
+	defer timer.Stop()
+	select {
+	case <-answered:
+	case <-timer.C:
+		d.log.Warn("requests are still in progress at the end of the stop timeout")
+	}
+}
+
+// close ends everything that runs in the background.
+func (d *Daemon) close() {
+	d.cancel()
+	d.background.Wait()
+	d.records.close()
+	d.control.close()
+	d.peers.Close()
+	d.peerSide.Close()
+	d.view.Close()
+	d.log.Info("stopped", "member", d.member.Name)
+}
+
+// healthy reports whether the balancer should send callers here.
+func (d *Daemon) healthy() bool {
+	return !d.stopping.Load() && d.tables.Load() != nil
+}
+
+// event puts an event on the time line.
+func (d *Daemon) event(event cyclamendyke.TimelineEvent) {
+	d.ring.Add(event)
+}
+
+// violated counts and logs a broken invariant.
+func (d *Daemon) violated(violation invariant.Violation) {
+	d.metrics.violations.WithLabelValues(string(violation.Name)).Inc()
+	d.log.Error("invariant broken", "invariant", violation.Name, "detail", violation.Detail)
+}
+
+// roleMoved logs that a term began or ended here.
+func (d *Daemon) roleMoved(authority cyclamendyke.Authority) {
+	d.metrics.roleChanges.Inc()
+	d.log.Info("scheduler role", "epoch", authority.Epoch, "holds", authority.Valid(time.Now()))
+	d.background.Go(d.publishState)
+}
--- /dev/null
+++ b/daemon/election.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"cyclamendyke"
+)
+
+// electionTimeout bounds one step of an election at the store.
+const electionTimeout = 2 * time.Second
+
+// election takes and keeps the zone's scheduler role at the store.
+type election struct {
+	store  cyclamendyke.Store
+	member cyclamendyke.Member
+
+	mu    sync.Mutex // Elections are carried out one at a time.
+	lease cyclamendyke.LeaseID
+}
+
+// elect writes the record of a term under a fresh lease; the record returned is the one that the store then holds.
+func (e *election) elect(ctx context.Context, command cyclamendyke.ElectCommand) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
+	defer cancel()
+	before, revision, err := e.record(ctx)
+	if err != nil {
+		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+	}
+	record, ok := e.next(command, before)
+	if !ok {
+		return cyclamendyke.ElectionLost, before
+	}
+	lease, err := e.store.GrantLease(ctx, command.TTL)
+	if err != nil {
+		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+	}
+	won, err := e.take(ctx, lease, record, revision)
+	if err != nil || !won {
+		e.revoke(lease)
+		return e.lost(ctx, err, before)
+	}
+	e.lease = lease
+	return cyclamendyke.ElectionWon, record
+}
+
+// lost tells a role held by another process from an answer that is in doubt.
+func (e *election) lost(ctx context.Context, err error, before cyclamendyke.ZoneScheduler) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
+	if err != nil {
+		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+	}
+	if found, _, err := e.record(ctx); err == nil {
+		return cyclamendyke.ElectionLost, found
+	}
+	return cyclamendyke.ElectionLost, before
+}
+
+// take creates the key tied to the lease, which only one process can, and then raises the epoch, which never decreases.
+func (e *election) take(ctx context.Context, lease cyclamendyke.LeaseID, record cyclamendyke.ZoneScheduler, revision cyclamendyke.Revision) (bool, error) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false, &Error{Op: "elect", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	key := cyclamendyke.SchedulerPrefix + string(e.member.Zone)
+	if _, err := e.store.CompareAndSwap(ctx, key, value, 0, lease); err != nil {
+		return false, notConflict(err)
+	}
+	_, err = e.store.CompareAndSwap(ctx, e.epochKey(), value, revision, 0)
+	return err == nil, notConflict(err)
+}
+
+// notConflict returns nil for a conflict, which is an answer, and any other error as it is.
+func notConflict(err error) error {
+	if errors.Is(err, cyclamendyke.KindConflict) {
+		return nil
+	}
+	return err
+}
+
+// next returns the record of the term asked for; it reports false if an epoch to be kept has been passed.
+func (e *election) next(command cyclamendyke.ElectCommand, before cyclamendyke.ZoneScheduler) (cyclamendyke.ZoneScheduler, bool) {
+	record := cyclamendyke.ZoneScheduler{
+		Epoch:  cyclamendyke.Epoch{Term: max(before.Epoch.Term+1, command.MinTerm), Owner: e.member.Name},
+		Member: e.member,
+		Roster: command.Roster,
+	}
+	if !command.Keep.IsZero() {
+		if before.Epoch.Compare(command.Keep) > 0 {
+			return cyclamendyke.ZoneScheduler{}, false
+		}
+		record.Epoch = command.Keep
+		record.Established = true
+		return record, true
+	}
+	record.Earlier = earlierRosters(before)
+	return record, true
+}
+
+// earlierRosters returns the rosters that may still hold sessions when a term follows before.
+func earlierRosters(before cyclamendyke.ZoneScheduler) [][]cyclamendyke.WorkerName {
+	var rosters [][]cyclamendyke.WorkerName
+	if !before.Established {
+		rosters = append(rosters, before.Earlier...)
+	}
+	if len(before.Roster) > 0 {
+		rosters = append(rosters, before.Roster)
+	}
+	return rosters
+}
+
+// renew keeps the lease alive.
+func (e *election) renew(ctx context.Context, command cyclamendyke.RenewElectionCommand) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
+	defer cancel()
+	err := e.store.KeepAlive(ctx, e.lease)
+	switch {
+	case err == nil:
+		return cyclamendyke.ElectionWon, cyclamendyke.ZoneScheduler{Epoch: command.Epoch, Member: e.member}
+	case errors.Is(err, cyclamendyke.KindNotFound):
+		found, _, _ := e.record(ctx)
+		return cyclamendyke.ElectionLost, found
+	}
+	return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+}
+
+// establish marks the record of an epoch, best effort.
+func (e *election) establish(ctx context.Context, epoch cyclamendyke.Epoch) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
+	defer cancel()
+	record, revision, err := e.record(ctx)
+	if err != nil || record.Epoch != epoch || record.Established {
+		return
+	}
+	record.Established = true
+	if value, err := json.Marshal(record); err == nil {
+		_, _ = e.store.CompareAndSwap(ctx, e.epochKey(), value, revision, 0)
+	}
+}
+
+// release ends the lease, so that a successor need not wait for it to lapse.
+func (e *election) release() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lease != 0 {
+		e.revoke(e.lease)
+		e.lease = 0
+	}
+}
+
+func (e *election) revoke(lease cyclamendyke.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.Background(), electionTimeout)
+	defer cancel()
+	_ = e.store.Revoke(ctx, lease)
+}
+
+// record reads the latest record of the zone's role, zero if there was none yet.
+func (e *election) record(ctx context.Context) (cyclamendyke.ZoneScheduler, cyclamendyke.Revision, error) {
+	entry, err := e.store.Get(ctx, e.epochKey())
+	if errors.Is(err, cyclamendyke.KindNotFound) {
+		return cyclamendyke.ZoneScheduler{}, 0, nil
+	}
+	if err != nil {
+		return cyclamendyke.ZoneScheduler{}, 0, err
+	}
+	var record cyclamendyke.ZoneScheduler
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		return record, 0, &Error{Op: "read epoch", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	return record, entry.Revision, nil
+}
+
+func (e *election) epochKey() string {
+	return cyclamendyke.EpochPrefix + string(e.member.Zone)
+}
--- /dev/null
+++ b/daemon/entry.go
@@ -0,0 +1,217 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"golang.org/x/time/rate"
+
+	"cyclamendyke"
+	"cyclamendyke/io/peer"
+)
+
+// The bounds of forwarding a caller's request.
+const (
+	schedulerWait    = 12 * time.Second // How long a request waits for its zone to have a scheduler.
+	forwardPause     = 150 * time.Millisecond
+	forwardPauseMax  = 2 * time.Second
+	retryBudgetRate  = 50  // Retries a second that a process makes at most.
+	retryBudgetBurst = 200 // Retries that it may make at once after a calm time.
+	maxTasks         = 10_000
+	maxKeyBytes      = 256
+)
+
+// submitter hands a job to a zone's scheduler, here or elsewhere.
+type submitter interface {
+	submit(ctx context.Context, zone cyclamendyke.ZoneName, job cyclamendyke.Job) (cyclamendyke.Outcome, error)
+}
+
+// entry takes callers' requests, checks them and sees them through to one answer.
+type entry struct {
+	zone      cyclamendyke.ZoneName
+	submitter submitter
+	budget    *rate.Limiter
+	metrics   *metrics
+	wait      time.Duration // How long to wait for a scheduler.
+}
+
+func newEntry(zone cyclamendyke.ZoneName, submitter submitter, metrics *metrics) *entry {
+	return &entry{
+		zone:      zone,
+		submitter: submitter,
+		budget:    rate.NewLimiter(retryBudgetRate, retryBudgetBurst),
+		metrics:   metrics,
+		wait:      schedulerWait,
+	}
+}
+
+// newRequest returns a fresh identifier whose home is zone.
+func newRequest(zone cyclamendyke.ZoneName) cyclamendyke.RequestID {
+	return cyclamendyke.NewRequestID(zone, ulid.Make().String())
+}
+
+// newJob returns the job that a submission asks for, or why it can't be one.
+func newJob(submission cyclamendyke.Submission, route cyclamendyke.Route, team cyclamendyke.TeamName, now time.Time) (cyclamendyke.Job, error) {
+	job := cyclamendyke.Job{
+		Team:           team,
+		Route:          route.Name,
+		Kind:           route.Kind,
+		Tasks:          submission.Tasks,
+		PerTask:        submission.PerTask,
+		RunTime:        submission.RunTime,
+		Urgent:         submission.Urgent,
+		Detach:         submission.Detach,
+		NotRepeatable:  submission.NotRepeatable,
+		IdempotencyKey: submission.IdempotencyKey,
+		Payload:        submission.Payload,
+		Accepted:       now,
+	}
+	job.PerTask.Slots = cmp.Or(job.PerTask.Slots, 1)
+	switch {
+	case job.Tasks < 1 || job.Tasks > maxTasks:
+		return job, fmt.Errorf("tasks must be from 1 to %d", maxTasks)
+	case job.PerTask.IsNegative():
+		return job, errors.New("sizes must not be negative")
+	case job.PerTask.Cores == 0 || job.PerTask.Memory == 0:
+		return job, errors.New("a task needs cores and memory")
+	case job.RunTime < 0:
+		return job, errors.New("run-time-ns must not be negative")
+	case job.Urgent && !route.Urgent:
+		return job, fmt.Errorf("route %s takes no urgent work", route.Name)
+	case len(job.IdempotencyKey) > maxKeyBytes:
+		return job, fmt.Errorf("idempotency-key is longer than %d bytes", maxKeyBytes)
+	case job.NotRepeatable && job.Tasks > 1:
+		return job, errors.New("a job that must not be repeated has one task")
+	}
+	return job, nil
+}
+
+// refusal returns a final outcome for work of which nothing was started.
+func refusal(request cyclamendyke.RequestID, reason cyclamendyke.Reason, detail string, retryAfter time.Duration) cyclamendyke.Outcome {
+	return cyclamendyke.Outcome{
+		Request:    request,
+		Verdict:    cyclamendyke.VerdictNotRun,
+		Reason:     reason,
+		Detail:     detail,
+		RetryAfter: jitter(retryAfter),
+	}
+}
+
+// jitter spreads a pause over half to one and a half times its length.
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return d/2 + rand.N(d)
+}
+
+// run hands the job to its home zone's scheduler until there is an answer or the request is given up.
+func (e *entry) run(ctx context.Context, job cyclamendyke.Job) cyclamendyke.Outcome {
+	doubt := false
+	giveUp := time.Now().Add(e.wait)
+	for attempt := 0; ; attempt++ {
+		outcome, err := e.submitter.submit(ctx, job.Request.Zone(), job)
+		if err == nil {
+			return settled(outcome, doubt)
+		}
+		if errors.Is(err, cyclamendyke.KindUnknown) {
+			doubt = true
+			job.Resubmitted = true
+			giveUp = time.Now().Add(e.wait)
+		}
+		if reason, over := e.isOver(ctx, giveUp, err); over {
+			return settled(refusal(job.Request, reason, err.Error(), forwardPauseMax), doubt)
+		}
+		e.metrics.resubmits.Inc()
+		pause(ctx, jitter(min(forwardPause<<min(attempt, 6), forwardPauseMax)))
+	}
+}
+
+// isOver reports whether a request is given up, and why; waiting for a scheduler costs nothing of the retry budget.
+func (e *entry) isOver(ctx context.Context, giveUp time.Time, last error) (cyclamendyke.Reason, bool) {
+	switch {
+	case ctx.Err() != nil:
+		return cyclamendyke.ReasonDeadline, true
+	case !time.Now().Before(giveUp):
+		return cyclamendyke.ReasonNoScheduler, true
+	case errors.Is(last, peer.KindNotScheduler):
+		return cyclamendyke.ReasonNone, false
+	case !e.budget.Allow():
+		e.metrics.budgetEmpty.Inc()
+		return cyclamendyke.ReasonOverload, true
+	}
+	return cyclamendyke.ReasonNone, false
+}
+
+// settled turns "not run" into "may have run" if an earlier attempt is in doubt.
+func settled(outcome cyclamendyke.Outcome, doubt bool) cyclamendyke.Outcome {
+	if !doubt || outcome.Verdict != cyclamendyke.VerdictNotRun {
+		return outcome
+	}
+	outcome.Verdict = cyclamendyke.VerdictMayHaveRun
+	if outcome.Reason == cyclamendyke.ReasonNone || outcome.Reason == cyclamendyke.ReasonNoScheduler {
+		outcome.Reason = cyclamendyke.ReasonAnswerLost
+	}
+	return outcome
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// submit hands a job to this process's own scheduler and waits for its outcome.
+func (c *controller) submit(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
+	answers := make(chan submitAnswer, 1)
+	accepted := false
+	ran := c.ask(func(now time.Time) {
+		if c.scheduler == nil || c.mustAwaitJournal(job) {
+			return
+		}
+		accepted = true
+		c.waiters[job.Request] = append(c.waiters[job.Request], answers)
+		c.run(c.scheduler.Submit(now, job))
+	})
+	if !ran || !accepted {
+		return cyclamendyke.Outcome{}, notScheduler("submit")
+	}
+	select {
+	case answer := <-answers:
+		return answer.outcome, answer.err
+	case <-ctx.Done():
+		c.post(func(time.Time) { c.dropWaiter(job.Request, answers) })
+		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: ctx.Err()}
+	case <-c.ctx.Done():
+		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: c.ctx.Err()}
+	}
+}
+
+// mustAwaitJournal reports whether only the journal, not read yet, can tell if an earlier term has started the job.
+func (c *controller) mustAwaitJournal(job cyclamendyke.Job) bool {
+	return job.Resubmitted && (job.NotRepeatable || job.Detach) && !c.journaled
+}
+
+// dropWaiter forgets a submission whose caller has gone.
+func (c *controller) dropWaiter(request cyclamendyke.RequestID, gone chan<- submitAnswer) {
+	kept := c.waiters[request][:0]
+	for _, waiter := range c.waiters[request] {
+		if waiter != gone {
+			kept = append(kept, waiter)
+		}
+	}
+	if len(kept) == 0 {
+		delete(c.waiters, request)
+		return
+	}
+	c.waiters[request] = kept
+}
--- /dev/null
+++ b/daemon/homezone.go
@@ -0,0 +1,103 @@
+package daemon
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
+
+// zoneLoad is how well a zone could take a job at present.
+type zoneLoad struct {
+	zone    cyclamendyke.ZoneName
+	free    int64 // Tasks of the job's size that fit beside what is reserved.
+	waiting int   // Tasks that wait in the route's pools.
+	own     bool
+}
+
+// homeZone chooses the zone whose scheduler gets the job: the own one if it has room, else the one with the least waiting work.
+func (d *Daemon) homeZone(tables *cyclamendyke.Tables, route cyclamendyke.Route, job cyclamendyke.Job) cyclamendyke.ZoneName {
+	loads := zoneLoads(d.directory.schedulers(time.Now()), d.member.Zone, tables, route, job)
+	if len(loads) == 0 {
+		return d.fallbackZone(tables, route)
+	}
+	return slices.MinFunc(loads, func(a, b zoneLoad) int { return compareLoads(a, b, int64(job.Tasks)) }).zone
+}
+
+// fallbackZone is used while no scheduler has told its load: the own zone if the route may run there.
+func (d *Daemon) fallbackZone(tables *cyclamendyke.Tables, route cyclamendyke.Route) cyclamendyke.ZoneName {
+	var zones []cyclamendyke.ZoneName
+	for _, name := range route.Pools {
+		zones = append(zones, tables.Pools[name].Zones...)
+	}
+	if len(zones) == 0 || slices.Contains(zones, d.member.Zone) {
+		return d.member.Zone
+	}
+	return slices.Min(zones)
+}
+
+// zoneLoads returns the load of each zone with a VM that could hold one task.
+func zoneLoads(schedulers []cyclamendyke.MemberState, own cyclamendyke.ZoneName, tables *cyclamendyke.Tables, route cyclamendyke.Route, job cyclamendyke.Job) []zoneLoad {
+	loads := make([]zoneLoad, 0, len(schedulers))
+	for _, state := range schedulers {
+		load := zoneLoad{zone: state.Member.Zone, own: state.Member.Zone == own}
+		workers := 0
+		for _, name := range route.Pools {
+			pool := state.Pools[name]
+			if pool.Workers == 0 || !job.PerTask.FitsIn(tables.Pools[name].Shape) {
+				continue
+			}
+			workers += pool.Workers
+			load.waiting += pool.Waiting
+			load.free += copies(job.PerTask, pool.Capacity.Sub(pool.Reserved))
+		}
+		if workers > 0 && !state.Stopping {
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// compareLoads prefers room for the whole job, then the own zone, then less waiting work, then more room.
+func compareLoads(a, b zoneLoad, tasks int64) int {
+	roomy := func(l zoneLoad) int {
+		if l.waiting == 0 && l.free >= tasks {
+			return 0
+		}
+		return 1
+	}
+	distance := func(l zoneLoad) int {
+		if l.own {
+			return 0
+		}
+		return 1
+	}
+	if order := cmp.Compare(roomy(a), roomy(b)); order != 0 {
+		return order
+	}
+	if roomy(a) == 0 {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(b.free, a.free), cmp.Compare(a.zone, b.zone))
+	}
+	return cmp.Or(cmp.Compare(a.waiting, b.waiting), cmp.Compare(distance(a), distance(b)), cmp.Compare(b.free, a.free), cmp.Compare(a.zone, b.zone))
+}
+
+// copies returns how many times each fits into room, at most.
+func copies(each, room cyclamendyke.Resources) int64 {
+	if room.IsNegative() {
+		return 0
+	}
+	times := int64(1) << 32
+	for _, pair := range [...][2]int64{
+		{int64(each.Cores), int64(room.Cores)},
+		{int64(each.Memory), int64(room.Memory)},
+		{each.Accelerators, room.Accelerators},
+		{each.Slots, room.Slots},
+		{each.Connections, room.Connections},
+	} {
+		if pair[0] > 0 {
+			times = min(times, pair[1]/pair[0])
+		}
+	}
+	return times
+}
--- /dev/null
+++ b/daemon/membership.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"cyclamendyke"
+)
+
+// The timing of a process's registration in the store.
+const (
+	memberTTL      = 15 * time.Second
+	memberInterval = 5 * time.Second
+)
+
+// membership keeps this process's entry in the store's list of members.
+type membership struct {
+	store  cyclamendyke.Store
+	member cyclamendyke.Member
+	lease  cyclamendyke.LeaseID
+}
+
+// keep registers and renews until ctx ends, and then withdraws the entry.
+func (m *membership) keep(ctx context.Context) {
+	ticker := time.NewTicker(memberInterval)
+	defer ticker.Stop()
+	for {
+		m.renew(ctx)
+		select {
+		case <-ctx.Done():
+			m.withdraw()
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// renew extends the lease, or registers anew if there is none any more.
+func (m *membership) renew(ctx context.Context) {
+	if m.lease != 0 {
+		err := m.store.KeepAlive(ctx, m.lease)
+		if !errors.Is(err, cyclamendyke.KindNotFound) {
+			return // Extended, or not known: the next turn tries again.
+		}
+		m.lease = 0
+	}
+	lease, err := m.store.GrantLease(ctx, memberTTL)
+	if err != nil {
+		return
+	}
+	if m.register(ctx, lease) {
+		m.lease = lease
+		return
+	}
+	_ = m.store.Revoke(ctx, lease)
+}
+
+// register writes the entry, also over one that an earlier process of the same name left behind.
+func (m *membership) register(ctx context.Context, lease cyclamendyke.LeaseID) bool {
+	key := cyclamendyke.MembersPrefix + string(m.member.Zone) + "/" + string(m.member.Name)
+	value, err := json.Marshal(m.member)
+	if err != nil {
+		return false
+	}
+	before, err := m.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, cyclamendyke.KindNotFound) {
+		return false
+	}
+	_, err = m.store.CompareAndSwap(ctx, key, value, before.Revision, lease)
+	return err == nil
+}
+
+// withdraw removes the entry at a planned stop.
+func (m *membership) withdraw() {
+	if m.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), electionTimeout)
+	defer cancel()
+	_ = m.store.Revoke(ctx, m.lease)
+}
--- /dev/null
+++ b/daemon/operators.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/config"
+	"cyclamendyke/core/tables"
+	"cyclamendyke/io/caller"
+)
+
+// refreshTimeout bounds how long an edit waits until this process has taken in its own write.
+const refreshTimeout = 3 * time.Second
+
+// Operator reports whether the key is the operators' key.
+func (d *Daemon) Operator(key string) bool {
+	sum := sha256.Sum256([]byte(key))
+	given := hex.EncodeToString(sum[:])
+	return subtle.ConstantTimeCompare([]byte(given), []byte(d.cfg.Settings.OperatorKeyHash)) == 1
+}
+
+// Tables returns the tables in force here.
+func (d *Daemon) Tables(context.Context) (cyclamendyke.TablesText, cyclamendyke.Revision, error) {
+	text, revision, err := d.view.Snapshot().Tables()
+	if err != nil {
+		return text, revision, &Error{Op: "tables", Kind: cyclamendyke.KindInvalid, Err: err}
+	}
+	return text, revision, nil
+}
+
+// CheckTables returns everything wrong with the tables.
+func (d *Daemon) CheckTables(text cyclamendyke.TablesText) []cyclamendyke.Fault {
+	_, faults := tables.Parse(text, 0)
+	return faults
+}
+
+// EditTables replaces the tables if the revision is the expected one.
+func (d *Daemon) EditTables(ctx context.Context, text cyclamendyke.TablesText, expected cyclamendyke.Revision) (caller.EditResult, error) {
+	if faults := d.CheckTables(text); len(faults) > 0 {
+		return caller.EditResult{Faults: faults}, nil
+	}
+	revision, err := d.editor.Edit(ctx, text, expected)
+	var refused *config.Error
+	switch {
+	case errors.Is(err, cyclamendyke.KindConflict) && errors.As(err, &refused):
+		return caller.EditResult{Revision: refused.Current, Conflict: true}, nil
+	case err != nil:
+		return caller.EditResult{}, err
+	}
+	d.refresh(ctx)
+	return caller.EditResult{Revision: revision}, nil
+}
+
+// refresh takes in the process's own write at once, best effort: the watch brings it otherwise.
+func (d *Daemon) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	_ = d.view.Refresh(ctx)
+}
+
+// Members returns the state of every process and the processes that did not answer.
+func (d *Daemon) Members(context.Context) ([]cyclamendyke.MemberState, []cyclamendyke.Member) {
+	d.directory.hear(d.state(), time.Now())
+	states := d.directory.fresh(time.Now())
+	unreachable := make([]cyclamendyke.Member, 0)
+	for _, member := range d.known.list() {
+		heard := slices.ContainsFunc(states, func(s cyclamendyke.MemberState) bool { return s.Member.Name == member.Name })
+		if !heard {
+			unreachable = append(unreachable, member)
+		}
+	}
+	return states, unreachable
+}
+
+// GrantKey makes a key for a team of the table of routes.
+func (d *Daemon) GrantKey(ctx context.Context, team cyclamendyke.TeamName) (caller.GrantedKey, error) {
+	inForce := d.tables.Load()
+	if inForce == nil {
+		return caller.GrantedKey{}, &Error{Op: "grant key", Kind: cyclamendyke.KindUnavailable, Err: errors.New("no tables are in force here yet")}
+	}
+	if _, ok := inForce.Teams[team]; !ok {
+		return caller.GrantedKey{}, &Error{Op: "grant key", Kind: cyclamendyke.KindInvalid, Err: fmt.Errorf("the table of routes has no team %q", team)}
+	}
+	granted, err := d.registry.Grant(ctx, team)
+	if err != nil {
+		return caller.GrantedKey{}, err
+	}
+	d.refresh(ctx)
+	return caller.GrantedKey{ID: granted.ID, Key: granted.Key}, nil
+}
+
+// Keys lists the keys without their secrets.
+func (d *Daemon) Keys(ctx context.Context) ([]cyclamendyke.KeyRecord, error) {
+	records, _, err := d.registry.List(ctx)
+	return records, err
+}
+
+// WithdrawKey withdraws a key; it stops working here at once and elsewhere with the next watch or heartbeat.
+func (d *Daemon) WithdrawKey(ctx context.Context, id string) (cyclamendyke.Revision, error) {
+	revision, err := d.registry.Withdraw(ctx, id)
+	if err != nil {
+		return 0, err
+	}
+	d.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventKeyWithdrawn, Detail: id})
+	d.refresh(ctx)
+	return revision, nil
+}
+
+// Workers returns the workers of a zone from its scheduler.
+func (d *Daemon) Workers(ctx context.Context, zone cyclamendyke.ZoneName) (cyclamendyke.ZoneName, []cyclamendyke.WorkerState, error) {
+	if zone == "" {
+		zone = d.member.Zone
+	}
+	if _, here := d.control.currentEpoch(); here && zone == d.member.Zone {
+		return zone, d.control.workers(), nil
+	}
+	holder, ok := d.directory.scheduler(zone, time.Now())
+	if !ok {
+		return zone, nil, &Error{Op: "workers", Kind: cyclamendyke.KindUnavailable, Err: fmt.Errorf("zone %q has no scheduler at present", zone)}
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.Limits.PeerTimeout)
+	defer cancel()
+	workers, err := d.peers.Workers(ctx, holder.Member.Name)
+	return zone, workers, err
+}
+
+// Timeline returns this process's events.
+func (d *Daemon) Timeline(filter cyclamendyke.TimelineFilter) (cyclamendyke.MemberName, []cyclamendyke.TimelineEvent) {
+	return d.member.Name, d.ring.Events(filter)
+}
--- /dev/null
+++ b/daemon/peercalls.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/config"
+	"cyclamendyke/io/peer"
+)
+
+// peerHandler answers the inner protocol's calls.
+type peerHandler struct {
+	*Daemon
+}
+
+// Submit hands a peer's job to this process's scheduler.
+func (h peerHandler) Submit(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
+	return h.control.submit(ctx, job)
+}
+
+// Status returns what this process's scheduler knows of a request.
+func (h peerHandler) Status(ctx context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	return h.control.status(ctx, request)
+}
+
+// Cancel ends a job of this process's scheduler.
+func (h peerHandler) Cancel(ctx context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	return h.control.cancelJob(ctx, request)
+}
+
+// Watched returns this process's copy of the watched part of the store.
+func (h peerHandler) Watched(context.Context) (config.Copy, error) {
+	return h.view.Snapshot().Copy, nil
+}
+
+// Workers returns the zone's workers.
+func (h peerHandler) Workers(context.Context) ([]cyclamendyke.WorkerState, error) {
+	if _, here := h.control.currentEpoch(); !here {
+		return nil, notScheduler("workers")
+	}
+	return h.control.workers(), nil
+}
+
+func notScheduler(op string) error {
+	return &peer.Error{Op: op, Kind: peer.KindNotScheduler, Err: errors.New("the role is held elsewhere")}
+}
+
+// status returns what the scheduler knows of a request.
+func (c *controller) status(_ context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	var status cyclamendyke.JobStatus
+	err := notScheduler("status")
+	c.ask(func(time.Time) {
+		if c.scheduler == nil {
+			return
+		}
+		var ok bool
+		if status, ok = c.scheduler.Status(request); ok {
+			err = nil
+			return
+		}
+		err = &Error{Op: "status", Kind: cyclamendyke.KindNotFound, Err: errors.New("the zone's scheduler knows no such request")}
+	})
+	return status, err
+}
+
+// cancelJob ends a job and returns its status; it is idempotent.
+func (c *controller) cancelJob(ctx context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
+	c.ask(func(now time.Time) {
+		if c.scheduler != nil {
+			c.run(c.scheduler.Cancel(now, request))
+		}
+	})
+	return c.status(ctx, request)
+}
+
+// workers returns the state of each worker.
+func (c *controller) workers() []cyclamendyke.WorkerState {
+	var states []cyclamendyke.WorkerState
+	c.ask(func(time.Time) {
+		if c.scheduler != nil {
+			states = c.scheduler.Workers()
+		}
+	})
+	return states
+}
--- /dev/null
+++ b/daemon/records.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/account"
+	"cyclamendyke/core/journal"
+	"cyclamendyke/core/once"
+)
+
+// The timing of what is kept in the store.
+const (
+	journalOpenPause = 500 * time.Millisecond
+	recordsCloseTime = 5 * time.Second // For writing what still waits at a planned stop.
+)
+
+// records keeps jobs, outcomes and the account in the store; a store that is away never blocks its callers.
+type records struct {
+	zone    cyclamendyke.ZoneName
+	journal *journal.Journal
+	once    *once.Register
+	lines   *account.Writer
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu     sync.Mutex
+	epoch  cyclamendyke.Epoch // The latest term asked for.
+	writer *journal.Writer    // Of that term; nil until the journal is open.
+}
+
+func newRecords(member cyclamendyke.Member, store cyclamendyke.Store) *records {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &records{
+		zone:    member.Zone,
+		journal: journal.New(journal.Config{Store: store, Zone: member.Zone}),
+		once:    once.New(once.Config{Store: store}),
+		lines:   account.New(account.Config{Store: store, Zone: member.Zone, Member: member.Name, Started: member.Started}),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+}
+
+// open takes over the zone's journal for an epoch, as soon as the store lets it, and hands over its live records.
+func (r *records) open(epoch cyclamendyke.Epoch, loaded func([]cyclamendyke.JournalRecord)) {
+	r.mu.Lock()
+	old := r.writer
+	r.writer = nil
+	r.epoch = epoch
+	r.mu.Unlock()
+	r.done.Go(func() {
+		closeWriter(old)
+		for r.isCurrent(epoch) && r.ctx.Err() == nil {
+			writer, found, err := r.journal.Open(r.ctx, epoch)
+			switch {
+			case err == nil:
+				r.use(epoch, writer)
+				loaded(found)
+				return
+			case errors.Is(err, cyclamendyke.KindFenced):
+				return
+			}
+			pause(r.ctx, jitter(journalOpenPause))
+		}
+	})
+}
+
+func (r *records) isCurrent(epoch cyclamendyke.Epoch) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch == epoch
+}
+
+// use puts a writer in place unless another term has begun.
+func (r *records) use(epoch cyclamendyke.Epoch, writer *journal.Writer) {
+	r.mu.Lock()
+	current := r.epoch == epoch
+	if current {
+		r.writer = writer
+	}
+	r.mu.Unlock()
+	if !current {
+		closeWriter(writer)
+	}
+}
+
+func closeWriter(writer *journal.Writer) {
+	if writer == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recordsCloseTime)
+	defer cancel()
+	writer.Close(ctx)
+}
+
+// keep writes a record; without an open journal it is refused.
+func (r *records) keep(record cyclamendyke.JournalRecord, kept func(cyclamendyke.PersistResult)) {
+	r.mu.Lock()
+	writer := r.writer
+	r.mu.Unlock()
+	if writer != nil {
+		writer.Persist(record, kept)
+		return
+	}
+	if kept != nil {
+		kept(cyclamendyke.PersistRefused)
+	}
+}
+
+// account adds a line to the account.
+func (r *records) account(record cyclamendyke.AccountRecord) {
+	record.Zone = r.zone
+	r.lines.Add(record)
+}
+
+// finish keeps the outcome of a request under its idempotency key.
+func (r *records) finish(job cyclamendyke.Job, outcome cyclamendyke.Outcome) {
+	r.once.Complete(job.Team, job.IdempotencyKey, outcome)
+}
+
+// close writes what still waits.
+func (r *records) close() {
+	r.cancel()
+	r.done.Wait()
+	r.mu.Lock()
+	writer := r.writer
+	r.mu.Unlock()
+	closeWriter(writer)
+	ctx, cancel := context.WithTimeout(context.Background(), recordsCloseTime)
+	defer cancel()
+	r.once.Close(ctx)
+	r.lines.Close(ctx)
+}
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -2,16 +2,26 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/creachadair/jrpc2"
 	"github.com/creachadair/jrpc2/handler"
 
 	"cyclamendyke"
+	"cyclamendyke/core/config"
 )
 
+// ViewState is the answer to a heartbeat: how fresh the answering process's view of the store is.
+type ViewState struct {
+	StoreAge       time.Duration         `json:"store-age-ns"` // Since the store last confirmed the view.
+	TablesRevision cyclamendyke.Revision `json:"tables-revision"`
+	KeysRevision   cyclamendyke.Revision `json:"keys-revision"`
+}
+
 // Handler answers the calls of other processes; its errors match KindNotScheduler, KindNotFound or KindConflict.
 type Handler interface {
-	// Heartbeat takes in a peer's state.
-	Heartbeat(ctx context.Context, state cyclamendyke.MemberState) error
+	// Heartbeat takes in a peer's state and returns how fresh this process's view is.
+	Heartbeat(ctx context.Context, state cyclamendyke.MemberState) (ViewState, error)
 	// Submit hands a job to the zone's scheduler and waits for its outcome; it is idempotent by request.
 	Submit(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error)
 	// Status returns what the zone's scheduler knows of a request.
@@ -19,7 +29,7 @@
 	// Cancel ends a job.
 	Cancel(ctx context.Context, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error)
 	// Watched returns this process's copy of the watched part of the store.
-	Watched(ctx context.Context) ([]cyclamendyke.Entry, error)
+	Watched(ctx context.Context) (config.Copy, error)
 	// Workers returns the state of the zone's workers.
 	Workers(ctx context.Context) ([]cyclamendyke.WorkerState, error)
 }
@@ -34,36 +44,44 @@
 	methodWorkers   = "workers"
 )
 
-// requestParams names the request that a call is about.
-type requestParams struct {
-	Request cyclamendyke.RequestID `json:"request"`
+// Clock is the process's hybrid logical clock, whose readings every message carries.
+type Clock interface {
+	// Now returns a reading later than all before it.
+	Now() cyclamendyke.Timestamp
+	// Observe takes in a peer's reading, and reports false if it was left out.
+	Observe(reading cyclamendyke.Timestamp) bool
+}
+
+// message is the body of every call and answer.
+type message[T any] struct {
+	At   cyclamendyke.Timestamp `json:"at"`
+	Body T                      `json:"body"`
+}
+
+// nothing is the body of calls and answers that say no more than that they were made.
+type nothing struct{}
+
+// served wraps a handler's method: it observes the caller's clock and stamps the answer.
+func served[P, R any](clock Clock, serve func(context.Context, P) (R, error)) jrpc2.Handler {
+	return handler.New(func(ctx context.Context, call message[P]) (message[R], error) {
+		clock.Observe(call.At)
+		result, err := serve(ctx, call.Body)
+		return message[R]{At: clock.Now(), Body: result}, wireError(err)
+	})
 }
 
 // assigner maps the methods of the inner protocol to h.
-func assigner(h Handler) handler.Map {
+func assigner(clock Clock, h Handler) handler.Map {
 	return handler.Map{
-		methodHeartbeat: handler.New(func(ctx context.Context, state cyclamendyke.MemberState) error {
-			return wireError(h.Heartbeat(ctx, state))
-		}),
-		methodSubmit: handler.New(func(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
-			outcome, err := h.Submit(ctx, job)
-			return outcome, wireError(err)
-		}),
-		methodStatus: handler.New(func(ctx context.Context, params requestParams) (cyclamendyke.JobStatus, error) {
-			status, err := h.Status(ctx, params.Request)
-			return status, wireError(err)
-		}),
-		methodCancel: handler.New(func(ctx context.Context, params requestParams) (cyclamendyke.JobStatus, error) {
-			status, err := h.Cancel(ctx, params.Request)
-			return status, wireError(err)
-		}),
-		methodWatched: handler.New(func(ctx context.Context) ([]cyclamendyke.Entry, error) {
-			entries, err := h.Watched(ctx)
-			return entries, wireError(err)
+		methodHeartbeat: served(clock, h.Heartbeat),
+		methodSubmit:    served(clock, h.Submit),
+		methodStatus:    served(clock, h.Status),
+		methodCancel:    served(clock, h.Cancel),
+		methodWatched: served(clock, func(ctx context.Context, _ nothing) (config.Copy, error) {
+			return h.Watched(ctx)
 		}),
-		methodWorkers: handler.New(func(ctx context.Context) ([]cyclamendyke.WorkerState, error) {
-			workers, err := h.Workers(ctx)
-			return workers, wireError(err)
+		methodWorkers: served(clock, func(ctx context.Context, _ nothing) ([]cyclamendyke.WorkerState, error) {
+			return h.Workers(ctx)
 		}),
 	}
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -19,12 +19,14 @@
 type link struct {
 	member      cyclamendyke.Member
 	dial        Dial
+	clock       Clock
 	dialTimeout time.Duration
 
 	mu     sync.Mutex
 	client *jrpc2.Client
 	alive  bool // The last heartbeat was answered.
 	cancel context.CancelFunc
+	now    chan struct{} // Asks for a heartbeat before its turn.
 }
 
 // connect returns the open connection or dials a fresh one.
@@ -67,33 +69,38 @@
 	}
 }
 
-// call makes one call; an error of KindUnavailable means that it was not sent.
-func (l *link) call(ctx context.Context, method string, params, result any) error {
+// call makes one call over l; an error of KindUnavailable means that it was not sent.
+func call[P, R any](ctx context.Context, l *link, method string, params P) (R, error) {
+	var answer message[R]
 	client, err := l.connect(ctx)
 	if err != nil {
-		return err
+		return answer.Body, err
 	}
-	if result == nil {
-		_, err = client.Call(ctx, method, params)
-		return callError(method, err)
+	err = client.CallResult(ctx, method, message[P]{At: l.clock.Now(), Body: params}, &answer)
+	if err != nil {
+		return answer.Body, callError(method, err)
 	}
-	return callError(method, client.CallResult(ctx, method, params, result))
+	l.clock.Observe(answer.At)
+	return answer.Body, nil
 }
 
-// beat sends one heartbeat, on a fresh connection if the old one does not answer.
-func (l *link) beat(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) error {
-	err := l.beatOnce(ctx, state, timeout)
+// beat sends one heartbeat, on a fresh connection if the old one does not answer; it returns the answer and when the answered call was sent.
+func (l *link) beat(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) (ViewState, time.Time, error) {
+	sent := time.Now()
+	view, err := l.beatOnce(ctx, state, timeout)
 	if err == nil || ctx.Err() != nil {
-		return err
+		return view, sent, err
 	}
 	l.drop()
-	return l.beatOnce(ctx, state, timeout)
+	sent = time.Now()
+	view, err = l.beatOnce(ctx, state, timeout)
+	return view, sent, err
 }
 
-func (l *link) beatOnce(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) error {
+func (l *link) beatOnce(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) (ViewState, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return l.call(ctx, methodHeartbeat, state, nil)
+	return call[cyclamendyke.MemberState, ViewState](ctx, l, methodHeartbeat, state)
 }
 
 // setAlive notes the verdict and reports whether it changed.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/config"
 )
 
 // The timing of heartbeats, when the configuration names none.
@@ -21,11 +22,13 @@
 // PoolConfig configures a Pool.
 type PoolConfig struct {
 	Self              cyclamendyke.MemberName
-	State             func() cyclamendyke.MemberState              // What each heartbeat carries.
-	OnVerdict         func(member cyclamendyke.Member, alive bool) // Called when a peer is lost or back.
-	Dial              Dial                                         // The system's dialer if nil.
-	HeartbeatInterval time.Duration                                // DefaultHeartbeatInterval if zero.
-	HeartbeatTimeout  time.Duration                                // DefaultHeartbeatTimeout if zero.
+	Clock             Clock
+	State             func() cyclamendyke.MemberState                                    // What each heartbeat carries.
+	OnView            func(member cyclamendyke.Member, sent time.Time, answer ViewState) // Called with the answer to each heartbeat.
+	OnVerdict         func(member cyclamendyke.Member, alive bool)                       // Called when a peer is lost or back.
+	Dial              Dial                                                               // The system's dialer if nil.
+	HeartbeatInterval time.Duration                                                      // DefaultHeartbeatInterval if zero.
+	HeartbeatTimeout  time.Duration                                                      // DefaultHeartbeatTimeout if zero.
 }
 
 // Pool keeps one connection with heartbeats to every other process.
@@ -81,16 +84,19 @@
 // open starts the heartbeats to one peer.
 func (p *Pool) open(member cyclamendyke.Member) *link {
 	ctx, cancel := context.WithCancel(p.ctx)
-	l := &link{member: member, dial: p.cfg.Dial, dialTimeout: p.cfg.HeartbeatTimeout, cancel: cancel}
+	l := &link{member: member, dial: p.cfg.Dial, clock: p.cfg.Clock, dialTimeout: p.cfg.HeartbeatTimeout, cancel: cancel, now: make(chan struct{}, 1)}
 	p.done.Go(func() {
 		defer l.drop()
 		ticker := time.NewTicker(p.cfg.HeartbeatInterval)
 		defer ticker.Stop()
 		for {
-			err := l.beat(ctx, p.cfg.State(), p.cfg.HeartbeatTimeout)
+			view, sent, err := l.beat(ctx, p.cfg.State(), p.cfg.HeartbeatTimeout)
 			if ctx.Err() != nil {
 				return
 			}
+			if err == nil {
+				p.cfg.OnView(member, sent, view)
+			}
 			if l.setAlive(err == nil) {
 				p.cfg.OnVerdict(member, err == nil)
 			}
@@ -98,12 +104,25 @@
 			case <-ctx.Done():
 				return
 			case <-ticker.C:
+			case <-l.now:
 			}
 		}
 	})
 	return l
 }
 
+// BeatNow sends a heartbeat to every peer before its turn.
+func (p *Pool) BeatNow() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		select {
+		case l.now <- struct{}{}:
+		default:
+		}
+	}
+}
+
 // Alive reports whether the peer answered the last heartbeat.
 func (p *Pool) Alive(member cyclamendyke.MemberName) bool {
 	l, ok := p.link(member)
@@ -124,37 +143,27 @@
 
 // Submit hands a job to the peer and waits for its outcome; KindUnavailable and KindNotScheduler mean that nothing was accepted, KindUnknown that it may have been.
 func (p *Pool) Submit(ctx context.Context, to cyclamendyke.MemberName, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
-	var outcome cyclamendyke.Outcome
-	err := p.call(ctx, to, methodSubmit, job, &outcome)
-	return outcome, err
+	return callMember[cyclamendyke.Job, cyclamendyke.Outcome](ctx, p, to, methodSubmit, job)
 }
 
 // Status asks the peer, its zone's scheduler, for a request's status.
 func (p *Pool) Status(ctx context.Context, to cyclamendyke.MemberName, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
-	var status cyclamendyke.JobStatus
-	err := p.call(ctx, to, methodStatus, requestParams{Request: request}, &status)
-	return status, err
+	return callMember[cyclamendyke.RequestID, cyclamendyke.JobStatus](ctx, p, to, methodStatus, request)
 }
 
 // Cancel asks the peer, its zone's scheduler, to end a job; it is idempotent.
 func (p *Pool) Cancel(ctx context.Context, to cyclamendyke.MemberName, request cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
-	var status cyclamendyke.JobStatus
-	err := p.call(ctx, to, methodCancel, requestParams{Request: request}, &status)
-	return status, err
+	return callMember[cyclamendyke.RequestID, cyclamendyke.JobStatus](ctx, p, to, methodCancel, request)
 }
 
 // Watched returns the peer's copy of the watched part of the store.
-func (p *Pool) Watched(ctx context.Context, from cyclamendyke.MemberName) ([]cyclamendyke.Entry, error) {
-	var entries []cyclamendyke.Entry
-	err := p.call(ctx, from, methodWatched, nil, &entries)
-	return entries, err
+func (p *Pool) Watched(ctx context.Context, from cyclamendyke.MemberName) (config.Copy, error) {
+	return callMember[nothing, config.Copy](ctx, p, from, methodWatched, nothing{})
 }
 
 // Workers returns the workers of the peer's zone, of which it is the scheduler.
 func (p *Pool) Workers(ctx context.Context, from cyclamendyke.MemberName) ([]cyclamendyke.WorkerState, error) {
-	var workers []cyclamendyke.WorkerState
-	err := p.call(ctx, from, methodWorkers, nil, &workers)
-	return workers, err
+	return callMember[nothing, []cyclamendyke.WorkerState](ctx, p, from, methodWorkers, nothing{})
 }
 
 // Close ends every connection.
@@ -168,12 +177,14 @@
 	p.done.Wait()
 }
 
-func (p *Pool) call(ctx context.Context, to cyclamendyke.MemberName, method string, params, result any) error {
+// callMember makes one call to a peer by name.
+func callMember[P, R any](ctx context.Context, p *Pool, to cyclamendyke.MemberName, method string, params P) (R, error) {
 	l, ok := p.link(to)
 	if !ok {
-		return &Error{Op: method, Kind: cyclamendyke.KindUnavailable, Err: errors.New("no such peer: " + string(to))}
+		var none R
+		return none, &Error{Op: method, Kind: cyclamendyke.KindUnavailable, Err: errors.New("no such peer: " + string(to))}
 	}
-	return l.call(ctx, method, params, result)
+	return call[P, R](ctx, l, method, params)
 }
 
 func (p *Pool) link(member cyclamendyke.MemberName) (*link, bool) {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -15,6 +15,7 @@
 type ServerConfig struct {
 	Listener net.Listener
 	Handler  Handler
+	Clock    Clock
 }
 
 // Server answers other processes until it is closed.
@@ -29,7 +30,7 @@
 // NewServer starts to accept connections on the configured listener.
 func NewServer(cfg ServerConfig) *Server {
 	s := &Server{listener: cfg.Listener, open: make(map[*jrpc2.Server]net.Conn)}
-	methods := assigner(cfg.Handler)
+	methods := assigner(cfg.Clock, cfg.Handler)
 	s.done.Go(func() {
 		for {
 			conn, err := s.listener.Accept()
--- a/names.go
+++ b/names.go
@@ -53,3 +53,6 @@
 func (id TaskID) String() string {
 	return fmt.Sprintf("%s/%d", id.Request, id.Index)
 }
+
+// OpenTeam is the team that work without a key, on routes open to all, is accounted to; its share and limit are set like any other's.
+const OpenTeam TeamName = "open"
