Add the command-line client

A call that was refused a connection goes to the next entry VM; one whose answer was lost is sent again only if that does no harm, else the client says that it may have run.

--- /dev/null
+++ b/client/nodes.go
@@ -0,0 +1,122 @@
+package client
+
+import (
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cyclamendyke"
+)
+
+type nodesOptions struct {
+	Members nodesMembersOptions `command:"members" description:"Show the system's processes and the revisions in force in them"`
+	Workers nodesWorkersOptions `command:"workers" description:"Show the workers of one zone"`
+}
+
+func newNodesOptions(c *Client) *nodesOptions {
+	return &nodesOptions{
+		Members: nodesMembersOptions{client: c},
+		Workers: nodesWorkersOptions{client: c},
+	}
+}
+
+type nodesMembersOptions struct {
+	client *Client
+}
+
+// Execute shows the system's processes.
+func (o *nodesMembersOptions) Execute([]string) error {
+	return o.client.runNodesMembers()
+}
+
+func (c *Client) runNodesMembers() error {
+	var reply memberList
+	if err := c.fetch(c.operatorCall("nodes members", http.MethodGet, "/v1/members", nil), &reply); err != nil {
+		return err
+	}
+	return c.print(reply, func() [][]string {
+		header := []string{"MEMBER", "ZONE", "HTTP", "ROLE", "EPOCH", "TABLES", "KEYS", "STORE SEEN"}
+		rows := tableRows(header, reply.Members, memberRow)
+		for _, member := range reply.Unreachable {
+			rows = append(rows, []string{string(member.Name), string(member.Zone), member.HTTP, "unreachable"})
+		}
+		return rows
+	})
+}
+
+func memberRow(state cyclamendyke.MemberState) []string {
+	role := "standby"
+	if state.Scheduling {
+		role = "scheduler"
+	}
+	if state.Stopping {
+		role += ", stopping"
+	}
+	return []string{
+		string(state.Member.Name),
+		string(state.Member.Zone),
+		state.Member.HTTP,
+		role,
+		state.Epoch.String(),
+		fmt.Sprint(state.TablesRevision),
+		fmt.Sprint(state.KeysRevision),
+		state.StoreAge.Round(time.Millisecond).String() + " ago",
+	}
+}
+
+type nodesWorkersOptions struct {
+	client *Client
+	Zone   string `long:"zone" value-name:"NAME" description:"zone of the workers; without it the zone of the entry VM"`
+}
+
+// Execute shows the workers of a zone.
+func (o *nodesWorkersOptions) Execute([]string) error {
+	return o.client.runNodesWorkers(o)
+}
+
+func (c *Client) runNodesWorkers(o *nodesWorkersOptions) error {
+	path := "/v1/workers"
+	if o.Zone != "" {
+		path += "?zone=" + url.QueryEscape(o.Zone)
+	}
+	var reply struct {
+		Zone    cyclamendyke.ZoneName      `json:"zone"`
+		Workers []cyclamendyke.WorkerState `json:"workers"`
+	}
+	if err := c.fetch(c.operatorCall("nodes workers", http.MethodGet, path, nil), &reply); err != nil {
+		return err
+	}
+	return c.print(reply, func() [][]string {
+		header := []string{"WORKER", "ZONE", "POOL", "RACK", "STATE", "TASKS", "RESERVED", "CAPACITY"}
+		return tableRows(header, reply.Workers, workerRow)
+	})
+}
+
+func workerRow(worker cyclamendyke.WorkerState) []string {
+	return []string{
+		string(worker.VM.Name),
+		string(worker.VM.Zone),
+		string(worker.VM.Pool),
+		worker.VM.Rack,
+		workerStateText(worker),
+		fmt.Sprint(worker.Tasks),
+		formatResources(worker.Reserved),
+		formatResources(worker.VM.Capacity),
+	}
+}
+
+func workerStateText(worker cyclamendyke.WorkerState) string {
+	switch {
+	case worker.VM.State == cyclamendyke.VMLeaving:
+		return "leaving"
+	case worker.BackOff > 0:
+		return "back-off " + worker.BackOff.Round(time.Second).String()
+	case !worker.Claimed:
+		return "not claimed"
+	case !worker.Healthy:
+		return "silent"
+	default:
+		return "ready"
+	}
+}
--- /dev/null
+++ b/client/status.go
@@ -0,0 +1,102 @@
+package client
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"cyclamendyke"
+)
+
+// pollInterval is the time between two questions of a command that waits for a state.
+const pollInterval = 500 * time.Millisecond
+
+type requestArgs struct {
+	Request string `positional-arg-name:"REQUEST"`
+}
+
+type statusOptions struct {
+	client *Client
+	Wait   bool        `long:"wait" description:"wait until the outcome is final"`
+	Args   requestArgs `positional-args:"yes" required:"yes"`
+}
+
+// Execute shows what is known of a request.
+func (o *statusOptions) Execute([]string) error {
+	return o.client.runStatus(o)
+}
+
+func (c *Client) runStatus(o *statusOptions) error {
+	call := c.jobCall("status", http.MethodGet, o.Args.Request)
+	var status cyclamendyke.JobStatus
+	if !o.Wait {
+		if err := c.fetch(call, &status); err != nil {
+			return err
+		}
+		return c.printStatus(status)
+	}
+	call.timeout = 0
+	err := c.poll(call, func(response cyclamendyke.EntryResponse) (bool, error) {
+		err := decodeReply(call, response, &status)
+		return status.Outcome.Verdict.IsFinal(), err
+	})
+	if err != nil {
+		return err
+	}
+	return c.printStatus(status)
+}
+
+func (c *Client) jobCall(op, method, request string) apiCall {
+	return apiCall{
+		op:         op,
+		method:     method,
+		path:       "/v1/jobs/" + url.PathEscape(request),
+		key:        c.options.Key,
+		repeatable: true,
+		timeout:    defaultTimeout,
+	}
+}
+
+// poll repeats the call until done reports true or returns an error, the time to wait is over or the entry VMs cannot be reached.
+func (c *Client) poll(call apiCall, done func(cyclamendyke.EntryResponse) (bool, error)) error {
+	ctx, cancel := c.withTimeout(call.timeout)
+	defer cancel()
+	stop := c.showProgress(ctx, call)
+	defer stop()
+	for {
+		response, err := c.sendIn(ctx, call)
+		if ctx.Err() != nil {
+			return c.waitedOut(ctx, call)
+		}
+		if err != nil {
+			return err
+		}
+		if ok, err := done(response); ok || err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return c.waitedOut(ctx, call)
+		case <-c.After(pollInterval):
+		}
+	}
+}
+
+func (c *Client) waitedOut(ctx context.Context, call apiCall) error {
+	return &Error{Op: call.op, Exit: ExitWaitedOut, Detail: "the state that was waited for has not come about: ask again, or give a longer --timeout", Err: ctx.Err()}
+}
+
+func (c *Client) printStatus(status cyclamendyke.JobStatus) error {
+	c.exit = exitCodeOfOutcome(status.Outcome)
+	return c.print(status, func() [][]string {
+		rows := [][]string{
+			{"team", formatText(status.Job.Team)},
+			{"route", formatText(status.Job.Route)},
+			{"tasks", fmt.Sprintf("%d: %d waiting, %d running, %d done, %d failed", status.Job.Tasks, status.Waiting, status.Running, status.Done, status.Failed)},
+			{"accepted", formatTime(status.Job.Accepted)},
+		}
+		return append(outcomeRows(status.Outcome), rows...)
+	})
+}
--- /dev/null
+++ b/client/tables_edit.go
@@ -0,0 +1,103 @@
+package client
+
+import (
+	"fmt"
+	"net/http"
+
+	"cyclamendyke"
+	"cyclamendyke/core/tables"
+)
+
+type tablesEditOptions struct {
+	client   *Client
+	Routes   string  `long:"routes" value-name:"FILE" description:"new table of routes; without it the table stays"`
+	Pools    string  `long:"pools" value-name:"FILE" description:"new table of pools; without it the table stays"`
+	Expected *uint64 `long:"expected" value-name:"N" description:"revision that the files were made from, as 'tables get' printed it; 0 for a cell without tables"`
+	Wait     bool    `long:"wait" description:"wait until every process has the new revision in force"`
+}
+
+// Execute puts tables in force.
+func (o *tablesEditOptions) Execute([]string) error {
+	return o.client.runTablesEdit(o)
+}
+
+func (c *Client) runTablesEdit(o *tablesEditOptions) error {
+	const op = "tables edit"
+	if o.Routes == "" && o.Pools == "" {
+		return &Error{Op: op, Kind: cyclamendyke.KindInvalid, Detail: "give --routes, --pools or both"}
+	}
+	current, err := c.fetchTables(op)
+	if err != nil {
+		return err
+	}
+	expected := current.Revision
+	if o.Expected != nil {
+		expected = cyclamendyke.Revision(*o.Expected)
+	}
+	if expected != current.Revision {
+		return conflictError(op, expected, current.Revision)
+	}
+	text, err := readTables(op, o.Routes, o.Pools, current.TablesText)
+	if err != nil {
+		return err
+	}
+	if _, faults := tables.Parse(text, expected); len(faults) > 0 {
+		return c.reportFaults(op, o.Routes, o.Pools, faults)
+	}
+	revision, err := c.putTables(op, o, expected, text)
+	if err != nil {
+		return err
+	}
+	if o.Wait {
+		if _, err := c.waitInForce(op, "tables", revision, tablesRevisionOf); err != nil {
+			return err
+		}
+	}
+	return c.printRevision(revision)
+}
+
+// putTables writes the tables over the expected revision, which makes the call safe to repeat.
+func (c *Client) putTables(op string, o *tablesEditOptions, expected cyclamendyke.Revision, text cyclamendyke.TablesText) (cyclamendyke.Revision, error) {
+	body := struct {
+		Expected cyclamendyke.Revision `json:"expected"`
+		cyclamendyke.TablesText
+	}{expected, text}
+	call := c.operatorCall(op, http.MethodPut, "/v1/tables", body)
+	response, err := c.send(call)
+	if err != nil {
+		return 0, err
+	}
+	refusal := decodeRefusal(response)
+	switch {
+	case len(refusal.Faults) > 0:
+		return 0, c.reportFaults(op, o.Routes, o.Pools, refusal.Faults)
+	case response.Status == http.StatusConflict:
+		return c.resolveConflict(op, expected, text)
+	case response.Status >= http.StatusBadRequest:
+		return 0, refusalError(op, response)
+	default:
+		return refusal.Revision, nil
+	}
+}
+
+// resolveConflict tells an edit of this command whose answer was lost from one of another operator.
+func (c *Client) resolveConflict(op string, expected cyclamendyke.Revision, text cyclamendyke.TablesText) (cyclamendyke.Revision, error) {
+	current, err := c.fetchTables(op)
+	if err != nil {
+		return 0, err
+	}
+	if current.TablesText == text {
+		return current.Revision, nil
+	}
+	return 0, conflictError(op, expected, current.Revision)
+}
+
+func conflictError(op string, expected, current cyclamendyke.Revision) error {
+	return &Error{
+		Op:     op,
+		Kind:   cyclamendyke.KindConflict,
+		Reason: cyclamendyke.ReasonConflict,
+		Detail: fmt.Sprintf("another operator was first: the tables are at revision %d, your files were made from %d, and nothing of yours was applied. "+
+			"Run 'cyclamendyke tables get', make your change again on top of it, then 'tables edit --expected %d'", current, expected, current),
+	}
+}
--- /dev/null
+++ b/client/timeline.go
@@ -0,0 +1,163 @@
+package client
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"net/url"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"cyclamendyke"
+)
+
+const (
+	timelineTimeout  = 5 * time.Second // Of the question to one process.
+	timelineParallel = 16              // Processes asked at once.
+)
+
+type timelineOptions struct {
+	client  *Client
+	Request string `long:"request" value-name:"REQUEST" description:"only events of this request"`
+	Worker  string `long:"worker" value-name:"NAME" description:"only events of this worker"`
+	Team    string `long:"team" value-name:"NAME" description:"only events of this team"`
+	Kind    string `long:"kind" value-name:"KIND" description:"only events of this kind, such as role-taken"`
+}
+
+// Execute merges the time lines of all processes.
+func (o *timelineOptions) Execute([]string) error {
+	return o.client.runTimeline(o)
+}
+
+// unreachableMember names a process whose events are missing from a merged time line.
+type unreachableMember struct {
+	Member cyclamendyke.MemberName `json:"member"`
+	HTTP   string                  `json:"http"`
+	Reason string                  `json:"reason"`
+}
+
+// memberTimeline is one process's part of the time line, or why it is missing.
+type memberTimeline struct {
+	events []cyclamendyke.TimelineEvent
+	err    error
+}
+
+func (c *Client) runTimeline(o *timelineOptions) error {
+	var members memberList
+	if err := c.fetch(c.operatorCall("timeline", http.MethodGet, "/v1/members", nil), &members); err != nil {
+		return err
+	}
+	asked := listMembers(members)
+	parts := c.fetchTimelines(asked, o.path())
+	body := struct {
+		Events      []cyclamendyke.TimelineEvent `json:"events"`
+		Unreachable []unreachableMember          `json:"unreachable"`
+	}{[]cyclamendyke.TimelineEvent{}, []unreachableMember{}}
+	for i, part := range parts {
+		if part.err != nil {
+			body.Unreachable = append(body.Unreachable, unreachableMember{Member: asked[i].Name, HTTP: asked[i].HTTP, Reason: part.err.Error()})
+			continue
+		}
+		body.Events = append(body.Events, part.events...)
+	}
+	slices.SortStableFunc(body.Events, compareEvents)
+	for _, missing := range body.Unreachable {
+		fmt.Fprintf(c.Stderr, "timeline: the events of %s are missing: %s\n", missing.Member, missing.Reason)
+	}
+	return c.print(body, func() [][]string {
+		header := []string{"AT", "MEMBER", "EVENT", "REQUEST", "TASK", "WORKER", "TEAM", "EPOCH", "DETAIL"}
+		return tableRows(header, body.Events, eventRow)
+	})
+}
+
+func (o *timelineOptions) path() string {
+	query := url.Values{}
+	for _, filter := range [][2]string{{"request", o.Request}, {"worker", o.Worker}, {"team", o.Team}, {"kind", o.Kind}} {
+		if filter[1] != "" {
+			query.Set(filter[0], filter[1])
+		}
+	}
+	return "/v1/timeline?" + query.Encode()
+}
+
+// listMembers returns every known process, also those that the asked one could not reach, in order of name.
+func listMembers(list memberList) []cyclamendyke.Member {
+	members := slices.Clone(list.Unreachable)
+	for _, state := range list.Members {
+		members = append(members, state.Member)
+	}
+	slices.SortFunc(members, func(a, b cyclamendyke.Member) int { return cmp.Compare(a.Name, b.Name) })
+	return slices.CompactFunc(members, func(a, b cyclamendyke.Member) bool { return a.Name == b.Name })
+}
+
+// fetchTimelines asks each process at its own HTTP address; the parts are in the order of members.
+func (c *Client) fetchTimelines(members []cyclamendyke.Member, path string) []memberTimeline {
+	parts := make([]memberTimeline, len(members))
+	var group errgroup.Group
+	group.SetLimit(timelineParallel)
+	for i, member := range members {
+		group.Go(func() error {
+			parts[i] = c.fetchTimeline(member, path)
+			return nil
+		})
+	}
+	_ = group.Wait() // Each part holds its own error.
+	return parts
+}
+
+func (c *Client) fetchTimeline(member cyclamendyke.Member, path string) memberTimeline {
+	ctx, cancel := c.withTimeout(timelineTimeout)
+	defer cancel()
+	response, err := c.Entry.Do(ctx, cyclamendyke.EntryRequest{
+		Address: member.HTTP,
+		Method:  http.MethodGet,
+		Path:    path,
+		Key:     c.options.OperatorKey,
+	})
+	if err != nil {
+		return memberTimeline{err: err}
+	}
+	var reply struct {
+		Member cyclamendyke.MemberName      `json:"member"`
+		Events []cyclamendyke.TimelineEvent `json:"events"`
+	}
+	if err := decodeReply(apiCall{op: "timeline"}, response, &reply); err != nil {
+		return memberTimeline{err: err}
+	}
+	if reply.Member != member.Name {
+		return memberTimeline{err: &Error{Op: "timeline", Kind: cyclamendyke.KindNotFound, Detail: fmt.Sprintf("%s is now the address of %s", member.HTTP, reply.Member)}}
+	}
+	return memberTimeline{events: reply.Events}
+}
+
+// compareEvents orders events by hybrid logical clock, which keeps causes before effects, and then by member.
+func compareEvents(a, b cyclamendyke.TimelineEvent) int {
+	return cmp.Or(
+		a.At.Wall.Compare(b.At.Wall),
+		cmp.Compare(a.At.Counter, b.At.Counter),
+		cmp.Compare(a.Member, b.Member),
+	)
+}
+
+func eventRow(event cyclamendyke.TimelineEvent) []string {
+	task, epoch := "-", "-"
+	if event.Worker != "" && event.Request != "" {
+		task = fmt.Sprint(event.Task)
+	}
+	if !event.Epoch.IsZero() {
+		epoch = event.Epoch.String()
+	}
+	return []string{
+		formatTime(event.At.Wall),
+		string(event.Member),
+		string(event.Kind),
+		formatText(event.Request),
+		task,
+		formatText(event.Worker),
+		formatText(event.Team),
+		epoch,
+		formatText(event.Detail),
+	}
+}
--- /dev/null
+++ b/io/entry/debug.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"cyclamendyke"
+)
+
+// Debug logs each call with its answer and passes it on; keys are not logged.
+type Debug struct {
+	Next cyclamendyke.EntryCaller
+	Log  *log.Logger
+	Now  func() time.Time
+}
+
+// Do passes the request on and logs it.
+func (d *Debug) Do(ctx context.Context, request cyclamendyke.EntryRequest) (cyclamendyke.EntryResponse, error) {
+	start := d.Now()
+	response, err := d.Next.Do(ctx, request)
+	d.Log.Debug("called entry",
+		"method", request.Method,
+		"address", request.Address,
+		"path", request.Path,
+		"status", response.Status,
+		"bytes", len(response.Body),
+		"took", d.Now().Sub(start),
+		"err", err,
+	)
+	return response, err
+}
--- /dev/null
+++ b/io/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry sends calls to the HTTP interface of entry VMs.
+package entry
