--- a/errors.go
+++ b/errors.go
@@ -27,9 +27,10 @@
 
 // Error is the error type of this package's interfaces.
 type Error struct {
-	Op   string // The operation, such as "store.get".
-	Kind Kind
-	Err  error // The cause, which may be nil.
+	Op    string // The operation, such as "store.get".
+	Kind  Kind
+	Err   error // The cause, which may be nil.
+	Fence Epoch // The worker's fence, with KindFenced and KindSessionHeld.
 }
 
 // Error returns operation, kind and cause.
--- /dev/null
+++ b/io/internal/jsonhttp/doc.go
@@ -0,0 +1,3 @@
+// Package jsonhttp calls the platform by JSON over HTTP with deadlines, fresh
+// connections and counts.
+package jsonhttp
--- /dev/null
+++ b/io/store/doc.go
@@ -0,0 +1,2 @@
+// Package store reaches the platform's key-value service over HTTP.
+package store
--- /dev/null
+++ b/io/vmlist/doc.go
@@ -0,0 +1,2 @@
+// Package vmlist reads the platform's list of VMs over HTTP.
+package vmlist
--- /dev/null
+++ b/io/worker/doc.go
@@ -0,0 +1,2 @@
+// Package worker reaches the platform's workers over HTTP.
+package worker
