--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -9,7 +9,6 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/keys"
-	"cyclamendyke/core/once"
 	"cyclamendyke/io/caller"
 	"cyclamendyke/io/peer"
 )
@@ -25,9 +24,17 @@
 // Submit sees a caller's request through to its one answer.
 func (d *Daemon) Submit(ctx context.Context, key string, submission cyclamendyke.Submission) cyclamendyke.Outcome {
 	if !d.admit() {
-		return d.refuse(cyclamendyke.Job{Route: submission.Route, Team: submission.Team}, cyclamendyke.ReasonStopping, "this entry VM is stopping; send the request to another", retryStopping)
+		return d.counted(d.refuse(cyclamendyke.Job{Route: submission.Route}, cyclamendyke.ReasonStopping, "this entry VM is stopping; send the request to another", retryStopping))
 	}
 	defer d.inFlight.Done()
+	select {
+	case d.places <- struct{}{}:
+		defer func() { <-d.places }()
+	default:
+		return d.counted(d.refuse(cyclamendyke.Job{Route: submission.Route}, cyclamendyke.ReasonOverload, "this entry VM works on as many requests as it may", retryOverload))
+	}
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.Limits.AnswerTimeout)
+	defer cancel()
 	d.metrics.inFlight.Inc()
 	defer d.metrics.inFlight.Dec()
 	job, refused := d.check(key, submission)
@@ -159,13 +166,10 @@
 		job.IdempotencyKey = string(job.Request)
 	}
 	reservation, err := d.records.once.Reserve(ctx, job.Team, job.IdempotencyKey, job.Request)
-	switch {
-	case errors.Is(err, once.KindDoubt):
-		return d.refuse(job, cyclamendyke.ReasonStoreAway, "the key could not be reserved; nothing was started, repeat it with the same key", retryStoreAway)
-	case err != nil:
+	if err != nil {
 		return d.refuse(job, cyclamendyke.ReasonStoreAway, "a request with an idempotency key needs the store, which does not answer", retryStoreAway)
 	}
-	if reservation.Outcome.Verdict.IsFinal() && reservation.Outcome.Request != "" {
+	if !reservation.First && reservation.Outcome.Request != "" {
 		return reservation.Outcome
 	}
 	if reservation.Request != job.Request {
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// postSoon is post for callers that may be the control goroutine itself and so must not wait.
+func (c *controller) postSoon(f func(now time.Time)) {
+	select {
+	case c.inbox <- f:
+	default:
+		go c.post(f)
+	}
+}
+
 // ask runs f on the control goroutine and waits until it has run.
 func (c *controller) ask(f func(now time.Time)) bool {
 	ran := make(chan struct{})
@@ -382,7 +391,7 @@
 		return
 	}
 	c.cfg.Recorder.keep(command.Record, func(result cyclamendyke.PersistResult) {
-		c.post(func(now time.Time) {
+		c.postSoon(func(now time.Time) {
 			if c.scheduler != nil && c.epoch == epoch {
 				c.run(c.scheduler.Persisted(now, request, result))
 			}
--- a/daemon/countedstore.go
+++ b/daemon/countedstore.go
@@ -5,13 +5,29 @@
 	"errors"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cyclamendyke"
 )
 
-// countedStore counts the calls to a store by operation and result.
+// writeBurst is how many writes a process may send at once after a calm second.
+const writeBurst = 20
+
+// countedStore counts the calls to a store by operation and result, and bounds the rate of writes.
+//
+// Leases are not bounded: a late renewal would cost more than it saves.
 type countedStore struct {
 	cyclamendyke.Store
 	metrics *metrics
+	writes  *rate.Limiter
+}
+
+func newCountedStore(store cyclamendyke.Store, writesPerSecond int, metrics *metrics) *countedStore {
+	return &countedStore{
+		Store:   store,
+		metrics: metrics,
+		writes:  rate.NewLimiter(rate.Limit(writesPerSecond), writeBurst),
+	}
 }
 
 // The kinds of error that are counted by name.
@@ -53,6 +69,11 @@
 
 // CompareAndSwap counts and makes one write.
 func (s *countedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected cyclamendyke.Revision, lease cyclamendyke.LeaseID) (cyclamendyke.Revision, error) {
+	if err := s.writes.Wait(ctx); err != nil {
+		err = &Error{Op: "cas", Kind: cyclamendyke.KindLimited, Err: err}
+		s.count("cas", err)
+		return 0, err
+	}
 	revision, err := s.Store.CompareAndSwap(ctx, key, value, expected, lease)
 	s.count("cas", err)
 	return revision, err
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -62,6 +62,7 @@
 	http      *khttp.Server
 	httpLine  net.Listener
 
+	places   chan struct{} // One for each request that may be in progress.
 	stopping atomic.Bool
 	inFlight sync.WaitGroup
 	accept   sync.RWMutex // Held for reading while a request is admitted, for writing when stopping begins.
@@ -96,7 +97,7 @@
 	counters := newMetrics()
 	clock := timeline.NewClock(timeline.ClockConfig{})
 	platform := cfg.Platform
-	platform.Store = &countedStore{Store: cfg.Platform.Store, metrics: counters}
+	platform.Store = newCountedStore(cfg.Platform.Store, cfg.Settings.Limits.StoreWritesPerSecond, counters)
 	d := &Daemon{
 		cfg:       cfg,
 		member:    member,
@@ -108,6 +109,7 @@
 		directory: newDirectory(),
 		known:     newKnownMembers(member.Name),
 		freshness: newFreshness(),
+		places:    make(chan struct{}, cfg.Settings.Limits.RequestsInFlight),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -170,6 +172,7 @@
 		OnChange:    d.followConfiguration,
 		OnStore:     d.storeState,
 	})
+	d.peers.SetMembers(seedMembers(d.cfg.Settings.Peers))
 	registration := &membership{store: d.platform.Store, member: d.member}
 	d.background.Go(func() { registration.keep(d.ctx) })
 	d.background.Go(func() { d.followVMs(d.ctx) })
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -78,6 +78,15 @@
 	d.peers.SetMembers(d.known.list())
 }
 
+// seedMembers stands the addresses of the settings in for members, so that a process that starts while the store is away finds a copy.
+func seedMembers(addresses []string) []cyclamendyke.Member {
+	members := make([]cyclamendyke.Member, 0, len(addresses))
+	for _, address := range addresses {
+		members = append(members, cyclamendyke.Member{Name: cyclamendyke.MemberName(address), Peer: address})
+	}
+	return members
+}
+
 // followVMs reads the platform's list until ctx ends.
 func (d *Daemon) followVMs(ctx context.Context) {
 	ticker := time.NewTicker(vmListInterval)
--- a/settings/load.go
+++ b/settings/load.go
@@ -165,7 +165,7 @@
 		AnswerTimeout:        p.file.Duration(section, "answer-timeout", time.Hour, time.Second, 24*time.Hour),
 		PeerTimeout:          p.file.Duration(section, "peer-timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
 		StoreTimeout:         p.file.Duration(section, "store-timeout", 2*time.Second, 10*time.Millisecond, time.Minute),
-		StopTimeout:          p.file.Duration(section, "stop-timeout", 30*time.Second, time.Second, time.Hour),
+		StopTimeout:          p.file.Duration(section, "stop-timeout", time.Hour, time.Second, 24*time.Hour),
 	}
 }
 
