--- /dev/null
+++ b/core/account/segment.go
@@ -0,0 +1,27 @@
+package account
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"time"
+
+	"cyclamendyke"
+)
+
+// segment is the value of one segment.
+type segment struct {
+	Records []json.RawMessage `json:"records"`
+}
+
+// dayFormat names the day, in UTC, on which a segment was written.
+const dayFormat = time.DateOnly
+
+func dayPrefix(zone cyclamendyke.ZoneName, day string) string {
+	return cyclamendyke.AccountPrefix + string(zone) + "/" + day + "/"
+}
+
+func (c Config) segmentKey(day string, number int) string {
+	started := strconv.FormatInt(c.Started.UnixNano(), 36)
+	return fmt.Sprintf("%s%s.%s.%06d", dayPrefix(c.Zone, day), c.Member, started, number)
+}
--- a/core/config/follower.go
+++ b/core/config/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"time"
-
 )
 
 // follower keeps a view level with the store: one list, then one waiting watch at a time.
@@ -111,4 +110,3 @@
 	case <-timer.C:
 	}
 }
-
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -26,7 +26,7 @@
 
 // The states of the store as one process sees it.
 const (
-	StoreUnknown StoreState = ""       // No call has ended yet.
+	StoreUnknown StoreState = "" // No call has ended yet.
 	StoreReached StoreState = "reached"
 	StoreLost    StoreState = "lost"   // The last two calls failed.
 	StoreBehind  StoreState = "behind" // It answers with a lower revision than is in force here.
@@ -58,7 +58,6 @@
 	store     StoreState
 	changes   uint64        // Counts the copies whose entries differ from the one before.
 	advanced  chan struct{} // Closed when the revision advances.
-	closed    bool
 }
 
 // New returns a view that follows the store until Close is called.
--- a/core/keys/freshness.go
+++ b/core/keys/freshness.go
@@ -31,32 +31,29 @@
 // Judge rules on a view of the keys at revision, confirmed by the store ownAge
 // ago, where peers holds every other known member.
 //
-// A peer that holds a higher revision proves the view stale until it is taken over.
+// Without an own confirmation, a peer that holds a higher revision proves the
+// view stale until it is taken over.
 func Judge(revision cyclamendyke.Revision, ownAge time.Duration, peers []Peer) Freshness {
-	allReachable := true
-	noneReaches := true
-	peerFresh := false
+	if ownAge < MaxAge {
+		return FreshnessOwn
+	}
+	freshness := FreshnessStale
+	reaching, silent := 0, 0
 	for _, peer := range peers {
-		if !peer.Reachable {
-			allReachable = false
-			continue
-		}
-		if peer.Revision > revision {
+		switch {
+		case !peer.Reachable:
+			silent++
+		case peer.Revision > revision:
 			return FreshnessStale
-		}
-		if peer.StoreAge < MaxAge {
-			noneReaches = false
-			peerFresh = peerFresh || peer.Revision == revision
+		case peer.StoreAge < MaxAge:
+			reaching++
+			if peer.Revision == revision {
+				freshness = FreshnessPeer
+			}
 		}
 	}
-	switch {
-	case ownAge < MaxAge:
-		return FreshnessOwn
-	case peerFresh:
-		return FreshnessPeer
-	case allReachable && noneReaches && len(peers) > 0:
+	if len(peers) > 0 && reaching == 0 && silent == 0 {
 		return FreshnessNoneReaches
-	default:
-		return FreshnessStale
 	}
+	return freshness
 }
