--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"cyclamendyke"
+	"cyclamendyke/core/account"
 	"cyclamendyke/core/cas"
 	"cyclamendyke/core/config"
 	"cyclamendyke/core/invariant"
@@ -58,6 +59,7 @@
 	peerSide  *peer.Server
 	control   *controller
 	records   *records
+	reader    *account.Reader
 	entry     *entry
 	http      *khttp.Server
 	httpLine  net.Listener
@@ -118,6 +120,7 @@
 	writer := cas.New(cas.Config{Store: platform.Store, CallTimeout: cfg.Settings.Limits.StoreTimeout})
 	d.editor = config.NewEditor(writer)
 	d.registry = keys.New(keys.Config{Writer: writer})
+	d.reader = account.NewReader(account.ReaderConfig{Store: platform.Store})
 	d.records = newRecords(member, platform.Store)
 	d.peers = peer.NewPool(peer.PoolConfig{
 		Self:      member.Name,
