--- /dev/null
+++ b/core/cas/writer_test.go
@@ -0,0 +1,93 @@
+package cas_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/core/cas"
+	"cyclamendyke/platform"
+	"cyclamendyke/platform/kv"
+)
+
+func TestSwapUnderFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		faults   kv.Faults
+		mended   time.Duration // Faults end after this time; never if zero.
+		present  string        // Value before the swap.
+		expected cyclamendyke.Revision
+		kind     cyclamendyke.Kind
+		value    string // In the store afterwards, once the faults are over.
+	}{
+		{name: "free", value: "new"},
+		{name: "conflict", present: "old", kind: cyclamendyke.KindConflict, value: "old"},
+		{name: "expected", present: "old", expected: 1, value: "new"},
+		{name: "answer lost after effect", faults: kv.Faults{LoseAnswers: 1}, value: "new"},
+		{name: "conflict with its answer lost", faults: kv.Faults{LoseAnswers: 1}, present: "old", kind: cyclamendyke.KindUnknown, value: "old"},
+		{name: "down", faults: kv.Faults{Down: true}, kind: cyclamendyke.KindUnavailable},
+		{name: "down for a while", faults: kv.Faults{Down: true}, mended: time.Second, value: "new"},
+		{name: "silent", faults: kv.Faults{Silent: true}, kind: cyclamendyke.KindUnknown},
+		{name: "silent for a while", faults: kv.Faults{Silent: true}, mended: time.Second, value: "new"},
+		{name: "slow", faults: kv.Faults{Delay: platform.Duration(time.Second)}, value: "new"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := kv.New(kv.Config{})
+				store := service.As("a")
+				if c.present != "" {
+					_, err := store.CompareAndSwap(t.Context(), "key", []byte(c.present), 0, 0)
+					is.NoErr(err)
+				}
+				service.SetFaults(c.faults)
+				if c.mended > 0 {
+					time.AfterFunc(c.mended, func() { service.SetFaults(kv.Faults{}) })
+				}
+				_, err := cas.New(cas.Config{Store: store}).Swap(t.Context(), "key", []byte("new"), c.expected)
+				is.Equal(cas.WriteKind(err), c.kind)
+				service.SetFaults(kv.Faults{})
+				entry, _ := store.Get(t.Context(), "key")
+				is.Equal(string(entry.Value), c.value)
+			})
+		})
+	}
+}
+
+// TestUpdateRace has writers append to one key while answers are lost; none is lost and none is doubled.
+func TestUpdateRace(t *testing.T) {
+	const writers = 6
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		service.SetFaults(kv.Faults{LoseAnswers: 5})
+		var done sync.WaitGroup
+		errs := make([]error, writers)
+		for i := range writers {
+			done.Go(func() {
+				mark := byte('a' + i)
+				writer := cas.New(cas.Config{Store: service.As(fmt.Sprint(i)), Attempts: 3 * writers})
+				_, errs[i] = writer.Update(t.Context(), "key", func(entry cyclamendyke.Entry) ([]byte, bool, error) {
+					for _, present := range entry.Value {
+						if present == mark {
+							return nil, false, nil
+						}
+					}
+					return append(entry.Value, mark), true, nil
+				})
+			})
+		}
+		done.Wait()
+		is.NoErr(errors.Join(errs...))
+		entry, err := service.As("a").Get(t.Context(), "key")
+		is.NoErr(err)
+		is.Equal(len(entry.Value), writers)
+	})
+}
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -21,6 +21,9 @@
 	shortestHold         = 500 * time.Millisecond
 )
 
+// NeverConfirmed is the age of a view that the store has not confirmed to this process.
+const NeverConfirmed = 100 * 365 * 24 * time.Hour
+
 // StoreState says how a process stands to the store.
 type StoreState string
 
@@ -104,6 +107,15 @@
 	return v.confirmed
 }
 
+// Age returns how long ago the store confirmed the view, or NeverConfirmed.
+func (v *View) Age() time.Duration {
+	confirmed := v.Confirmed()
+	if confirmed.IsZero() {
+		return NeverConfirmed
+	}
+	return time.Since(confirmed)
+}
+
 // Store returns how this process stands to the store.
 func (v *View) Store() StoreState {
 	v.mu.Lock()
--- a/core/once/operation.go
+++ b/core/once/operation.go
@@ -34,6 +34,7 @@
 	abandoned bool        // The caller of a reservation has gone; guarded by the register.
 
 	reservation Reservation // What the last application found.
+	created     bool        // The last application made the record, or found the one that it had made.
 }
 
 func newReserve(key string, request cyclamendyke.RequestID) *operation {
@@ -70,22 +71,28 @@
 	}
 }
 
-// reserve takes the key if it is free; the request that holds it takes it again under the new token.
+// reserve takes the key if it is free; on a record without outcome it sets its
+// token, so that an earlier reservation can no longer give the key back.
 func (o *operation) reserve(s *slot, at int, now time.Time) bool {
 	if at < 0 {
 		s.Records = append(s.Records, record{Key: o.key, Request: o.request, Token: o.token, Reserved: now})
 		o.reservation = Reservation{First: true, Request: o.request}
+		o.created = true
 		return true
 	}
 	found := &s.Records[at]
+	open := found.Ended.IsZero()
 	o.reservation = Reservation{
-		First:   found.Request == o.request && found.Ended.IsZero(),
+		First:   open && found.Request == o.request,
 		Request: found.Request,
 		Outcome: found.Outcome,
 	}
-	if !o.reservation.First || found.Token == o.token {
-		return false
+	if found.Token == o.token {
+		return false // Written by an earlier attempt whose answer was lost.
 	}
-	found.Token = o.token
-	return true
+	o.created = false
+	if open {
+		found.Token = o.token
+	}
+	return open
 }
--- a/core/once/queue.go
+++ b/core/once/queue.go
@@ -145,11 +145,10 @@
 		doubt = kind == cyclamendyke.KindUnknown
 		result = answer{err: newError("reserve", kind, err)}
 	}
-	taken := err == nil && op.reservation.First
-	if taken && !op.abandoned {
+	if op.created && err == nil && !op.abandoned {
 		r.tokens[op.key] = op.token
 	}
-	if doubt || taken && op.abandoned {
+	if op.created && (doubt || err == nil && op.abandoned) {
 		r.count++
 		r.pending[number] = append(r.pending[number], newRelease(op.key, op.token))
 	}
--- a/core/once/record.go
+++ b/core/once/record.go
@@ -27,7 +27,7 @@
 type record struct {
 	Key      string                 `json:"key"` // Hash of team and idempotency key.
 	Request  cyclamendyke.RequestID `json:"request"`
-	Token    string                 `json:"token"` // Of the latest reservation by the request; only that one can be given back.
+	Token    string                 `json:"token"` // Of the latest reservation; only that one can give the key back.
 	Reserved time.Time              `json:"reserved"`
 	Ended    time.Time              `json:"ended,omitzero"`
 	Outcome  cyclamendyke.Outcome   `json:"outcome,omitzero"`
--- a/core/once/register.go
+++ b/core/once/register.go
@@ -48,7 +48,7 @@
 	mu       sync.Mutex
 	pending  [Slots][]*operation
 	queued   [Slots]bool
-	tokens   map[string]string // Of the reservations made here that have no outcome, by key.
+	tokens   map[string]string // Of the records made here that have no outcome, by key.
 	count    int               // Pending and running operations.
 	draining bool
 	idle     chan struct{} // Closed when draining and no operation is left.
@@ -99,7 +99,8 @@
 // Complete keeps the outcome of the request that holds the key, and tries until it is written.
 //
 // An outcome of VerdictNotRun gives the key back, so that a repeat may run, if
-// this register made the latest reservation of the key; else it changes nothing.
+// this register took the key when it was free and no other reservation followed;
+// else it changes nothing.
 func (r *Register) Complete(team cyclamendyke.TeamName, key string, outcome cyclamendyke.Outcome) {
 	hash := keyHash(team, key)
 	r.mu.Lock()
