--- /dev/null
+++ b/core/timeline/timeline_test.go
@@ -0,0 +1,112 @@
+package timeline_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/core/timeline"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// process is one member with a wall clock of its own.
+type process struct {
+	wall  time.Time
+	clock *timeline.Clock
+	ring  *timeline.Ring
+	sent  int // Sequence of its latest event.
+}
+
+func newProcess(name string, wall time.Time, size int) *process {
+	p := &process{wall: wall}
+	p.clock = timeline.NewClock(timeline.ClockConfig{Now: func() time.Time { return p.wall }})
+	p.ring = timeline.NewRing(timeline.RingConfig{Clock: p.clock, Member: cyclamendyke.MemberName(name), Size: size})
+	return p
+}
+
+// TestMergeKeepsCauses lets processes with wrong wall clocks exchange messages; every event comes after all that it knew of.
+func TestMergeKeepsCauses(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		random := rand.New(rand.NewPCG(seed, 0))
+		var processes []*process
+		for i := range 4 {
+			skew := time.Duration(random.IntN(20)-10) * time.Second
+			processes = append(processes, newProcess(fmt.Sprint(i), start.Add(skew), 0))
+		}
+		known := make([][4]int, 4) // known[i][j] is the latest event of j that i has heard of.
+		causes := map[string][4]int{}
+		for range 2000 {
+			at := random.IntN(4)
+			p := processes[at]
+			p.wall = p.wall.Add(time.Duration(random.IntN(100)-20) * time.Millisecond) // Also steps back.
+			if from := random.IntN(4); random.IntN(2) == 0 && from != at {
+				is.True(p.clock.Observe(processes[from].clock.Now()))
+				for j := range known[at] {
+					known[at][j] = max(known[at][j], known[from][j])
+				}
+			}
+			p.sent++
+			known[at][at] = p.sent
+			event := p.ring.Add(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventPlaced, Task: p.sent})
+			causes[fmt.Sprint(event.Member, event.Task)] = known[at]
+		}
+		var lists [][]cyclamendyke.TimelineEvent
+		for _, p := range processes {
+			lists = append(lists, p.ring.Events(cyclamendyke.TimelineFilter{}))
+		}
+		merged := timeline.Merge(lists...)
+		is.Equal(len(merged), 2000)
+		var seen [4]int
+		for _, event := range merged {
+			for j, sent := range causes[fmt.Sprint(event.Member, event.Task)] {
+				if fmt.Sprint(j) != string(event.Member) {
+					is.True(seen[j] >= sent)
+				}
+			}
+			seen[event.Member[0]-'0'] = event.Task
+		}
+		slices.Reverse(lists)
+		is.Equal(timeline.Merge(append(lists, lists[0])...), merged)
+	}
+}
+
+func TestObserveBound(t *testing.T) {
+	is := is.New(t)
+	p := newProcess("a", start, 0)
+	is.True(!p.clock.Observe(cyclamendyke.Timestamp{Wall: start.Add(timeline.DefaultMaxAhead + 1)}))
+	is.Equal(p.clock.Now().Wall, start)
+	is.True(p.clock.Observe(cyclamendyke.Timestamp{Wall: start.Add(timeline.DefaultMaxAhead), Counter: 7}))
+	is.Equal(p.clock.Now(), cyclamendyke.Timestamp{Wall: start.Add(timeline.DefaultMaxAhead), Counter: 9})
+}
+
+// TestRing fills a ring over its size from several goroutines and reads it by filter.
+func TestRing(t *testing.T) {
+	is := is.New(t)
+	p := newProcess("a", start, 64)
+	var done sync.WaitGroup
+	for i := range 4 {
+		done.Go(func() {
+			for range 50 {
+				p.ring.Add(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventStarted, Team: cyclamendyke.TeamName(fmt.Sprint(i))})
+			}
+		})
+	}
+	done.Wait()
+	all := p.ring.Events(cyclamendyke.TimelineFilter{})
+	is.Equal(len(all), 64)
+	is.True(slices.IsSortedFunc(all, func(a, b cyclamendyke.TimelineEvent) int { return timeline.Compare(a.At, b.At) }))
+	is.Equal(all[63].At.Counter, uint32(199)) // The first reading has counter zero.
+	p.ring.Add(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventStopped, Request: "z-1", Worker: "w", Team: "t"})
+	for _, filter := range []cyclamendyke.TimelineFilter{{Request: "z-1"}, {Worker: "w"}, {Team: "t"}, {Kind: cyclamendyke.EventStopped}} {
+		is.Equal(len(p.ring.Events(filter)), 1)
+	}
+	is.Equal(len(p.ring.Events(cyclamendyke.TimelineFilter{Team: "t", Worker: "v"})), 0)
+}
