--- a/core/config/view_test.go
+++ b/core/config/view_test.go
@@ -107,24 +107,26 @@
 // TestAge drives random changes and checks that a reachable store confirms the view before keys count as stale.
 func TestAge(t *testing.T) {
 	for seed := range uint64(3) {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			random := rand.New(rand.NewPCG(seed, 0))
-			service := kv.New(kv.Config{})
-			view := config.New(config.Config{Store: service.As("daemon")})
-			defer view.Close()
-			synctest.Wait()
-			oldest := time.Duration(0)
-			for change := range 100 {
-				for wait := random.IntN(60); wait > 0; wait-- {
-					time.Sleep(200 * time.Millisecond)
-					oldest = max(oldest, view.Age())
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 0))
+				service := kv.New(kv.Config{})
+				view := config.New(config.Config{Store: service.As("daemon")})
+				defer view.Close()
+				synctest.Wait()
+				oldest := time.Duration(0)
+				for change := range 100 {
+					for wait := random.IntN(60); wait > 0; wait-- {
+						time.Sleep(200 * time.Millisecond)
+						oldest = max(oldest, view.Age())
+					}
+					put(t, service.As("operator"), cyclamendyke.TablesKey, fmt.Sprint(change))
 				}
-				put(t, service.As("operator"), cyclamendyke.TablesKey, fmt.Sprint(change))
-			}
-			is.True(oldest < keys.MaxAge)
-			reads := service.Counts("daemon").Reads
-			is.True(reads < 800) // About 600 s in all.
+				is.True(oldest < keys.MaxAge)
+				reads := service.Counts("daemon").Reads
+				is.True(reads < 800) // About 600 s in all.
+			})
 		})
 	}
 }
@@ -132,49 +134,51 @@
 // TestNeverBack restarts processes, serves stale copies and exchanges the store; no key may go back.
 func TestNeverBack(t *testing.T) {
 	for seed := range uint64(20) {
-		synctest.Test(t, func(t *testing.T) {
-			is := is.New(t)
-			random := rand.New(rand.NewPCG(seed, 1))
-			service := kv.New(kv.Config{})
-			operator := service.As("operator")
-			store := &replaceable{}
-			store.Store(service.As("daemon"))
-			view := config.New(config.Config{Store: reads{replaceable: store}})
-			defer func() { view.Close() }()
-			var copies []config.Copy
-			var last config.Copy
-			for range 300 {
-				switch random.IntN(8) {
-				case 0, 1, 2:
-					put(t, operator, cyclamendyke.WatchedPrefix+string(rune('a'+random.IntN(4))), fmt.Sprint(random.Int()))
-				case 3:
-					service.SetFaults(kv.Faults{Cut: []string{"daemon"}})
-				case 4:
-					service.SetFaults(kv.Faults{})
-				case 5:
-					copies = append(copies, view.Snapshot().Copy)
-				case 6:
-					if len(copies) > 0 {
-						view.Offer(copies[random.IntN(len(copies))])
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 1))
+				service := kv.New(kv.Config{})
+				operator := service.As("operator")
+				store := &replaceable{}
+				store.Store(service.As("daemon"))
+				view := config.New(config.Config{Store: reads{replaceable: store}})
+				defer func() { view.Close() }()
+				var copies []config.Copy
+				var last config.Copy
+				for range 300 {
+					switch random.IntN(8) {
+					case 0, 1, 2:
+						put(t, operator, cyclamendyke.WatchedPrefix+string(rune('a'+random.IntN(4))), fmt.Sprint(random.Int()))
+					case 3:
+						service.SetFaults(kv.Faults{Cut: []string{"daemon"}})
+					case 4:
+						service.SetFaults(kv.Faults{})
+					case 5:
+						copies = append(copies, view.Snapshot().Copy)
+					case 6:
+						if len(copies) > 0 {
+							view.Offer(copies[random.IntN(len(copies))])
+						}
+					case 7:
+						store.gap.Store(true)
 					}
-				case 7:
-					store.gap.Store(true)
-				}
-				time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
-				now := view.Snapshot().Copy
-				is.True(now.Revision >= last.Revision)
-				for _, before := range last.Entries {
-					after, found := now.Entry(before.Key)
-					is.True(found && after.Revision >= before.Revision)
+					time.Sleep(time.Duration(random.IntN(1500)) * time.Millisecond)
+					now := view.Snapshot().Copy
+					is.True(now.Revision >= last.Revision)
+					for _, before := range last.Entries {
+						after, found := now.Entry(before.Key)
+						is.True(found && after.Revision >= before.Revision)
+					}
+					last = now
 				}
-				last = now
-			}
-			service.SetFaults(kv.Faults{})
-			time.Sleep(2*config.DefaultRetryMax + time.Second) // One pause more if a watch meets a gap.
-			synctest.Wait()
-			want, _, err := operator.List(t.Context(), cyclamendyke.WatchedPrefix)
-			is.NoErr(err)
-			is.Equal(view.Snapshot().Entries, want)
+				service.SetFaults(kv.Faults{})
+				time.Sleep(2*config.DefaultRetryMax + time.Second) // One pause more if a watch meets a gap.
+				synctest.Wait()
+				want, _, err := operator.List(t.Context(), cyclamendyke.WatchedPrefix)
+				is.NoErr(err)
+				is.Equal(view.Snapshot().Entries, want)
+			})
 		})
 	}
 }
--- /dev/null
+++ b/core/journal/journal_test.go
@@ -0,0 +1,259 @@
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/core/journal"
+	"cyclamendyke/platform"
+	"cyclamendyke/platform/kv"
+)
+
+const zone = "z1"
+
+// record returns a record of a job; tasks stands for its version.
+func record(request string, tasks int, payload int) cyclamendyke.JournalRecord {
+	return cyclamendyke.JournalRecord{Job: cyclamendyke.Job{
+		Request: cyclamendyke.RequestID(request),
+		Tasks:   tasks,
+		Payload: strings.Repeat("x", payload),
+	}}
+}
+
+func open(t *testing.T, store cyclamendyke.Store, term uint64, owner string) (*journal.Writer, map[cyclamendyke.RequestID]int, error) {
+	t.Helper()
+	epoch := cyclamendyke.Epoch{Term: term, Owner: cyclamendyke.MemberName(owner)}
+	writer, records, err := journal.New(journal.Config{Store: store, Zone: zone}).Open(t.Context(), epoch)
+	versions := map[cyclamendyke.RequestID]int{}
+	for _, record := range records {
+		versions[record.Job.Request] = record.Job.Tasks
+	}
+	return writer, versions, err
+}
+
+func stop(writer *journal.Writer) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	writer.Close(ctx)
+}
+
+// persist waits for the result of one record.
+func persist(writer *journal.Writer, record cyclamendyke.JournalRecord) cyclamendyke.PersistResult {
+	result := make(chan cyclamendyke.PersistResult, 1)
+	writer.Persist(record, func(r cyclamendyke.PersistResult) { result <- r })
+	return <-result
+}
+
+func TestPersistUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults kv.Faults
+		result cyclamendyke.PersistResult
+		kept   bool // Found by the next epoch.
+	}{
+		{name: "well", result: cyclamendyke.PersistKept, kept: true},
+		{name: "slow", faults: kv.Faults{Delay: platform.Duration(500 * time.Millisecond)}, result: cyclamendyke.PersistKept, kept: true},
+		{name: "answer lost", faults: kv.Faults{LoseAnswers: 1}, result: cyclamendyke.PersistKept, kept: true},
+		{name: "late and answer lost", faults: kv.Faults{LateWrites: 1, LateBy: platform.Duration(time.Second)}, result: cyclamendyke.PersistKept, kept: true},
+		{name: "down", faults: kv.Faults{Down: true}, result: cyclamendyke.PersistRefused},
+		{name: "silent", faults: kv.Faults{Silent: true}, result: cyclamendyke.PersistUnknown},
+		{name: "late past patience", faults: kv.Faults{LateWrites: 100, LateBy: platform.Duration(10 * time.Second)}, result: cyclamendyke.PersistUnknown, kept: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				service := kv.New(kv.Config{})
+				writer, _, err := open(t, service.As("a"), 1, "a")
+				is.NoErr(err)
+				service.SetFaults(c.faults)
+				is.Equal(persist(writer, record("z1-1", 1, 0)), c.result)
+				time.Sleep(20 * time.Second)
+				service.SetFaults(kv.Faults{})
+				next, versions, err := open(t, service.As("b"), 2, "b")
+				is.NoErr(err)
+				_, found := versions["z1-1"]
+				is.Equal(found, c.kept)
+				is.Equal(persist(writer, record("z1-2", 1, 0)), cyclamendyke.PersistRefused)
+				<-writer.Ousted()
+				stop(writer)
+				stop(next)
+			})
+		})
+	}
+}
+
+// TestStoreAwayKeepsUpdates hands in updates that nobody waits for while the store is away; the latest is written later.
+func TestStoreAwayKeepsUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		writer, _, err := open(t, service.As("a"), 1, "a")
+		is.NoErr(err)
+		service.SetFaults(kv.Faults{Down: true})
+		for version := range 100 {
+			writer.Persist(record("z1-1", version, 0), nil)
+			time.Sleep(time.Second)
+		}
+		is.Equal(writer.Stats().Pending, 1)
+		service.SetFaults(kv.Faults{})
+		time.Sleep(5 * time.Second)
+		is.Equal(writer.Stats().Pending, 0)
+		next, versions, err := open(t, service.As("b"), 2, "b")
+		is.NoErr(err)
+		is.Equal(versions["z1-1"], 99)
+		stop(writer)
+		stop(next)
+	})
+}
+
+func TestOpenFenced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		writer, _, err := open(t, service.As("a"), 5, "a")
+		is.NoErr(err)
+		_, _, err = open(t, service.As("b"), 4, "b")
+		is.True(errors.Is(err, cyclamendyke.KindFenced))
+		is.Equal(persist(writer, record("z1-1", 1, 0)), cyclamendyke.PersistKept)
+		stop(writer)
+		service.SetFaults(kv.Faults{Down: true})
+		_, _, err = open(t, service.As("b"), 6, "b")
+		is.True(errors.Is(err, cyclamendyke.KindUnavailable))
+	})
+}
+
+// TestFinishedExpire fills the journal with finished jobs; they are kept for a time and up to a number.
+func TestFinishedExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		writer, _, err := open(t, service.As("a"), 1, "a")
+		is.NoErr(err)
+		is.Equal(persist(writer, record("z1-live", 1, 0)), cyclamendyke.PersistKept)
+		for i := range journal.DefaultMaxFinished + 100 {
+			finished := record(fmt.Sprintf("z1-%d", i), 1, 0)
+			finished.Outcome.Verdict = cyclamendyke.VerdictRan
+			writer.Persist(finished, nil)
+		}
+		time.Sleep(time.Minute)
+		next, versions, err := open(t, service.As("b"), 2, "b")
+		is.NoErr(err)
+		is.Equal(len(versions), journal.DefaultMaxFinished+1)
+		stop(next)
+		time.Sleep(journal.DefaultRetention)
+		next, versions, err = open(t, service.As("b"), 3, "b")
+		is.NoErr(err)
+		is.Equal(versions, map[cyclamendyke.RequestID]int{"z1-live": 1})
+		stop(writer)
+		stop(next)
+	})
+}
+
+// term is one opened writer with what it loaded and was told.
+type term struct {
+	writer *journal.Writer
+	loaded map[cyclamendyke.RequestID]int
+}
+
+// history is what all writers were told.
+type history struct {
+	is      *is.I
+	terms   []*term
+	kept    map[cyclamendyke.RequestID]int          // Highest version told as kept.
+	refused map[cyclamendyke.RequestID]map[int]bool // Versions told as refused.
+}
+
+// told notes one result; a record kept for an ousted writer has to be in what every later term loaded.
+func (h *history) told(by int, request cyclamendyke.RequestID, version int, result cyclamendyke.PersistResult) {
+	switch result {
+	case cyclamendyke.PersistKept:
+		h.kept[request] = max(h.kept[request], version)
+		for _, later := range h.terms[by+1:] {
+			h.is.True(later.loaded[request] >= version)
+		}
+	case cyclamendyke.PersistRefused:
+		if h.refused[request] == nil {
+			h.refused[request] = map[int]bool{}
+		}
+		h.refused[request][version] = true
+	}
+}
+
+func (h *history) check(loaded map[cyclamendyke.RequestID]int) {
+	for request, version := range h.kept {
+		h.is.True(loaded[request] >= version)
+	}
+	for request, version := range loaded {
+		h.is.True(!h.refused[request][version])
+	}
+}
+
+// TestTerms has terms follow each other under faults while ousted writers go on writing.
+func TestTerms(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 2))
+				service := kv.New(kv.Config{})
+				h := &history{is: is, kept: map[cyclamendyke.RequestID]int{}, refused: map[cyclamendyke.RequestID]map[int]bool{}}
+				versions := 0
+				var requests []string
+				openTerm := func() error {
+					owner := fmt.Sprint(len(h.terms))
+					writer, loaded, err := open(t, service.As(owner), uint64(len(h.terms)+1), owner)
+					if err == nil {
+						h.check(loaded)
+						h.terms = append(h.terms, &term{writer: writer, loaded: loaded})
+					}
+					return err
+				}
+				is.NoErr(openTerm())
+				for range 500 {
+					switch pick := random.IntN(100); {
+					case pick < 2:
+						_ = openTerm() // May fail under a fault.
+					case pick < 6:
+						service.SetFaults(kv.Faults{})
+					case pick < 8:
+						service.SetFaults(kv.Faults{Down: true})
+					case pick < 10:
+						service.SetFaults(kv.Faults{Silent: true})
+					case pick < 12:
+						service.SetFaults(kv.Faults{LoseAnswers: random.IntN(6)})
+					case pick < 14:
+						late := platform.Duration(random.IntN(8000)) * platform.Duration(time.Millisecond)
+						service.SetFaults(kv.Faults{LateWrites: 1 + random.IntN(4), LateBy: late})
+					default:
+						by := len(h.terms) - 1 - min(random.IntN(8), len(h.terms)-1)*random.IntN(2)
+						request := fmt.Sprintf("z1-%d", random.IntN(len(requests)+1))
+						requests = append(requests, request)
+						versions++
+						version := versions
+						h.terms[by].writer.Persist(record(request, version, 1000), func(result cyclamendyke.PersistResult) {
+							h.told(by, cyclamendyke.RequestID(request), version, result)
+						})
+					}
+					time.Sleep(time.Duration(random.IntN(400)) * time.Millisecond)
+					synctest.Wait()
+				}
+				service.SetFaults(kv.Faults{})
+				time.Sleep(time.Minute)
+				is.NoErr(openTerm())
+				for _, term := range h.terms {
+					stop(term.writer)
+				}
+			})
+		})
+	}
+}
