Add the zone scheduler with its policies and fair shares

The scheduler keeps capacity reservations for each worker, waiting tasks as ranges per job, an index of workers per pool and teams in order of weighted dominant share; it does no I/O and reads no clock.

Failure paths are written and not yet proved.

--- /dev/null
+++ b/core/scheduler/place.go
@@ -0,0 +1,309 @@
+package scheduler
+
+import (
+	"cyclamendyke"
+	"cyclamendyke/core/policy"
+)
+
+// place makes decisions until nothing that waits has room.
+func (s *Scheduler) place() {
+	for range s.cfg.PlacementsPerTick {
+		if !s.authority.Valid(s.now) {
+			return
+		}
+		q := s.nextQueue()
+		if q == nil {
+			return
+		}
+		s.placeFrom(q)
+	}
+}
+
+// nextQueue returns the first runnable queue of the least served team, urgent work before the rest.
+func (s *Scheduler) nextQueue() *queue {
+	for u := range urgencies {
+		name, found := s.orders[u].First()
+		if !found {
+			continue
+		}
+		first, _ := s.teams[name].runnable[u].Min()
+		return first
+	}
+	return nil
+}
+
+// placeFrom places one task, or one gang, of the queue's first job, or blocks the queue.
+func (s *Scheduler) placeFrom(q *queue) {
+	j := q.head()
+	switch {
+	case j == nil:
+		s.unready(q)
+	case j.policy.AllAtOnce():
+		s.placeGang(q, j)
+	case !q.team.allows(j.need):
+		s.blockOnTeam(q)
+	default:
+		s.placeTask(q, j)
+	}
+}
+
+func (s *Scheduler) placeTask(q *queue, j *job) {
+	w := s.choose(j, q.pools)
+	if w == nil {
+		s.blockOnPools(q, j)
+		return
+	}
+	t := s.assign(j, w)
+	s.send(t)
+	s.ready(q)
+}
+
+// choose returns a worker with room for one task of the job.
+func (s *Scheduler) choose(j *job, pools []*pool) *worker {
+	for _, p := range pools {
+		if w := s.chooseIn(j, p); w != nil {
+			return w
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) chooseIn(j *job, p *pool) *worker {
+	request := policy.Request{Need: j.need, Racks: j.racks, Accept: acceptAll}
+	if len(j.failedOn) > 0 && p.index.Len() > len(j.failedOn) {
+		request.Accept = func(c *policy.Candidate) bool { return !j.avoids(s.workers[c.Name]) }
+	}
+	c := j.policy.Place(p.index, request)
+	if c == nil {
+		return nil
+	}
+	return s.workers[c.Name]
+}
+
+func acceptAll(*policy.Candidate) bool {
+	return true
+}
+
+// assign reserves room on w for the job's next waiting task.
+func (s *Scheduler) assign(j *job, w *worker) *task {
+	t := &task{
+		id:       cyclamendyke.TaskID{Request: j.spec.Request, Index: j.waiting.pop()},
+		job:      j,
+		worker:   w,
+		reserved: j.need,
+		since:    s.now,
+	}
+	s.recount(j)
+	s.reserve(t)
+	s.assertPlaced(t)
+	return t
+}
+
+// send asks for the start of a task that has its room reserved.
+func (s *Scheduler) send(t *task) {
+	j := t.job
+	s.assertStart(t)
+	s.assert(!j.spec.NotRepeatable || !j.mayHaveStarted, InvariantOnce, "%s", t.id)
+	j.startsSent++
+	t.state = taskStarting
+	t.sent = s.now
+	s.taskEvent(cyclamendyke.EventPlaced, t, "")
+	s.emitStart(t)
+}
+
+func (s *Scheduler) emitStart(t *task) {
+	s.emit(cyclamendyke.StartCommand{
+		Worker: t.worker.vm.Name,
+		Start: cyclamendyke.TaskStart{
+			Epoch:    s.authority.Epoch,
+			Task:     t.id,
+			Job:      t.job.spec,
+			Reserved: t.reserved,
+		},
+		NotAfter: s.authority.Until,
+	})
+}
+
+func (s *Scheduler) reserve(t *task) {
+	j, w := t.job, t.worker
+	j.tasks[t.id.Index] = t
+	j.racks[w.vm.Rack]++
+	w.tasks[t.id] = t
+	s.changeReserved(t, t.reserved)
+}
+
+// release gives back a task's room and wakes what now fits; it is called only on proof that the task is over or never started.
+func (s *Scheduler) release(t *task) {
+	s.unreserve(t)
+	s.wake(t.worker)
+	s.wakeTeam(s.teamOf(t.job.spec.Team))
+}
+
+func (s *Scheduler) unreserve(t *task) {
+	j, w := t.job, t.worker
+	delete(j.tasks, t.id.Index)
+	delete(w.tasks, t.id)
+	j.racks[w.vm.Rack]--
+	if j.racks[w.vm.Rack] == 0 {
+		delete(j.racks, w.vm.Rack)
+	}
+	s.changeReserved(t, t.reserved.Scale(-1))
+	if t.evicted != nil {
+		s.evictionStep(t.evicted)
+	}
+}
+
+func (s *Scheduler) changeReserved(t *task, change cyclamendyke.Resources) {
+	w := t.worker
+	owner := s.teamOf(t.job.spec.Team)
+	w.reserved = w.reserved.Add(change)
+	w.pool.reserved = w.pool.reserved.Add(change)
+	owner.reserved = owner.reserved.Add(change)
+	s.reindex(w)
+	s.reorder(owner)
+}
+
+// enqueue puts a job with waiting tasks into its team's queue.
+func (s *Scheduler) enqueue(j *job) {
+	if j.state != jobActive || j.waiting.count == 0 || j.notBefore.After(s.now) {
+		return
+	}
+	if j.queue == nil {
+		j.queue = s.queueOf(j)
+	}
+	q := j.queue
+	q.team.queues[q.key] = q
+	wasEmpty := q.head() == nil
+	q.jobs.ReplaceOrInsert(j)
+	if q.runnable || wasEmpty || q.head() == j {
+		s.ready(q)
+	}
+}
+
+func (s *Scheduler) queueOf(j *job) *queue {
+	owner := s.teamOf(j.spec.Team)
+	key := queueKey{j.spec.Route, j.spec.Kind, j.spec.PerTask, j.spec.Urgent}
+	q := owner.queues[key]
+	if q == nil {
+		q = newQueue(key, owner, j.policy.Rank())
+		q.created = s.seq()
+		q.pools = s.poolsOf(key.route, key.kind)
+		owner.queues[key] = q
+	}
+	return q
+}
+
+// ready makes a queue runnable at the place of its first job, or removes it when it is empty.
+func (s *Scheduler) ready(q *queue) {
+	head := q.head()
+	if head != nil && q.runnable && q.headSeq == head.seq {
+		s.reorder(q.team)
+		return
+	}
+	s.unready(q)
+	if head == nil {
+		return
+	}
+	q.headSeq = head.seq
+	q.runnable = true
+	q.team.runnable[urgencyOf(q.key.urgent)].ReplaceOrInsert(q)
+	s.reorder(q.team)
+}
+
+func (s *Scheduler) unready(q *queue) {
+	q.blocks++
+	if q.runnable {
+		q.team.runnable[urgencyOf(q.key.urgent)].Delete(q)
+		q.runnable = false
+	}
+	if q.jobs.Len() == 0 {
+		delete(q.team.queues, q.key)
+	}
+	s.reorder(q.team)
+}
+
+func (s *Scheduler) blockOnTeam(q *queue) {
+	s.unready(q)
+	q.team.blocked = append(q.team.blocked, blockedQueue{q, q.blocks})
+}
+
+func (s *Scheduler) blockOnPools(q *queue, j *job) {
+	s.unready(q)
+	for _, p := range q.pools {
+		p.blocked = append(p.blocked, blockedQueue{q, q.blocks})
+	}
+	if j.spec.Urgent {
+		s.preemptFor(q, j)
+	}
+}
+
+// wake makes runnable the queues whose next task fits on w.
+func (s *Scheduler) wake(w *worker) {
+	if !w.indexed {
+		return
+	}
+	free := w.free()
+	kept := w.pool.blocked[:0]
+	var woken []*queue
+	for _, b := range w.pool.blocked {
+		if !b.isCurrent() {
+			continue
+		}
+		head := b.queue.head()
+		if head == nil || head.need.FitsIn(free) {
+			woken = append(woken, b.queue)
+			continue
+		}
+		kept = append(kept, b)
+	}
+	clear(w.pool.blocked[len(kept):])
+	w.pool.blocked = kept
+	for _, q := range woken {
+		s.ready(q)
+	}
+}
+
+// wakeTeam makes runnable what the team's allotment held back.
+func (s *Scheduler) wakeTeam(t *team) {
+	blocked := t.blocked
+	t.blocked = nil
+	for _, b := range blocked {
+		if b.isCurrent() {
+			s.ready(b.queue)
+		}
+	}
+}
+
+// recount brings the sums of waiting work in line with the job.
+func (s *Scheduler) recount(j *job) {
+	count := j.waiting.count
+	if j.state == jobEnded || j.orphan {
+		count = 0
+	}
+	change := count - j.counted
+	if change == 0 {
+		return
+	}
+	owner := s.teamOf(j.spec.Team)
+	owner.wanted = owner.wanted.Add(j.spec.PerTask.Scale(int64(change)))
+	if p := s.firstPool(j); p != nil {
+		p.waiting += change
+	}
+	if j.counted == 0 {
+		owner.waiting[j.spec.Route]++
+	}
+	if count == 0 {
+		owner.waiting[j.spec.Route]--
+	}
+	j.counted = count
+}
+
+// firstPool returns the pool that the job's waiting tasks are counted in, the same for the whole of its life.
+func (s *Scheduler) firstPool(j *job) *pool {
+	if j.countedIn == "" && s.tables != nil {
+		if pools := s.poolsOf(j.spec.Route, j.spec.Kind); len(pools) > 0 {
+			j.countedIn = pools[0].name
+		}
+	}
+	return s.pools[j.countedIn]
+}
--- /dev/null
+++ b/core/scheduler/record.go
@@ -0,0 +1,111 @@
+package scheduler
+
+import "cyclamendyke"
+
+// record returns what the journal keeps of the job; of one that must not be repeated it says from the first that it may have started.
+func (j *job) record() cyclamendyke.JournalRecord {
+	return cyclamendyke.JournalRecord{
+		Job:     j.spec,
+		Started: j.spec.NotRepeatable || !j.notRun(),
+		Done:    j.results,
+		Outcome: j.outcome,
+	}
+}
+
+func (s *Scheduler) persisted(request cyclamendyke.RequestID, result cyclamendyke.PersistResult) {
+	j := s.jobs[request]
+	if j == nil || j.state != jobAwaitingRecord {
+		return
+	}
+	switch result {
+	case cyclamendyke.PersistKept:
+		if j.spec.Detach {
+			s.emit(cyclamendyke.AnswerCommand{Outcome: j.outcome})
+		}
+		s.admit(j)
+	case cyclamendyke.PersistDuplicate:
+		j.kept = false
+		j.doubt = true
+		s.end(j, s.interrupted(j, cyclamendyke.ReasonConflict, "An earlier request has this idempotency key; ask for its outcome."))
+	case cyclamendyke.PersistRefused:
+		j.kept = false
+		outcome := s.interrupted(j, cyclamendyke.ReasonStoreAway, "The store cannot keep the request now; try again later.")
+		outcome.RetryAfter = s.jitter(2 * retryBase)
+		s.end(j, outcome)
+	default:
+		j.doubt = true
+		s.end(j, s.interrupted(j, cyclamendyke.ReasonAnswerLost, "Whether the request was kept is not known."))
+	}
+}
+
+// restore takes up one job of the journal; anything of it may have been started by an earlier term.
+func (s *Scheduler) restore(record cyclamendyke.JournalRecord) {
+	j := s.jobs[record.Job.Request]
+	switch {
+	case j != nil && !j.orphan:
+		return
+	case record.Outcome.Verdict.IsFinal():
+		s.restoreFinished(j, record)
+		return
+	case j == nil:
+		j = newJob(record.Job, s.policyOf(record.Job.Kind), s.seq())
+		s.jobs[record.Job.Request] = j
+		s.unfinished++
+	}
+	j.orphan = false
+	j.kept = true
+	j.mayHaveStarted = true
+	for _, result := range record.Done {
+		s.restoreResult(j, result)
+	}
+	s.takeStray(j)
+	s.recount(j)
+	s.admit(j)
+}
+
+func (s *Scheduler) restoreFinished(j *job, record cyclamendyke.JournalRecord) {
+	if j == nil {
+		j = newJob(record.Job, s.policyOf(record.Job.Kind), s.seq())
+		s.jobs[record.Job.Request] = j
+		s.unfinished++
+	}
+	j.orphan = false
+	j.results = record.Done
+	j.outcome = record.Outcome
+	s.retire(j)
+}
+
+// restoreResult counts a result that an earlier term or an unasked-for listing brought.
+func (s *Scheduler) restoreResult(j *job, result cyclamendyke.TaskResult) {
+	if !j.waiting.has(result.Task.Index) || result.Stopped || j.policy.Restarts() {
+		return
+	}
+	j.waiting.remove(result.Task.Index)
+	s.keepResult(j, result)
+}
+
+// keepStray keeps the result of a task whose request is not known, until its caller or the journal names it.
+func (s *Scheduler) keepStray(result cyclamendyke.TaskResult) {
+	request := result.Task.Request
+	if _, found := s.stray[request]; !found {
+		s.strayOrder = append(s.strayOrder, request)
+	}
+	s.stray[request] = append(s.stray[request], result)
+	if len(s.strayOrder) > s.cfg.RememberJobs {
+		delete(s.stray, s.strayOrder[0])
+		s.strayOrder = s.strayOrder[1:]
+	}
+}
+
+func (s *Scheduler) takeStray(j *job) {
+	results := s.stray[j.spec.Request]
+	if len(results) == 0 {
+		return
+	}
+	delete(s.stray, j.spec.Request)
+	j.mayHaveStarted = true
+	for _, result := range results {
+		s.restoreResult(j, result)
+	}
+	s.recount(j)
+}
--- /dev/null
+++ b/core/scheduler/start.go
@@ -0,0 +1,117 @@
+package scheduler
+
+import (
+	"errors"
+	"time"
+
+	"cyclamendyke"
+)
+
+const (
+	doubtRecheck  = 2 * time.Second // Between two tries to learn what became of a start.
+	refusedPause  = time.Second     // Of a worker that refused a start.
+	startsInDoubt = 5               // Times a start is sent again to the same worker.
+)
+
+func (s *Scheduler) startAnswered(name cyclamendyke.WorkerName, id cyclamendyke.TaskID, err error) {
+	w := s.workers[name]
+	if w == nil || w.tasks[id] == nil {
+		return
+	}
+	t := w.tasks[id]
+	switch {
+	case t.state != taskStarting && t.state != taskDoubtful:
+	case err == nil:
+		s.confirm(t)
+	case t.state == taskDoubtful:
+	case hadNoEffect(err):
+		s.startRefused(t, err)
+	default:
+		t.state = taskDoubtful
+		s.after(doubtRecheck, func() { s.recheckStart(t) })
+	}
+}
+
+// hadNoEffect reports whether the start was certainly not carried out.
+func hadNoEffect(err error) bool {
+	for _, kind := range [...]cyclamendyke.Kind{
+		cyclamendyke.KindNoRoom,
+		cyclamendyke.KindNoSession,
+		cyclamendyke.KindFenced,
+		cyclamendyke.KindSessionHeld,
+		cyclamendyke.KindNotFound,
+		cyclamendyke.KindUnavailable,
+		cyclamendyke.KindLimited,
+		cyclamendyke.KindInvalid,
+	} {
+		if errors.Is(err, kind) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) startRefused(t *task, err error) {
+	j, w := t.job, t.worker
+	j.startsSent--
+	s.pause(w)
+	s.askListing(w)
+	s.release(t)
+	if errors.Is(err, cyclamendyke.KindInvalid) {
+		s.failedStart(j, w)
+	}
+	if j.state == jobEnded {
+		return
+	}
+	j.waiting.add(t.id.Index)
+	s.recount(j)
+	if j.policy.AllAtOnce() {
+		s.failGang(j)
+		return
+	}
+	s.enqueue(j)
+}
+
+// pause keeps new work off a worker for a moment.
+func (s *Scheduler) pause(w *worker) {
+	if !w.backOffEnds.IsZero() {
+		return
+	}
+	w.backOffEnds = s.now.Add(refusedPause)
+	s.reindex(w)
+	ends := w.backOffEnds
+	s.timers.set(ends, func(time.Time) {
+		if w.backOffEnds.Equal(ends) {
+			w.backOffEnds = time.Time{}
+			s.reindex(w)
+		}
+	})
+}
+
+// recheckStart learns what became of a start whose answer was lost: it sends it again where that is safe, else it waits for a listing.
+func (s *Scheduler) recheckStart(t *task) {
+	w := t.worker
+	if s.workers[w.vm.Name] != w || w.tasks[t.id] != t || t.state != taskDoubtful {
+		return
+	}
+	s.after(doubtRecheck, func() { s.recheckStart(t) })
+	switch {
+	case s.mayResend(t):
+		t.resent++
+		t.sent = s.now
+		s.emitStart(t)
+	case s.now.Sub(t.sent) >= s.proofTime():
+		s.askListing(w)
+	}
+}
+
+func (s *Scheduler) mayResend(t *task) bool {
+	w := t.worker
+	return t.resent < startsInDoubt &&
+		!t.stopping &&
+		!t.job.spec.NotRepeatable &&
+		t.job.state == jobActive &&
+		s.authority.Valid(s.now) &&
+		w.claimed && w.reachable() &&
+		w.vm.State == cyclamendyke.VMLive && w.goneSince.IsZero()
+}
--- /dev/null
+++ b/core/scheduler/timer.go
@@ -0,0 +1,47 @@
+package scheduler
+
+import (
+	"cmp"
+	"time"
+
+	"github.com/google/btree"
+)
+
+const treeDegree = 16
+
+// timers calls functions at or after their time, in order of time and then of setting.
+type timers struct {
+	tree *btree.BTreeG[timer]
+	next uint64
+}
+
+type timer struct {
+	at   time.Time
+	seq  uint64
+	fire func(now time.Time)
+}
+
+func newTimers() *timers {
+	return &timers{tree: btree.NewG(treeDegree, timerLess)}
+}
+
+func (t *timers) set(at time.Time, fire func(now time.Time)) {
+	t.next++
+	t.tree.ReplaceOrInsert(timer{at, t.next, fire})
+}
+
+// run fires what is due at now.
+func (t *timers) run(now time.Time) {
+	for {
+		first, found := t.tree.Min()
+		if !found || first.at.After(now) {
+			return
+		}
+		t.tree.DeleteMin()
+		first.fire(now)
+	}
+}
+
+func timerLess(a, b timer) bool {
+	return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.seq, b.seq)) < 0
+}
--- /dev/null
+++ b/core/share/doc.go
@@ -0,0 +1,2 @@
+// Package share orders teams by weighted dominant-resource fair share.
+package share
--- /dev/null
+++ b/core/share/order.go
@@ -0,0 +1,68 @@
+package share
+
+import (
+	"cmp"
+
+	"github.com/google/btree"
+
+	"cyclamendyke"
+)
+
+const treeDegree = 16
+
+// Order is the set of teams that have work to place, least served first.
+type Order struct {
+	tree   *btree.BTreeG[entry]
+	values map[cyclamendyke.TeamName]float64
+}
+
+type entry struct {
+	value float64
+	team  cyclamendyke.TeamName
+}
+
+// NewOrder returns an order without teams.
+func NewOrder() *Order {
+	return &Order{
+		tree:   btree.NewG(treeDegree, entryLess),
+		values: make(map[cyclamendyke.TeamName]float64),
+	}
+}
+
+// Set adds the team or moves it to a new value.
+func (o *Order) Set(team cyclamendyke.TeamName, value float64) {
+	old, found := o.values[team]
+	if found && old == value {
+		return
+	}
+	if found {
+		o.tree.Delete(entry{old, team})
+	}
+	o.values[team] = value
+	o.tree.ReplaceOrInsert(entry{value, team})
+}
+
+// Remove takes the team out.
+func (o *Order) Remove(team cyclamendyke.TeamName) {
+	value, found := o.values[team]
+	if !found {
+		return
+	}
+	delete(o.values, team)
+	o.tree.Delete(entry{value, team})
+}
+
+// First returns the least served team.
+func (o *Order) First() (cyclamendyke.TeamName, bool) {
+	first, found := o.tree.Min()
+	return first.team, found
+}
+
+// Value returns the dominant share of reserved in total, divided by the team's weight; a weight below one counts as one.
+func Value(reserved, total cyclamendyke.Resources, weight int) float64 {
+	return reserved.DominantShare(total) / float64(max(weight, 1))
+}
+
+func entryLess(a, b entry) bool {
+	return cmp.Or(cmp.Compare(a.value, b.value), cmp.Compare(a.team, b.team)) < 0
+}
