Let a zone plan its first allotments from a ledger that was never written

Cause: the planner waits for a ledger, and a cell without one never gave it any, so that no job was ever placed (seen as submissions that waited for ever).

--- a/daemon/allotments.go
+++ b/daemon/allotments.go
@@ -46,7 +46,8 @@
 		k.planner = quota.New(quota.Config{Zone: k.daemon.member.Zone, Epoch: epoch})
 	}
 	k.planner.SetLimits(tables.Revision, limitsOf(tables))
-	if entry, ok := k.daemon.view.Snapshot().Entry(cyclamendyke.AllotmentsKey); ok {
+	if snapshot := k.daemon.view.Snapshot(); !snapshot.Confirmed.IsZero() {
+		entry, _ := snapshot.Entry(cyclamendyke.AllotmentsKey) // The zero entry stands for a ledger not written yet.
 		k.setLedger(entry)
 	}
 	k.planner.SetDemand(k.daemon.control.demand())
