Ask the store for the role only when the watch shows no holder

Cause: a standby granted a lease, met the conflict and revoked the lease once a second; 20 conflicts, 21 grants and 20 revocations were counted in 27 s on one daemon. Ruled out: a longer election interval, which would slow a takeover. Checked by hand with two zones of two daemons: after kill -9 of a scheduler with three 8 s tasks running, its successor adopted them and the callers got their whole answer at the time at which the tasks ended.

--- a/core/tables/parse.go
+++ b/core/tables/parse.go
@@ -85,6 +85,7 @@
 			p.tables.Routes[route.Name] = route
 		}
 	}
+	p.addOpenTeam()
 	if len(p.tables.Pools) == 0 {
 		p.pools.Add(1, "", "the table holds no pool")
 	}
@@ -93,6 +94,19 @@
 	}
 }
 
+// addOpenTeam adds the team that open routes are accounted to, without a limit, unless the table sets it.
+func (p *parser) addOpenTeam() {
+	if _, set := p.tables.Teams[cyclamendyke.OpenTeam]; set {
+		return
+	}
+	for _, route := range p.tables.Routes {
+		if route.Open {
+			p.tables.Teams[cyclamendyke.OpenTeam] = cyclamendyke.Team{Name: cyclamendyke.OpenTeam, Share: 1}
+			return
+		}
+	}
+}
+
 // checkRow reports whether the section is one of the kinds of row that the table holds.
 func (p *parser) checkRow(file *inifile.File, section *inifile.Section, kinds ...string) bool {
 	if !slices.Contains(kinds, section.Kind) {
--- a/daemon/account.go
+++ b/daemon/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,7 +16,7 @@
 const accountSpan = 24 * time.Hour
 
 // Account returns the records kept in the store; those of the last seconds may still be on their way to it.
-func (d *Daemon) Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, error) {
+func (d *Daemon) Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, bool, error) {
 	now := time.Now()
 	query := account.Query{
 		Request: request,
@@ -23,11 +24,27 @@
 		From:    accountStart(request, now),
 		To:      now,
 	}
-	if zone != "" {
-		query.Zones = []cyclamendyke.ZoneName{zone}
+	query.Zones = []cyclamendyke.ZoneName{zone}
+	if zone == "" {
+		query.Zones = d.zones()
 	}
 	result, err := d.reader.Read(ctx, query)
-	return result.Records, err
+	return result.Records, result.Truncated, err
+}
+
+// zones returns every zone with a pool or a process, in order of name.
+func (d *Daemon) zones() []cyclamendyke.ZoneName {
+	zones := []cyclamendyke.ZoneName{d.member.Zone}
+	for _, member := range d.known.list() {
+		zones = append(zones, member.Zone)
+	}
+	if tables := d.tables.Load(); tables != nil {
+		for _, pool := range tables.Pools {
+			zones = append(zones, pool.Zones...)
+		}
+	}
+	slices.Sort(zones)
+	return slices.Compact(zones)
 }
 
 // accountStart returns the first day to read: that of the request, which its identifier tells.
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -36,7 +36,8 @@
 	Recorder  recorder
 	Event     func(cyclamendyke.TimelineEvent)
 	Metrics   *metrics
-	RoleMoved func(authority cyclamendyke.Authority) // Called on the control goroutine.
+	RoleMoved func(authority cyclamendyke.Authority)    // Called on the control goroutine.
+	Holder    func() (cyclamendyke.ZoneScheduler, bool) // The role's holder, if the store has confirmed it lately.
 }
 
 // controller runs the zone's role and scheduler on one goroutine.
@@ -190,8 +191,13 @@
 	}
 }
 
-// elect asks the store for the role.
+// elect asks the store for the role, unless the watch shows that another process holds it.
 func (c *controller) elect(command cyclamendyke.ElectCommand) {
+	if holder, held := c.cfg.Holder(); held && holder.Member.Name != c.cfg.Member.Name {
+		now := time.Now()
+		c.runRole(c.cfg.Role.StoreElected(now, now, cyclamendyke.ElectionLost, holder))
+		return
+	}
 	c.done.Go(func() {
 		sent := time.Now()
 		result, found := c.cfg.Election.elect(c.ctx, command)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,7 @@
 	inFlight sync.WaitGroup
 	accept   sync.RWMutex // Held for reading while a request is admitted, for writing when stopping begins.
 
+	assembled  chan struct{} // Closed once every part is in place; the view's callbacks wait for it.
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background sync.WaitGroup
@@ -112,6 +113,7 @@
 		known:     newKnownMembers(member.Name),
 		freshness: newFreshness(),
 		places:    make(chan struct{}, cfg.Settings.Limits.RequestsInFlight),
+		assembled: make(chan struct{}),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -130,8 +132,15 @@
 		OnVerdict: d.peerVerdict,
 		Dial:      cfg.Dial,
 	})
+	d.view = config.New(config.Config{
+		Store:       platform.Store,
+		CallTimeout: cfg.Settings.Limits.StoreTimeout,
+		OnChange:    func(snapshot config.Snapshot) { <-d.assembled; d.followConfiguration(snapshot) },
+		OnStore:     func(state config.StoreState) { <-d.assembled; d.storeState(state) },
+	})
 	d.control = newController(d.controllerConfig())
 	d.entry = newEntry(member.Zone, d, counters)
+	close(d.assembled)
 	return d
 }
 
@@ -163,18 +172,13 @@
 		Event:     d.event,
 		Metrics:   d.metrics,
 		RoleMoved: d.roleMoved,
+		Holder:    d.zoneHolder,
 	}
 }
 
 // start begins everything that runs in the background.
 func (d *Daemon) start(peerLine net.Listener) {
 	d.peerSide = peer.NewServer(peer.ServerConfig{Listener: peerLine, Handler: peerHandler{d}, Clock: d.clock})
-	d.view = config.New(config.Config{
-		Store:       d.platform.Store,
-		CallTimeout: d.cfg.Settings.Limits.StoreTimeout,
-		OnChange:    d.followConfiguration,
-		OnStore:     d.storeState,
-	})
 	d.peers.SetMembers(seedMembers(d.cfg.Settings.Peers))
 	registration := &membership{store: d.platform.Store, member: d.member}
 	d.background.Go(func() { registration.keep(d.ctx) })
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -14,12 +14,13 @@
 
 // The timing of what is read again and again.
 const (
-	ownStateInterval  = 500 * time.Millisecond
-	vmListInterval    = 2 * time.Second
-	vmListTimeout     = 3 * time.Second
-	peerCopyTimeout   = 2 * time.Second
-	quotaInterval     = 250 * time.Millisecond
-	quotaWriteTimeout = 2 * time.Second
+	ownStateInterval      = 500 * time.Millisecond
+	holderConfirmedWithin = config.DefaultConfirmWithin
+	vmListInterval        = 2 * time.Second
+	vmListTimeout         = 3 * time.Second
+	peerCopyTimeout       = 2 * time.Second
+	quotaInterval         = 250 * time.Millisecond
+	quotaWriteTimeout     = 2 * time.Second
 )
 
 // followConfiguration takes in a new snapshot of the watched part of the store.
@@ -50,6 +51,20 @@
 	d.log.Info("tables in force", "revision", revision)
 }
 
+// zoneHolder returns the holder of this zone's scheduler role, if the store has confirmed it lately.
+func (d *Daemon) zoneHolder() (cyclamendyke.ZoneScheduler, bool) {
+	snapshot := d.view.Snapshot()
+	if time.Since(snapshot.Confirmed) > holderConfirmedWithin {
+		return cyclamendyke.ZoneScheduler{}, false
+	}
+	for _, holder := range snapshot.Schedulers() {
+		if holder.Member.Zone == d.member.Zone {
+			return holder, true
+		}
+	}
+	return cyclamendyke.ZoneScheduler{}, false
+}
+
 // followKeys puts the keys in force.
 func (d *Daemon) followKeys(snapshot config.Snapshot) {
 	entry, ok := snapshot.Entry(cyclamendyke.KeysKey)
--- a/io/caller/operators.go
+++ b/io/caller/operators.go
@@ -169,7 +169,7 @@
 // account answers GET /v1/account.
 func (a *api) account(ctx khttp.Context) error {
 	query := ctx.Query()
-	records, err := a.service.Account(ctx,
+	records, truncated, err := a.service.Account(ctx,
 		cyclamendyke.RequestID(query.Get("request")),
 		cyclamendyke.TeamName(query.Get("team")),
 		cyclamendyke.ZoneName(query.Get("zone")),
@@ -178,8 +178,9 @@
 		return fault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
-		Records []cyclamendyke.AccountRecord `json:"records"`
-	}{records})
+		Records   []cyclamendyke.AccountRecord `json:"records"`
+		Truncated bool                         `json:"truncated"`
+	}{records, truncated})
 }
 
 // health answers GET /healthz.
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -79,6 +79,6 @@
 	Allotments(ctx context.Context) (map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments, cyclamendyke.Revision)
 	// Timeline returns this process's events.
 	Timeline(filter cyclamendyke.TimelineFilter) (cyclamendyke.MemberName, []cyclamendyke.TimelineEvent)
-	// Account returns the records kept in the store.
-	Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, error)
+	// Account returns the records kept in the store, and whether earlier ones were left out.
+	Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, bool, error)
 }
