--- a/client/call.go
+++ b/client/call.go
@@ -25,6 +25,7 @@
 	key        string
 	body       any
 	repeatable bool          // May be sent again when an earlier sending may have taken effect.
+	settles    int           // Status of the refusal that also answers for an earlier sending; zero for none.
 	timeout    time.Duration // When --timeout is not given; zero for none.
 }
 
@@ -139,7 +140,8 @@
 
 // checkDoubt returns an error if a refusal of this sending says nothing about an earlier one that may have taken effect.
 func (call apiCall) checkDoubt(response cyclamendyke.EntryResponse, doubtful bool, cause error) error {
-	if !doubtful || response.Status < http.StatusBadRequest || response.Status == http.StatusConflict {
+	isSettled := response.Status < http.StatusBadRequest || call.settles == response.Status
+	if !doubtful || isSettled {
 		return nil
 	}
 	return call.newDoubt(cause)
@@ -223,10 +225,11 @@
 		if body.RetryAfter > 0 {
 			err.Detail += fmt.Sprintf("; come back in %v, or give --retry-for", body.RetryAfter)
 		}
-	default:
-		if response.Status >= http.StatusInternalServerError {
-			err.Kind = cyclamendyke.KindUnknown
-		}
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout:
+		err.Kind = cyclamendyke.KindUnknown
+	}
+	if body.Reason == cyclamendyke.ReasonAnswerLost {
+		err.Kind = cyclamendyke.KindUnknown
 	}
 	return err
 }
--- a/client/tables_edit.go
+++ b/client/tables_edit.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 
@@ -63,33 +64,41 @@
 		cyclamendyke.TablesText
 	}{expected, text}
 	call := c.operatorCall(op, http.MethodPut, "/v1/tables", body)
+	call.settles = http.StatusConflict
 	response, err := c.send(call)
-	if err != nil {
-		return 0, err
+	if err == nil && response.Status >= http.StatusBadRequest {
+		err = refusalError(op, response)
 	}
-	refusal := decodeRefusal(response)
-	switch {
-	case len(refusal.Faults) > 0:
-		return 0, c.reportFaults(op, o.Routes, o.Pools, refusal.Faults)
-	case response.Status == http.StatusConflict:
-		return c.resolveConflict(op, expected, text)
-	case response.Status >= http.StatusBadRequest:
-		return 0, refusalError(op, response)
-	default:
-		return refusal.Revision, nil
+	if err == nil {
+		return decodeRefusal(response).Revision, nil
+	}
+	if faults := decodeRefusal(response).Faults; len(faults) > 0 {
+		return 0, c.reportFaults(op, o.Routes, o.Pools, faults)
+	}
+	if errors.Is(err, cyclamendyke.KindConflict) || errors.Is(err, cyclamendyke.KindUnknown) {
+		return c.readBack(op, expected, text, err)
 	}
+	return 0, err
 }
 
-// resolveConflict tells an edit of this command whose answer was lost from one of another operator.
-func (c *Client) resolveConflict(op string, expected cyclamendyke.Revision, text cyclamendyke.TablesText) (cyclamendyke.Revision, error) {
+// readBack tells an edit of this command whose answer was lost from one of another operator and from none.
+func (c *Client) readBack(op string, expected cyclamendyke.Revision, text cyclamendyke.TablesText, cause error) (cyclamendyke.Revision, error) {
 	current, err := c.fetchTables(op)
-	if err != nil {
-		return 0, err
-	}
-	if current.TablesText == text {
+	switch {
+	case err != nil:
+		return 0, errors.Join(cause, err)
+	case current.TablesText == text:
 		return current.Revision, nil
+	case current.Revision != expected:
+		return 0, conflictError(op, expected, current.Revision)
+	default:
+		return 0, &Error{
+			Op:     op,
+			Kind:   cyclamendyke.KindUnknown,
+			Detail: fmt.Sprintf("the edit is not in force yet and may still come; it is safe to repeat it with --expected %d", expected),
+			Err:    cause,
+		}
 	}
-	return 0, conflictError(op, expected, current.Revision)
 }
 
 func conflictError(op string, expected, current cyclamendyke.Revision) error {
--- a/client/timeline.go
+++ b/client/timeline.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"cyclamendyke"
+	"cyclamendyke/core/timeline"
 )
 
 const (
@@ -60,9 +61,8 @@
 			body.Unreachable = append(body.Unreachable, unreachableMember{Member: asked[i].Name, HTTP: asked[i].HTTP, Reason: part.err.Error()})
 			continue
 		}
-		body.Events = append(body.Events, part.events...)
+		body.Events = timeline.Merge(body.Events, part.events)
 	}
-	slices.SortStableFunc(body.Events, compareEvents)
 	for _, missing := range body.Unreachable {
 		fmt.Fprintf(c.Stderr, "timeline: the events of %s are missing: %s\n", missing.Member, missing.Reason)
 	}
@@ -132,15 +132,6 @@
 	return memberTimeline{events: reply.Events}
 }
 
-// compareEvents orders events by hybrid logical clock, which keeps causes before effects, and then by member.
-func compareEvents(a, b cyclamendyke.TimelineEvent) int {
-	return cmp.Or(
-		a.At.Wall.Compare(b.At.Wall),
-		cmp.Compare(a.At.Counter, b.At.Counter),
-		cmp.Compare(a.Member, b.Member),
-	)
-}
-
 func eventRow(event cyclamendyke.TimelineEvent) []string {
 	task, epoch := "-", "-"
 	if event.Worker != "" && event.Request != "" {
