--- a/core/quota/main_test.go
+++ b/core/quota/main_test.go
@@ -11,6 +11,7 @@
 	flag.Parse()
 	if seed := flag.Lookup("rapid.seed"); seed.Value.String() == seed.DefValue {
 		_ = flag.Set("rapid.seed", "1")
+		_ = flag.Set("rapid.steps", "150")
 	}
 	os.Exit(m.Run())
 }
--- a/core/quota/planner_test.go
+++ b/core/quota/planner_test.go
@@ -20,6 +20,7 @@
 	revision cyclamendyke.Revision
 	value    []byte
 	calls    int
+	delayed  []quota.Write // Writes whose answer was lost and which may still arrive.
 }
 
 func (s *fakeStore) swap(w quota.Write) bool {
@@ -81,12 +82,14 @@
 	z.apply()
 }
 
-func (z *fakeZone) propose(now time.Time, alive []cyclamendyke.ZoneName) bool {
+// propose plans a move; race is what happens before its Usable is in force.
+func (z *fakeZone) propose(now time.Time, race func()) bool {
 	z.apply()
-	proposal, ok := z.planner.Next(now, alive)
+	proposal, ok := z.planner.Next(now, zoneNames)
 	if !ok {
 		return false
 	}
+	race()
 	z.usable = proposal.Usable[team]
 	return true
 }
@@ -97,6 +100,32 @@
 	}
 }
 
+// answer decides what became of the committed write.
+func (z *fakeZone) answer(t *rapid.T, store *fakeStore) {
+	write := z.committed
+	if write == nil {
+		return
+	}
+	z.committed = nil
+	switch rapid.SampledFrom([]string{"answered", "answered", "lost after", "lost before", "refused"}).Draw(t, "fate") {
+	case "answered":
+		if store.swap(*write) {
+			z.planner.Written(store.revision)
+		} else {
+			z.planner.NotWritten()
+		}
+	case "lost after":
+		store.swap(*write)
+		z.planner.InDoubt(write.Expected)
+	case "lost before":
+		store.delayed = append(store.delayed, *write)
+		z.planner.InDoubt(write.Expected)
+	case "refused":
+		z.planner.NotWritten()
+	}
+	z.apply()
+}
+
 // TestAllotmentsNeverExceedTheLimit drives three zones through takeovers, lost answers, delayed writes and changed limits.
 func TestAllotmentsNeverExceedTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -105,46 +134,34 @@
 		store := &fakeStore{}
 		limit, tables := int64(12), cyclamendyke.Revision(1)
 		limits := map[cyclamendyke.TeamName]cyclamendyke.Resources{team: cores(limit)}
-		var zones []*fakeZone
+		zones := make([]*fakeZone, 0, len(zoneNames))
 		for _, name := range zoneNames {
 			z := &fakeZone{name: name}
 			z.takeOver(limits, tables)
 			z.read(t, store)
 			zones = append(zones, z)
 		}
-		var delayed []quota.Write // Writes whose answer was lost and which may still arrive.
 		mostHeld, mostRunning := int64(0), int64(0)
 		zone := func(t *rapid.T) *fakeZone { return zones[rapid.IntRange(0, len(zones)-1).Draw(t, "zone")] }
-		answer := func(t *rapid.T, z *fakeZone) {
-			write := z.committed
-			if write == nil {
-				return
-			}
-			z.committed = nil
-			switch rapid.SampledFrom([]string{"answered", "answered", "lost after", "lost before", "refused"}).Draw(t, "fate") {
-			case "answered":
-				if store.swap(*write) {
-					z.planner.Written(store.revision)
-				} else {
-					z.planner.NotWritten()
-				}
-			case "lost after":
-				store.swap(*write)
-				z.planner.InDoubt(write.Expected)
-			case "lost before":
-				delayed = append(delayed, *write)
-				z.planner.InDoubt(write.Expected)
-			case "refused":
-				z.planner.NotWritten()
-			}
-			z.apply()
-		}
 		t.Repeat(map[string]func(*rapid.T){
-			"demand":  func(t *rapid.T) { zone(t).waiting += int64(rapid.IntRange(1, 6).Draw(t, "tasks")) },
+			"move": func(t *rapid.T) {
+				z := zone(t)
+				now = now.Add(time.Second)
+				z.read(t, store)
+				z.propose(now, func() {
+					if rapid.Bool().Draw(t, "start in between") {
+						z.startOne()
+					}
+				})
+				z.commit(now)
+				z.answer(t, store)
+				z.startOne()
+			},
+			"demand":  func(t *rapid.T) { zone(t).waiting += int64(rapid.IntRange(1, 12).Draw(t, "tasks")) },
 			"start":   func(t *rapid.T) { zone(t).startOne() },
-			"propose": func(t *rapid.T) { now = now.Add(time.Second); zone(t).propose(now, zoneNames) },
+			"propose": func(t *rapid.T) { now = now.Add(time.Second); zone(t).propose(now, func() {}) },
 			"commit":  func(t *rapid.T) { zone(t).commit(now) },
-			"answer":  func(t *rapid.T) { answer(t, zone(t)) },
+			"answer":  func(t *rapid.T) { zone(t).answer(t, store) },
 			"read":    func(t *rapid.T) { zone(t).read(t, store) },
 			"finish": func(t *rapid.T) {
 				if z := zone(t); z.reserved > 0 {
@@ -154,15 +171,15 @@
 			},
 			"cancel all waiting": func(t *rapid.T) { zone(t).waiting = 0 },
 			"deliver late": func(t *rapid.T) {
-				if len(delayed) > 0 {
-					store.swap(delayed[0])
-					delayed = delayed[1:]
+				if len(store.delayed) > 0 {
+					store.swap(store.delayed[0])
+					store.delayed = store.delayed[1:]
 				}
 			},
 			"take over": func(t *rapid.T) {
 				z := zone(t)
 				if z.committed != nil {
-					delayed = append(delayed, *z.committed)
+					store.delayed = append(store.delayed, *z.committed)
 				}
 				z.takeOver(limits, tables)
 				if rapid.Bool().Draw(t, "store up") {
@@ -210,7 +227,7 @@
 	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	store := &fakeStore{}
 	limits := map[cyclamendyke.TeamName]cyclamendyke.Resources{team: cores(60)}
-	var zones []*fakeZone
+	zones := make([]*fakeZone, 0, len(zoneNames))
 	for _, name := range zoneNames {
 		z := &fakeZone{name: name}
 		z.takeOver(limits, 1)
@@ -221,7 +238,7 @@
 			now = now.Add(time.Second)
 			for _, z := range zones {
 				z.read(t, store)
-				if z.propose(now, zoneNames) {
+				if z.propose(now, func() {}) {
 					z.commit(now)
 					if store.swap(*z.committed) {
 						z.planner.Written(store.revision)
