Mend a role that ticked on after it gave up a term without sessions

Cause: a candidate that nobody had granted a session gave up without a command, and the tick went on with no term (panic on the control goroutine). Found by the first run of the randomised proof, which lands with it: members killed, frozen and cut one way from store and workers, workers replaced, messages lost, slow and reordered; no two members may act at any moment, frozen ones included.

--- a/core/role/holder.go
+++ b/core/role/holder.go
@@ -12,8 +12,9 @@
 	t := r.term
 	commands := r.settle(now, "lease or sessions lapsed")
 	if !t.acting {
-		if given := r.giveUp(now); given != nil {
-			return append(commands, given...)
+		commands = append(commands, r.giveUp(now)...)
+		if r.term == nil {
+			return commands
 		}
 		if !now.Before(t.nextClaim) {
 			commands = append(commands, r.claimMissing(now)...)
