--- a/core/cas/writer.go
+++ b/core/cas/writer.go
@@ -57,8 +57,7 @@
 // KindUnavailable, KindLimited, KindTooLarge or KindInvalid if it was
 // certainly not written for another cause, else KindUnknown.
 func (w *Writer) Swap(ctx context.Context, key string, value []byte, expected cyclamendyke.Revision) (cyclamendyke.Revision, error) {
-	doubt := false
-	var last error
+	var doubt, last error // The first error after which the value may have been written, and the latest error.
 	for attempt := range w.config.Attempts {
 		if attempt > 0 && !w.pause(ctx, attempt) {
 			break
@@ -69,10 +68,10 @@
 		}
 		last = err
 		kind := WriteKind(err)
-		if kind == cyclamendyke.KindUnknown {
-			doubt = true
+		if doubt == nil && kind == cyclamendyke.KindUnknown {
+			doubt = err
 		}
-		if !doubt {
+		if doubt == nil {
 			if kind == cyclamendyke.KindUnavailable || kind == cyclamendyke.KindLimited {
 				continue
 			}
@@ -85,11 +84,11 @@
 		case bytes.Equal(entry.Value, value):
 			return entry.Revision, nil
 		default:
-			return 0, newError("swap", cyclamendyke.KindUnknown, last)
+			return 0, newError("swap", cyclamendyke.KindUnknown, doubt)
 		}
 	}
-	if doubt {
-		return 0, newError("swap", cyclamendyke.KindUnknown, last)
+	if doubt != nil {
+		return 0, newError("swap", cyclamendyke.KindUnknown, doubt)
 	}
 	return 0, newError("swap", cmp.Or(WriteKind(last), cyclamendyke.KindUnavailable), last)
 }
@@ -103,8 +102,7 @@
 // a conflict or a lost answer; it returns the entry in force, KindUnknown if a
 // lost answer could not be settled, or the error of change.
 func (w *Writer) Update(ctx context.Context, key string, change Change) (cyclamendyke.Entry, error) {
-	doubt := false
-	var last error
+	var doubt, last error
 	for attempt := range w.config.Attempts {
 		if attempt > 0 && !w.pause(ctx, attempt) {
 			break
@@ -125,13 +123,13 @@
 		last = err
 		switch WriteKind(err) {
 		case cyclamendyke.KindUnknown:
-			doubt = true
+			doubt = err
 		case cyclamendyke.KindTooLarge, cyclamendyke.KindInvalid:
 			return entry, newError("update", WriteKind(err), err)
 		}
 	}
-	if doubt {
-		return cyclamendyke.Entry{}, newError("update", cyclamendyke.KindUnknown, last)
+	if doubt != nil {
+		return cyclamendyke.Entry{}, newError("update", cyclamendyke.KindUnknown, doubt)
 	}
 	if errors.Is(last, cyclamendyke.KindConflict) {
 		return cyclamendyke.Entry{}, newError("update", cyclamendyke.KindConflict, last)
@@ -167,6 +165,7 @@
 		return ""
 	}
 	for _, kind := range []cyclamendyke.Kind{
+		cyclamendyke.KindUnknown,
 		cyclamendyke.KindConflict,
 		cyclamendyke.KindUnavailable,
 		cyclamendyke.KindLimited,
--- a/core/cas/writer_test.go
+++ b/core/cas/writer_test.go
@@ -61,6 +61,22 @@
 	}
 }
 
+// TestSwapOvertaken has a write take effect late and another writer follow it; the first can't know that it was not written.
+func TestSwapOvertaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		service.SetFaults(kv.Faults{LateWrites: 1, LateBy: platform.Duration(time.Millisecond)})
+		time.AfterFunc(2*time.Millisecond, func() {
+			_, err := service.As("b").CompareAndSwap(t.Context(), "key", []byte("other"), 1, 0)
+			is.NoErr(err)
+		})
+		_, err := cas.New(cas.Config{Store: service.As("a")}).Swap(t.Context(), "key", []byte("new"), 0)
+		is.True(errors.Is(err, cyclamendyke.KindUnknown))
+		is.True(!errors.Is(err, cyclamendyke.KindConflict))
+	})
+}
+
 // TestUpdateRace has writers append to one key while answers are lost; none is lost and none is doubled.
 func TestUpdateRace(t *testing.T) {
 	const writers = 6
--- a/core/journal/compact.go
+++ b/core/journal/compact.go
@@ -12,7 +12,7 @@
 
 // compact rewrites the live records into few segments once many have gathered; a failure leaves the journal as it was.
 func (w *Writer) compact(ctx context.Context) {
-	if len(w.head.Segments)-w.compacted <= maxNewSegments {
+	if len(w.head.Segments)-w.compacted < w.config.MaxSegments {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.config.Patience)
--- a/core/journal/config.go
+++ b/core/journal/config.go
@@ -18,6 +18,7 @@
 	DefaultRetention      = time.Hour
 	DefaultMaxFinished    = 1024
 	DefaultMaxPending     = 8192
+	DefaultMaxSegments    = 64
 )
 
 // The bounds of one journal, in records, bytes and keys.
@@ -27,7 +28,6 @@
 	maxRecordBytes  = 800_000 // A larger record is refused.
 	headBytes       = 8_000   // A head that would grow past this is sealed into a segment first.
 	segmentBytes    = 400_000 // What compaction puts into one segment.
-	maxNewSegments  = 64      // More than these since the last compaction are compacted.
 )
 
 // Config sets up a Journal; zero fields take the defaults.
@@ -44,6 +44,7 @@
 	Retention      time.Duration // How long a finished job is kept for its status.
 	MaxFinished    int           // Finished jobs kept, the latest first.
 	MaxPending     int           // Jobs waiting to be written; beyond it records are refused.
+	MaxSegments    int           // Segments added since the last compaction that bring about the next one.
 }
 
 func (c Config) withDefaults() Config {
@@ -56,5 +57,6 @@
 	c.Retention = cmp.Or(c.Retention, DefaultRetention)
 	c.MaxFinished = cmp.Or(c.MaxFinished, DefaultMaxFinished)
 	c.MaxPending = cmp.Or(c.MaxPending, DefaultMaxPending)
+	c.MaxSegments = cmp.Or(c.MaxSegments, DefaultMaxSegments)
 	return c
 }
