--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -176,7 +176,7 @@
 func TestPrune(t *testing.T) {
 	is := is.New(t)
 	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-	var records []cyclamendyke.KeyRecord
+	records := make([]cyclamendyke.KeyRecord, 0, keys.MaxWithdrawn+6)
 	for i := range keys.MaxWithdrawn + 5 {
 		records = append(records, cyclamendyke.KeyRecord{ID: fmt.Sprintf("%05d", i), Withdrawn: start.Add(time.Duration(i) * time.Second)})
 	}
--- a/core/timeline/timeline_test.go
+++ b/core/timeline/timeline_test.go
@@ -36,7 +36,7 @@
 	for seed := range uint64(10) {
 		is := is.New(t)
 		random := rand.New(rand.NewPCG(seed, 0))
-		var processes []*process
+		processes := make([]*process, 0, 4)
 		for i := range 4 {
 			skew := time.Duration(random.IntN(20)-10) * time.Second
 			processes = append(processes, newProcess(fmt.Sprint(i), start.Add(skew), 0))
@@ -58,7 +58,7 @@
 			event := p.ring.Add(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventPlaced, Task: p.sent})
 			causes[fmt.Sprint(event.Member, event.Task)] = known[at]
 		}
-		var lists [][]cyclamendyke.TimelineEvent
+		lists := make([][]cyclamendyke.TimelineEvent, 0, 5)
 		for _, p := range processes {
 			lists = append(lists, p.ring.Events(cyclamendyke.TimelineFilter{}))
 		}
