Refuse work that needs the store at once while it is away

Cause: a detached job waited 2 s and a request with an idempotency key 2.1 s for a store that had not answered for 15 s, though the answer was certain. The detail no longer lets 'not run' be read as a word on earlier requests with the same key.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -21,6 +21,9 @@
 	retryOverload  = 2 * time.Second
 )
 
+// keyUnknown is the detail of a refusal while idempotency keys can't be looked up.
+const keyUnknown = "this request was not started; whether an earlier one with the same key ran can't be told while the store is away: repeat it with the same key"
+
 // Submit sees a caller's request through to its one answer.
 func (d *Daemon) Submit(ctx context.Context, key string, submission cyclamendyke.Submission) cyclamendyke.Outcome {
 	if !d.admit() {
@@ -165,9 +168,12 @@
 	if job.IdempotencyKey == "" {
 		job.IdempotencyKey = string(job.Request)
 	}
+	if d.storeAway() {
+		return d.refuse(job, cyclamendyke.ReasonStoreAway, keyUnknown, retryStoreAway)
+	}
 	reservation, err := d.records.once.Reserve(ctx, job.Team, job.IdempotencyKey, job.Request)
 	if err != nil {
-		return d.refuse(job, cyclamendyke.ReasonStoreAway, "a request with an idempotency key needs the store, which does not answer", retryStoreAway)
+		return d.refuse(job, cyclamendyke.ReasonStoreAway, keyUnknown, retryStoreAway)
 	}
 	if !reservation.First && reservation.Outcome.Request != "" {
 		return reservation.Outcome
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -123,7 +123,6 @@
 	d.editor = config.NewEditor(writer)
 	d.registry = keys.New(keys.Config{Writer: writer})
 	d.reader = account.NewReader(account.ReaderConfig{Store: platform.Store})
-	d.records = newRecords(member, platform.Store)
 	d.peers = peer.NewPool(peer.PoolConfig{
 		Self:      member.Name,
 		Clock:     clock,
@@ -138,6 +137,7 @@
 		OnChange:    func(snapshot config.Snapshot) { <-d.assembled; d.followConfiguration(snapshot) },
 		OnStore:     func(state config.StoreState) { <-d.assembled; d.storeState(state) },
 	})
+	d.records = newRecords(member, platform.Store, d.storeAway)
 	d.control = newController(d.controllerConfig())
 	d.entry = newEntry(member.Zone, d, counters)
 	close(d.assembled)
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -189,6 +189,11 @@
 	return time.Since(confirmed)
 }
 
+// storeAway reports whether the last calls to the store failed.
+func (d *Daemon) storeAway() bool {
+	return d.view.Store() == config.StoreLost
+}
+
 // Heartbeat takes in a peer's state and answers with the freshness of this process's view.
 func (d *Daemon) Heartbeat(_ context.Context, state cyclamendyke.MemberState) (peer.ViewState, error) {
 	d.directory.hear(state, time.Now())
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -26,6 +26,7 @@
 	lines   *account.Writer
 	ctx     context.Context
 	cancel  context.CancelFunc
+	away    func() bool // Whether the store's last calls failed.
 	done    sync.WaitGroup
 
 	mu     sync.Mutex
@@ -33,13 +34,14 @@
 	writer *journal.Writer    // Of that term; nil until the journal is open.
 }
 
-func newRecords(member cyclamendyke.Member, store cyclamendyke.Store) *records {
+func newRecords(member cyclamendyke.Member, store cyclamendyke.Store, away func() bool) *records {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &records{
 		zone:    member.Zone,
 		journal: journal.New(journal.Config{Store: store, Zone: member.Zone}),
 		once:    once.New(once.Config{Store: store}),
 		lines:   account.New(account.Config{Store: store, Zone: member.Zone, Member: member.Name, Started: member.Started}),
+		away:    away,
 		ctx:     ctx,
 		cancel:  cancel,
 	}
@@ -97,12 +99,12 @@
 	writer.Close(ctx)
 }
 
-// keep writes a record; without an open journal it is refused.
+// keep writes a record; without an open journal, or if somebody waits for it while the store is away, it is refused at once.
 func (r *records) keep(record cyclamendyke.JournalRecord, kept func(cyclamendyke.PersistResult)) {
 	r.mu.Lock()
 	writer := r.writer
 	r.mu.Unlock()
-	if writer != nil {
+	if writer != nil && (kept == nil || !r.away()) {
 		writer.Persist(record, kept)
 		return
 	}
