--- a/client/nodes.go
+++ b/client/nodes.go
@@ -58,7 +58,7 @@
 		string(state.Member.Zone),
 		state.Member.HTTP,
 		role,
-		state.Epoch.String(),
+		formatEpoch(state.Epoch),
 		fmt.Sprint(state.TablesRevision),
 		fmt.Sprint(state.KeysRevision),
 		state.StoreAge.Round(time.Millisecond).String() + " ago",
--- a/client/output.go
+++ b/client/output.go
@@ -94,6 +94,13 @@
 	return t.UTC().Format("2006-01-02T15:04:05.000Z")
 }
 
+func formatEpoch(epoch cyclamendyke.Epoch) string {
+	if epoch.IsZero() {
+		return "-"
+	}
+	return epoch.String()
+}
+
 func formatText[T ~string](text T) string {
 	return cmp.Or(string(text), "-")
 }
--- a/client/script_test.go
+++ b/client/script_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strconv"
 	"testing"
 	"time"
@@ -43,6 +44,10 @@
 	env.Defer(a.Close)
 	env.Defer(b.Close)
 	closed := closedAddress()
+	examples, err := filepath.Abs("../examples")
+	if err != nil {
+		return err
+	}
 	a.others = []cyclamendyke.Member{{Name: "b", Zone: "zone-2", HTTP: b.address()}}
 	a.events = []cyclamendyke.TimelineEvent{
 		{At: at(1), Member: "a", Kind: cyclamendyke.EventRoleLost, Epoch: cyclamendyke.Epoch{Term: 2, Owner: "a"}},
@@ -54,6 +59,7 @@
 	env.Values[fakeKey{}] = a
 	env.Vars = append(env.Vars,
 		"GORACE=atexit_sleep_ms=0", // Else each process of a race test sleeps for a second before it exits.
+		"EXAMPLES="+examples,
 		"ENTRY="+a.address(),
 		"ENTRY_B="+b.address(),
 		"CLOSED="+closed,
--- a/client/timeline.go
+++ b/client/timeline.go
@@ -133,13 +133,10 @@
 }
 
 func eventRow(event cyclamendyke.TimelineEvent) []string {
-	task, epoch := "-", "-"
+	task := "-"
 	if event.Worker != "" && event.Request != "" {
 		task = fmt.Sprint(event.Task)
 	}
-	if !event.Epoch.IsZero() {
-		epoch = event.Epoch.String()
-	}
 	return []string{
 		formatTime(event.At.Wall),
 		string(event.Member),
@@ -148,7 +145,7 @@
 		task,
 		formatText(event.Worker),
 		formatText(event.Team),
-		epoch,
+		formatEpoch(event.Epoch),
 		formatText(event.Detail),
 	}
 }
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// The documented settings can be used as they stand.
+func TestLoadExample(t *testing.T) {
+	is := is.New(t)
+	daemon, faults, err := settings.Load("../examples/daemon.ini")
+	is.NoErr(err)
+	is.Equal(len(faults), 0)
+	is.Equal(daemon.Member.Name, cyclamendyke.MemberName("hakata1-a"))
+}
+
 func describe(daemon *settings.Daemon, faults []cyclamendyke.Fault) string {
 	if daemon != nil {
 		return fmt.Sprintf("%+v\n", *daemon)
