--- /dev/null
+++ b/bench/fleet.go
@@ -0,0 +1,79 @@
+package bench
+
+import (
+	"fmt"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/platform"
+)
+
+// The fleet that the costs are worked out for.
+const (
+	largeZones           = 6
+	largeWorkersPerZone  = 120
+	largeStartsPerSecond = 440
+	largeRunning         = 3800
+	largeTeams           = 59
+	largeChangesPerDay   = 520
+	largeJobsPerDay      = 3100
+	largeEntriesPerZone  = 3
+)
+
+// zoneVMs returns n workers of one zone and pool, four to a rack.
+func zoneVMs(n int) []cyclamendyke.VM {
+	topology := platform.Topology{
+		Zones: []cyclamendyke.ZoneName{"a1"},
+		Pools: []platform.Pool{{Name: "search", Shape: platform.Shape(64, 128, 0), Workers: n, PerRack: 4}},
+	}
+	return topology.VMs("10.0.0.1:7400")
+}
+
+// plainTables returns tables with so many teams of equal share and one route for each kind of job.
+func plainTables(teams int, pools ...cyclamendyke.PoolName) *cyclamendyke.Tables {
+	tables := &cyclamendyke.Tables{
+		Revision: 1,
+		Routes:   map[cyclamendyke.RouteName]cyclamendyke.Route{},
+		Teams:    map[cyclamendyke.TeamName]cyclamendyke.Team{},
+		Pools:    map[cyclamendyke.PoolName]cyclamendyke.Pool{},
+	}
+	names := make([]cyclamendyke.TeamName, 0, teams)
+	for i := range teams {
+		name := teamName(i)
+		names = append(names, name)
+		tables.Teams[name] = cyclamendyke.Team{Name: name, Share: 1}
+	}
+	kinds := []cyclamendyke.JobKind{cyclamendyke.KindService, cyclamendyke.KindBatch, cyclamendyke.KindGang}
+	for _, kind := range kinds {
+		name := cyclamendyke.RouteName(kind)
+		tables.Routes[name] = cyclamendyke.Route{
+			Name: name, Kind: kind, Pools: pools, Teams: names, Urgent: true, MaxQueue: 1 << 20,
+		}
+	}
+	for _, name := range pools {
+		tables.Pools[name] = cyclamendyke.Pool{Name: name, Kinds: kinds, Zones: []cyclamendyke.ZoneName{"a1"}, Shape: platform.Shape(64, 128, 0)}
+	}
+	return tables
+}
+
+func teamName(i int) cyclamendyke.TeamName {
+	return cyclamendyke.TeamName(fmt.Sprintf("team-%02d", i))
+}
+
+// smallTask is one slot of a worker with a fair part of the rest.
+var smallTask = cyclamendyke.Resources{Cores: 8000, Memory: 16384, Slots: 1, Connections: 8}
+
+// plainJob returns a batch job of one of the teams in turn.
+func plainJob(i, tasks int, accepted time.Time) cyclamendyke.Job {
+	return cyclamendyke.Job{
+		Request:  cyclamendyke.NewRequestID("a1", fmt.Sprintf("01K9ZQ4T6Y8V3N5M7P%08d", i)),
+		Team:     teamName(i % largeTeams),
+		Route:    cyclamendyke.RouteName(cyclamendyke.KindBatch),
+		Kind:     cyclamendyke.KindBatch,
+		Tasks:    tasks,
+		PerTask:  smallTask,
+		RunTime:  time.Minute,
+		Payload:  "sheet=12345 page=17",
+		Accepted: accepted,
+	}
+}
