End peers' connections without stopping their servers

A daemon that closed while peers sent heartbeats crashed: the Stop of jrpc2 1.3.6 closes a channel to which its reading goroutine still signals when a request arrives meanwhile (send on closed channel). Closing the connection ends the reader, which then shuts the server down itself.

Ruled out: a second Close, and a handler that outlives its server.

--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -57,9 +57,8 @@
 	_ = s.listener.Close()
 	s.mu.Lock()
 	s.closed = true
-	for rpc, conn := range s.open {
-		_ = conn.Close()
-		go rpc.Stop()
+	for _, conn := range s.open {
+		_ = conn.Close() // Ends the server of the connection; its own Stop panics if a request arrives meanwhile.
 	}
 	s.mu.Unlock()
 	s.done.Wait()
