--- /dev/null
+++ b/daemon/entry_test.go
@@ -0,0 +1,152 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/io/peer"
+)
+
+// rows returns the lines of a data file as their words before and their text after the arrow.
+func rows(t *testing.T, name string) [][2]string {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var found [][2]string
+	for line := range strings.Lines(string(data)) {
+		before, after, ok := strings.Cut(strings.TrimSpace(line), "=> ")
+		if ok && !strings.HasPrefix(line, "#") {
+			found = append(found, [2]string{strings.TrimSpace(before), after})
+		}
+	}
+	return found
+}
+
+// scriptedScheduler gives its answers in turn and repeats the last one.
+type scriptedScheduler struct {
+	answers []string
+	last    cyclamendyke.Job
+}
+
+func (s *scriptedScheduler) submit(_ context.Context, _ cyclamendyke.ZoneName, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
+	s.last = job
+	answer := s.answers[0]
+	if len(s.answers) > 1 {
+		s.answers = s.answers[1:]
+	}
+	verdict, detail, _ := strings.Cut(answer, ":")
+	if verdict != "error" {
+		return cyclamendyke.Outcome{Request: job.Request, Verdict: cyclamendyke.Verdict(verdict), Reason: cyclamendyke.Reason(detail)}, nil
+	}
+	kinds := map[string]cyclamendyke.Kind{
+		"not-scheduler": peer.KindNotScheduler,
+		"unavailable":   cyclamendyke.KindUnavailable,
+		"unknown":       cyclamendyke.KindUnknown,
+	}
+	return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: kinds[detail]}
+}
+
+func TestEntryAnswers(t *testing.T) {
+	for _, row := range rows(t, "entry.txt") {
+		t.Run(row[0], func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				script := &scriptedScheduler{answers: strings.Fields(row[0])}
+				outcome := newEntry("z", script, newMetrics()).run(t.Context(), cyclamendyke.Job{Request: "z-1"})
+				got := strings.Join(strings.Fields(fmt.Sprintf("%s %s resubmitted=%t", outcome.Verdict, outcome.Reason, script.last.Resubmitted)), " ")
+				is.Equal(got, row[1])
+				is.Equal(outcome.Request, cyclamendyke.RequestID("z-1"))
+			})
+		})
+	}
+}
+
+// TestEntryCallerGone answers at once when the caller's time is over, and calls the work not run only if nothing was sent.
+func TestEntryCallerGone(t *testing.T) {
+	for answer, verdict := range map[string]cyclamendyke.Verdict{
+		"error:not-scheduler": cyclamendyke.VerdictNotRun,
+		"error:unknown":       cyclamendyke.VerdictMayHaveRun,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			begun := time.Now()
+			outcome := newEntry("z", &scriptedScheduler{answers: []string{answer}}, newMetrics()).run(ctx, cyclamendyke.Job{Request: "z-1"})
+			is.Equal(outcome.Verdict, verdict)
+			is.Equal(outcome.Reason, cyclamendyke.ReasonDeadline)
+			is.Equal(time.Since(begun), time.Second) // neither later nor held back
+		})
+	}
+}
+
+// TestRetryBudget stops many requests from retrying against a peer that refuses connections.
+func TestRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := newEntry("z", &scriptedScheduler{answers: []string{"error:unavailable"}}, newMetrics())
+		overloaded := 0
+		for range 2 * retryBudgetBurst {
+			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+			if e.run(ctx, cyclamendyke.Job{Request: "z-1"}).Reason == cyclamendyke.ReasonOverload {
+				overloaded++
+			}
+			cancel()
+		}
+		is.True(overloaded > retryBudgetBurst/2)
+	})
+}
+
+func TestHomeZone(t *testing.T) {
+	tables := &cyclamendyke.Tables{Pools: map[cyclamendyke.PoolName]cyclamendyke.Pool{
+		"main": {Name: "main", Shape: cyclamendyke.Resources{Cores: 8000}, Zones: []cyclamendyke.ZoneName{"a", "b", "c"}},
+	}}
+	route := cyclamendyke.Route{Pools: []cyclamendyke.PoolName{"main"}}
+	for _, row := range rows(t, "homezone.txt") {
+		t.Run(row[0], func(t *testing.T) {
+			is := is.New(t)
+			d := &Daemon{member: cyclamendyke.Member{Zone: "b"}, directory: newDirectory()}
+			words := strings.Fields(row[0])
+			tasks, err := strconv.Atoi(strings.TrimPrefix(words[0], "tasks="))
+			is.NoErr(err)
+			for _, word := range words[1:] {
+				d.directory.hear(loadedScheduler(t, word), time.Now())
+			}
+			job := cyclamendyke.Job{Tasks: tasks, PerTask: cyclamendyke.Resources{Cores: 1000}}
+			is.Equal(string(d.homeZone(tables, route, job)), row[1])
+		})
+	}
+}
+
+// loadedScheduler reads zone:workers:free-tasks:waiting, with :stopping at will.
+func loadedScheduler(t *testing.T, word string) cyclamendyke.MemberState {
+	t.Helper()
+	fields := strings.Split(word, ":")
+	numbers := make([]int, 0, 3)
+	for _, field := range fields[1:4] {
+		number, err := strconv.Atoi(field)
+		if err != nil {
+			t.Fatal(err)
+		}
+		numbers = append(numbers, number)
+	}
+	return cyclamendyke.MemberState{
+		Member:     cyclamendyke.Member{Name: cyclamendyke.MemberName(fields[0]), Zone: cyclamendyke.ZoneName(fields[0])},
+		Scheduling: true,
+		Stopping:   len(fields) > 4,
+		Pools: map[cyclamendyke.PoolName]cyclamendyke.PoolState{
+			"main": {Workers: numbers[0], Capacity: cyclamendyke.Resources{Cores: cyclamendyke.MilliCores(1000 * numbers[1])}, Waiting: numbers[2]},
+		},
+	}
+}
