Send the list of VMs only when it changed

Each daemon of a zone reads 120 rows every two seconds: 22,510 bytes a reading, 11.3 KB/s, the whole budget of a node.

--- a/bench/calls.go
+++ b/bench/calls.go
@@ -130,7 +130,47 @@
 	if err := bed.measureStarts(report); err != nil {
 		return nil, err
 	}
-	return report, bed.measureListings(report)
+	if err := bed.measureListings(report); err != nil {
+		return nil, err
+	}
+	return report, measureVMList(report)
+}
+
+// measureVMList measures the first reading of the list of VMs and the ones that find it unchanged.
+func measureVMList(report *Report) error {
+	sizes := []int{30, 60, 120, 240}
+	first := make([]Point, 0, len(sizes))
+	again := make([]Point, 0, len(sizes))
+	for _, n := range sizes {
+		counts, err := readListTwice(n)
+		if err != nil {
+			return err
+		}
+		first = append(first, Point{float64(n), float64(counts[0])})
+		again = append(again, Point{float64(n), float64(counts[1] - counts[0])})
+	}
+	report.add("first list of VMs, bytes both ways", "bytes", "VM", first)
+	report.add("unchanged list of VMs, bytes both ways", "bytes", "VM", again)
+	return nil
+}
+
+// readListTwice returns the bytes on the connections after each reading of a list of n VMs.
+func readListTwice(n int) ([2]uint64, error) {
+	platform, err := startPlatform("--zones", "z", "--pool", fmt.Sprintf("p:64:128:0:%d:4", n))
+	if err != nil {
+		return [2]uint64{}, err
+	}
+	defer platform.stop()
+	list := vmlist.New(vmlist.Config{Addresses: []string{platform.address}, Caller: "bench"})
+	defer list.Close()
+	var bytes [2]uint64
+	for i := range bytes {
+		if _, err := list.ListVMs(context.Background(), "z"); err != nil {
+			return bytes, err
+		}
+		bytes[i] = list.Counts().BytesSent + list.Counts().BytesReceived
+	}
+	return bytes, nil
 }
 
 // series measures batches of several sizes after one that is not counted.
--- a/io/vmlist/lister.go
+++ b/io/vmlist/lister.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"slices"
+	"sync"
 	"time"
 
 	"cyclamendyke"
@@ -31,6 +33,15 @@
 	addresses []string
 	timeout   time.Duration
 	client    *jsonhttp.Client
+
+	mu   sync.Mutex
+	last map[cyclamendyke.ZoneName]listing
+}
+
+// listing is a zone's list as it was last answered.
+type listing struct {
+	Version string            `json:"version"`
+	VMs     []cyclamendyke.VM `json:"vms"`
 }
 
 var _ cyclamendyke.VMLister = (*Lister)(nil)
@@ -44,6 +55,7 @@
 		addresses: config.Addresses,
 		timeout:   config.Timeout,
 		client:    jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Dial: config.Dial}),
+		last:      map[cyclamendyke.ZoneName]listing{},
 	}
 }
 
@@ -59,27 +71,42 @@
 
 // ListVMs returns the VMs of one zone, or KindUnavailable if no address answered.
 func (l *Lister) ListVMs(ctx context.Context, zone cyclamendyke.ZoneName) ([]cyclamendyke.VM, error) {
-	body := struct {
-		Zone cyclamendyke.ZoneName `json:"zone"`
-	}{zone}
-	var answer struct {
-		VMs []cyclamendyke.VM `json:"vms"`
-	}
+	l.mu.Lock()
+	known := l.last[zone]
+	l.mu.Unlock()
 	var err error
 	for _, address := range l.addresses {
-		if err = l.call(ctx, address, body, &answer); err == nil {
-			return answer.VMs, nil
+		var answer listing
+		if answer, err = l.call(ctx, address, zone, known.Version); err == nil {
+			return l.take(zone, known, answer), nil
 		}
 	}
 	return nil, &cyclamendyke.Error{Op: "vms.list", Kind: cyclamendyke.KindUnavailable, Err: err}
 }
 
-func (l *Lister) call(ctx context.Context, address string, body, answer any) error {
+// call asks for the list unless its version is the known one.
+func (l *Lister) call(ctx context.Context, address string, zone cyclamendyke.ZoneName, version string) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	err := l.client.Call(ctx, "vms.list", "http://"+address+"/vms/list", body, answer)
+	body := struct {
+		Zone    cyclamendyke.ZoneName `json:"zone"`
+		Version string                `json:"version,omitempty"`
+	}{zone, version}
+	var answer listing
+	err := l.client.Call(ctx, "vms.list", "http://"+address+"/vms/list", body, &answer)
 	if errors.Is(err, cyclamendyke.KindUnknown) {
 		l.client.DropIdle() // The connection may have gone silent.
 	}
-	return err
+	return answer, err
+}
+
+// take keeps an answer and returns its rows, which are the known ones if the version is.
+func (l *Lister) take(zone cyclamendyke.ZoneName, known, answer listing) []cyclamendyke.VM {
+	if answer.Version != "" && answer.Version == known.Version {
+		return slices.Clone(known.VMs)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.last[zone] = answer
+	return slices.Clone(answer.VMs)
 }
