Prove the scheduler by random faults and mend what they found

The state machine test runs submits, cancels, lost answers, one-way cuts, restarts, removals, takeovers, a thawed predecessor, store answers and usage reports over fake workers that keep leases, and checks what really ran.

Not covered yet: size correction beyond one report, preemption bounds and shares, which scripts will cover.

--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -14,6 +14,7 @@
 	jobAwaitingRecord  jobState = iota // Until Persisted.
 	jobAwaitingBarrier                 // Until nothing unknown of an earlier epoch can be running.
 	jobActive
+	jobClosing // Until the journal has its end, without which another term might start it.
 	jobEnded
 )
 
@@ -32,11 +33,12 @@
 	tasks          map[int]*task
 	results        []cyclamendyke.TaskResult
 	done, failed   int
-	startsSent     int  // Starts that may have had an effect.
-	mayHaveStarted bool // In an earlier epoch.
-	doubt          bool // Some task may have run without a result.
-	orphan         bool // Adopted from a worker; no caller is known.
-	kept           bool // In the journal.
+	startsSent     int   // Starts that may have had an effect.
+	sentOnce       spans // Tasks of a job that must not be repeated whose start may have had an effect.
+	mayHaveStarted bool  // In an earlier epoch.
+	doubt          bool  // Some task may have run without a result.
+	orphan         bool  // Adopted from a worker; no caller is known.
+	kept           bool  // In the journal.
 	racks          map[string]int
 	attempts       map[int]int // Failures of each task that has failed.
 	gangAttempts   int
@@ -48,6 +50,7 @@
 	evicting       int
 	preemptTimer   bool
 	outcome        cyclamendyke.Outcome
+	ending         cyclamendyke.Outcome // Of a job that is closing.
 	endedAt        time.Time
 	ranOn          []cyclamendyke.WorkerName
 	coreSeconds    float64
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -70,7 +70,7 @@
 
 func (s *Scheduler) chooseIn(j *job, p *pool) *worker {
 	request := policy.Request{Need: j.need, Racks: j.racks, Accept: acceptAll}
-	if len(j.failedOn) > 0 && p.index.Len() > len(j.failedOn) {
+	if s.canAvoid(j, p) {
 		request.Accept = func(c *policy.Candidate) bool { return !j.avoids(s.workers[c.Name]) }
 	}
 	c := j.policy.Place(p.index, request)
@@ -80,6 +80,14 @@
 	return s.workers[c.Name]
 }
 
+// canAvoid reports whether the job may leave out the workers on which it failed; a gang that has waited takes them again, since it may need all.
+func (s *Scheduler) canAvoid(j *job, p *pool) bool {
+	if len(j.failedOn) == 0 || p.index.Len() <= len(j.failedOn) {
+		return false
+	}
+	return !j.policy.AllAtOnce() || s.now.Sub(j.waitingSince) < s.cfg.GangHoldAfter
+}
+
 func acceptAll(*policy.Candidate) bool {
 	return true
 }
@@ -103,7 +111,10 @@
 func (s *Scheduler) send(t *task) {
 	j := t.job
 	s.assertStart(t)
-	s.assert(!j.spec.NotRepeatable || !j.mayHaveStarted, InvariantOnce, "%s", t.id)
+	if j.spec.NotRepeatable {
+		s.assert(!j.mayHaveStarted && !j.sentOnce.has(t.id.Index), InvariantOnce, "%s", t.id)
+		j.sentOnce.add(t.id.Index)
+	}
 	j.startsSent++
 	t.state = taskStarting
 	t.sent = s.now
--- a/core/scheduler/record.go
+++ b/core/scheduler/record.go
@@ -14,9 +14,26 @@
 
 func (s *Scheduler) persisted(request cyclamendyke.RequestID, result cyclamendyke.PersistResult) {
 	j := s.jobs[request]
-	if j == nil || j.state != jobAwaitingRecord {
-		return
+	switch {
+	case j == nil:
+	case j.state == jobClosing:
+		s.closed(j, result)
+	case j.state == jobAwaitingRecord:
+		s.recorded(j, result)
+	}
+}
+
+// closed answers a job that never ran, once it is known whether the journal has its end.
+func (s *Scheduler) closed(j *job, result cyclamendyke.PersistResult) {
+	outcome := j.ending
+	if result != cyclamendyke.PersistKept || !j.notRun() {
+		outcome.Verdict = cyclamendyke.VerdictMayHaveRun
+		outcome.Detail += " The store did not confirm it, so it may yet start."
 	}
+	s.conclude(j, outcome)
+}
+
+func (s *Scheduler) recorded(j *job, result cyclamendyke.PersistResult) {
 	switch result {
 	case cyclamendyke.PersistKept:
 		if j.spec.Detach {
--- a/core/scheduler/result.go
+++ b/core/scheduler/result.go
@@ -166,20 +166,40 @@
 	return cyclamendyke.Outcome{Verdict: verdict, Reason: reason, Detail: detail}
 }
 
-// end answers a request once and for all; what still runs of it is stopped.
+// end gives a job its outcome; a kept one is called not-run only once the journal has that.
 func (s *Scheduler) end(j *job, outcome cyclamendyke.Outcome) {
-	s.assertAnswer(j, outcome)
 	outcome.Request = j.spec.Request
+	mayStartAgain := j.kept && !j.spec.NotRepeatable && outcome.Verdict == cyclamendyke.VerdictNotRun
+	if !mayStartAgain {
+		s.conclude(j, outcome)
+		return
+	}
+	for _, w := range s.releaseHolds(j) {
+		s.wake(w)
+	}
+	j.ending = outcome
+	j.state = jobClosing
+	j.waiting = spans{}
+	s.recount(j)
+	record := j.record()
+	record.Outcome = outcome
+	s.emit(cyclamendyke.PersistCommand{Record: record, AwaitResult: true})
+}
+
+// conclude answers a request once and for all; what still runs of it is stopped.
+func (s *Scheduler) conclude(j *job, outcome cyclamendyke.Outcome) {
+	s.assertAnswer(j, outcome)
 	outcome.Results = slices.SortedFunc(slices.Values(j.results), func(a, b cyclamendyke.TaskResult) int {
 		return compareTasks(a.Task, b.Task)
 	})
+	closing := j.state == jobClosing
 	j.outcome = outcome
 	j.results = outcome.Results
 	s.retire(j)
 	s.emit(cyclamendyke.AnswerCommand{Outcome: outcome})
 	s.jobEvent(cyclamendyke.EventAnswered, &j.spec, string(outcome.Verdict))
 	s.account(j, 1, j.coreSeconds)
-	if j.kept {
+	if j.kept && !closing {
 		s.emit(cyclamendyke.PersistCommand{Record: j.record()})
 	}
 	if len(j.tasks) > 0 {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -106,7 +106,7 @@
 // Cancel ends a job in constant time; what still runs of it is stopped.
 func (s *Scheduler) Cancel(now time.Time, request cyclamendyke.RequestID) []cyclamendyke.Command {
 	s.now = now
-	if j := s.jobs[request]; j != nil && j.state != jobEnded && !j.orphan {
+	if j := s.jobs[request]; j != nil && j.state < jobClosing && !j.orphan {
 		s.end(j, s.interrupted(j, cyclamendyke.ReasonCancelled, "The request was cancelled."))
 	}
 	return s.flush()
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -89,11 +89,11 @@
 	checkWorld(ts, w)
 }
 
-// scriptWorker sets a worker's fault: deaf, mute, lose-starts, restart or well.
+// scriptWorker sets a worker's fault: deaf, mute, lose-starts, refuses, fails, restart or well.
 func scriptWorker(ts *testscript.TestScript, _ bool, args []string) {
 	w := ts.Value(worldKey{}).(*world)
 	f := w.workers[cyclamendyke.WorkerName(args[0])]
-	f.deaf, f.mute, f.loseStarts = args[1] == "deaf", args[1] == "mute", args[1] == "lose-starts"
+	f.set(args[1])
 	if args[1] == "restart" {
 		clear(f.running)
 		f.epoch = cyclamendyke.Epoch{}
--- a/core/scheduler/session.go
+++ b/core/scheduler/session.go
@@ -17,7 +17,6 @@
 		return
 	}
 	w.claimed = true
-	w.listing = false
 	w.sequence = report.Sequence
 	s.setCapacity(w, report.Capacity)
 	s.workerAnswered(w, sent)
@@ -47,7 +46,11 @@
 	}
 	w.sequence = report.Sequence
 	s.setCapacity(w, report.Capacity)
+	wasSilent := !w.silentSince.IsZero()
 	s.workerAnswered(w, sent)
+	if wasSilent {
+		s.askListing(w) // It may have restarted meanwhile.
+	}
 	s.takeResults(w, report.Finished)
 	s.takeUsage(w, report.Usage)
 	s.reindex(w)
@@ -192,7 +195,9 @@
 	case taskRunning:
 		if sent.After(t.confirmed) {
 			s.lose(t, "the worker no longer has it")
+			return
 		}
+		s.after(doubtRecheck, func() { s.askListing(t.worker) }) // The listing may be older than the start.
 	default:
 		if sent.Sub(t.sent) >= s.proofTime() {
 			s.lose(t, "its start had no effect in time")
@@ -202,9 +207,9 @@
 
 // askListing has a worker claimed once more, because something about its tasks is in doubt.
 func (s *Scheduler) askListing(w *worker) {
-	if w.listing || !w.reachable() || !w.goneSince.IsZero() {
+	if s.now.Sub(w.listingAsked) < doubtRecheck || !w.reachable() || !w.goneSince.IsZero() {
 		return
 	}
-	w.listing = true
+	w.listingAsked = s.now
 	s.emit(cyclamendyke.ClaimCommand{VM: w.vm})
 }
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -54,6 +54,7 @@
 func (s *Scheduler) startRefused(t *task, err error) {
 	j, w := t.job, t.worker
 	j.startsSent--
+	j.sentOnce.remove(t.id.Index)
 	s.pause(w)
 	s.askListing(w)
 	s.release(t)
@@ -65,7 +66,7 @@
 	}
 	j.waiting.add(t.id.Index)
 	s.recount(j)
-	if j.policy.AllAtOnce() {
+	if j.policy.AllAtOnce() && !j.spec.NotRepeatable {
 		s.failGang(j)
 		return
 	}
--- a/core/scheduler/worker.go
+++ b/core/scheduler/worker.go
@@ -10,26 +10,26 @@
 
 // worker is what is known of one worker VM.
 type worker struct {
-	vm          cyclamendyke.VM
-	pool        *pool
-	capacity    cyclamendyke.Resources
-	reserved    cyclamendyke.Resources
-	tasks       map[cyclamendyke.TaskID]*task
-	candidate   *policy.Candidate
-	indexed     bool
-	claimed     bool
-	sequence    uint64
-	answered    time.Time // When the latest answered call was sent.
-	silentSince time.Time // Zero while it answers.
-	forgotten   bool      // Renewals have ended until the tasks are proved over.
-	leavingFrom time.Time // Zero while it is live.
-	goneSince   time.Time // Zero while it is in the list.
-	listing     bool      // A listing was asked for and has not arrived.
-	failures    int       // Since the last success.
-	failedJobs  []*job    // Distinct, bounded by maxFailedJobs.
-	backOff     time.Duration
-	backOffEnds time.Time // Zero while it is not on back-off.
-	probing     bool      // It may hold one new task until one succeeds.
+	vm           cyclamendyke.VM
+	pool         *pool
+	capacity     cyclamendyke.Resources
+	reserved     cyclamendyke.Resources
+	tasks        map[cyclamendyke.TaskID]*task
+	candidate    *policy.Candidate
+	indexed      bool
+	claimed      bool
+	sequence     uint64
+	answered     time.Time // When the latest answered call was sent.
+	silentSince  time.Time // Zero while it answers.
+	forgotten    bool      // Renewals have ended until the tasks are proved over.
+	leavingFrom  time.Time // Zero while it is live.
+	goneSince    time.Time // Zero while it is in the list.
+	listingAsked time.Time // The last time that one more listing was asked for.
+	failures     int       // Since the last success.
+	failedJobs   []*job    // Distinct, bounded by maxFailedJobs.
+	backOff      time.Duration
+	backOffEnds  time.Time // Zero while it is not on back-off.
+	probing      bool      // It may hold one new task until one succeeds.
 }
 
 const maxFailedJobs = 8
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -37,8 +37,18 @@
 	accounted  map[cyclamendyke.Verdict]int
 	accepted   int
 	violations []string
+	delayed    []delayedStart
+	previous   *Scheduler // Of the term before, which may thaw at any time.
 }
 
+// delayedStart is a start that the network holds up.
+type delayedStart struct {
+	command cyclamendyke.StartCommand
+	until   time.Time
+}
+
+const testStartDelay = 20 * time.Second
+
 // fakeWorker keeps leases as the platform's workers do.
 type fakeWorker struct {
 	vm         cyclamendyke.VM
@@ -51,6 +61,9 @@
 	deaf       bool // Nothing reaches it.
 	mute       bool // Nothing comes back.
 	loseStarts bool // Start answers are lost.
+	refuses    bool // Starts are refused for want of room.
+	fails      bool // Every task ends at once with an error.
+	removed    bool // The platform no longer lists it, and it is off.
 }
 
 func newWorld(cfg Config) *world {
@@ -100,6 +113,7 @@
 // takeOver starts a scheduler with a new term, as after the death of the one before.
 func (w *world) takeOver(records bool) {
 	w.term++
+	w.previous = w.s
 	w.s = New(w.cfg)
 	for _, f := range w.workers {
 		f.renewing = false
@@ -218,13 +232,23 @@
 func (w *world) start(c cyclamendyke.StartCommand) {
 	f := w.workers[c.Worker]
 	task := c.Start.Task
-	if f.deaf || f.epoch != c.Start.Epoch {
+	if f.deaf {
+		w.delayed = append(w.delayed, delayedStart{c, w.now.Add(testStartDelay)})
+	}
+	if f.deaf || f.epoch != c.Start.Epoch || w.now.After(f.leaseUntil) {
 		w.do(w.s.StartAnswered(w.now, c.Worker, task, cyclamendyke.KindUnknown))
 		return
 	}
+	if f.refuses {
+		w.do(w.s.StartAnswered(w.now, c.Worker, task, &cyclamendyke.Error{Op: "worker.start", Kind: cyclamendyke.KindNoRoom}))
+		return
+	}
 	if _, found := f.running[task]; !found {
 		w.run(f, c.Start)
 	}
+	if f.fails {
+		f.end(w.now, task, cyclamendyke.TaskResult{ExitCode: 1})
+	}
 	var err error
 	if f.mute || f.loseStarts {
 		err = cyclamendyke.KindUnknown
@@ -327,6 +351,7 @@
 func (w *world) advance(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); {
 		w.now = w.now.Add(min(time.Second, end.Sub(w.now)))
+		w.deliver()
 		for _, name := range sortedKeys(w.workers) {
 			w.lapse(w.workers[name])
 			w.renew(name)
@@ -335,6 +360,24 @@
 	}
 }
 
+// deliver brings delayed starts to workers that can be reached again.
+func (w *world) deliver() {
+	held := w.delayed
+	w.delayed = nil
+	for _, d := range held {
+		f := w.workers[d.command.Worker]
+		switch {
+		case w.now.Before(d.until) && f.deaf:
+			w.delayed = append(w.delayed, d)
+		case f.deaf || f.epoch != d.command.Start.Epoch || w.now.After(f.leaseUntil):
+		default:
+			if _, found := f.running[d.command.Start.Task]; !found {
+				w.run(f, d.command.Start)
+			}
+		}
+	}
+}
+
 func (w *world) lapse(f *fakeWorker) {
 	if !f.leaseUntil.Before(w.now) {
 		return
@@ -365,3 +408,12 @@
 func (w *world) violationText() string {
 	return strings.Join(w.violations, "\n")
 }
+
+// set gives the worker one fault, or none if it is called well.
+func (f *fakeWorker) set(fault string) {
+	f.deaf = fault == "deaf"
+	f.mute = fault == "mute"
+	f.loseStarts = fault == "lose-starts"
+	f.refuses = fault == "refuses"
+	f.fails = fault == "fails"
+}
