Measure a cell at once, twice and five times its capacity

The experiment drives two real daemons over the in-process stand-ins with an open loop. While writing it, 'keys grant' right after the first 'tables edit' was refused because the tables were not yet in force at the process that had written them; its own edits are now put in force before the call returns. The HTTP library's log lines follow the daemon's logger.

--- a/bench/main.go
+++ b/bench/main.go
@@ -48,6 +48,7 @@
 		{"watch", "store calls and processor time of processes that follow the configuration", measureWatch},
 		{"records", "store writes and bytes of journal, account and at-most-once records", measureRecords},
 		{"heartbeats", "bytes and processor time between daemons", measureHeartbeats},
+		{"overload", "goodput, refusals and times at and beyond the capacity of a cell, and after", measureOverload},
 		{"decide", "time of a decision and sustained placement by fleet size and backlog", measureDecide},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,6 +9,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
 	"cyclamendyke"
@@ -52,6 +53,7 @@
 	view      *config.View
 	editor    *config.Editor
 	registry  *keys.Registry
+	edits     sync.Mutex // Held while tables or keys are put in force.
 	keyRing   atomic.Pointer[keys.Ring]
 	tables    atomic.Pointer[cyclamendyke.Tables]
 	pools     atomic.Pointer[map[cyclamendyke.PoolName]cyclamendyke.PoolState]
@@ -75,7 +77,7 @@
 	background sync.WaitGroup
 }
 
-// New listens on both addresses and starts everything but the HTTP server, which Run starts.
+// New listens on both addresses, of which port 0 stands for a free one, and starts everything but the HTTP server, which Run starts.
 func New(cfg Config) (*Daemon, error) {
 	httpLine, err := net.Listen("tcp", cfg.Settings.Member.HTTP)
 	if err != nil {
@@ -86,6 +88,11 @@
 		_ = httpLine.Close()
 		return nil, &Error{Op: "listen peer", Kind: cyclamendyke.KindInvalid, Err: err}
 	}
+	klog.SetLogger(kratosLogger{cfg.Log})
+	listening := *cfg.Settings
+	listening.Member.HTTP = httpLine.Addr().String()
+	listening.Member.Peer = peerLine.Addr().String()
+	cfg.Settings = &listening
 	d := assemble(cfg)
 	d.httpLine = httpLine
 	d.start(peerLine)
@@ -193,6 +200,11 @@
 	})
 }
 
+// Member returns this process as it registers itself.
+func (d *Daemon) Member() cyclamendyke.Member {
+	return d.member
+}
+
 // Run serves callers until ctx ends or the process is told to stop, and then stops without cutting off a request.
 func (d *Daemon) Run(ctx context.Context) error {
 	d.log.Info("serving", "member", d.member.Name, "zone", d.member.Zone, "http", d.member.HTTP, "peer", d.member.Peer)
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -25,12 +25,19 @@
 
 // followConfiguration takes in a new snapshot of the watched part of the store.
 func (d *Daemon) followConfiguration(snapshot config.Snapshot) {
-	d.followTables(snapshot)
-	d.followKeys(snapshot)
+	d.followEdits(snapshot)
 	d.followMembers(snapshot)
 	d.control.setRecord(snapshot.Schedulers(), d.member.Zone)
 }
 
+// followEdits puts the operators' tables and keys in force; both the watch and the process's own edits bring them.
+func (d *Daemon) followEdits(snapshot config.Snapshot) {
+	d.edits.Lock()
+	defer d.edits.Unlock()
+	d.followTables(snapshot)
+	d.followKeys(snapshot)
+}
+
 // followTables puts the tables in force; text that does not parse was written past the checks and is left out.
 func (d *Daemon) followTables(snapshot config.Snapshot) {
 	text, revision, err := snapshot.Tables()
--- a/daemon/main.go
+++ b/daemon/main.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 
 	"github.com/charmbracelet/log"
-	klog "github.com/go-kratos/kratos/v2/log"
 	"github.com/jessevdk/go-flags"
 	"github.com/rotisserie/eris"
 
@@ -64,7 +63,6 @@
 // serve runs the daemon with checked settings.
 func serve(loaded *settings.Daemon, stderr io.Writer) int {
 	logger := newLogger(loaded.Log, stderr)
-	klog.SetLogger(kratosLogger{logger})
 	daemon, err := New(Config{
 		Settings: loaded,
 		Platform: reach(loaded),
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -62,7 +62,9 @@
 func (d *Daemon) refresh(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	_ = d.view.Refresh(ctx)
+	if d.view.Refresh(ctx) == nil {
+		d.followEdits(d.view.Snapshot())
+	}
 }
 
 // Members returns the state of every process and the processes that did not answer.
