--- a/core/role/role_test.go
+++ b/core/role/role_test.go
@@ -19,6 +19,9 @@
 		random := rand.New(rand.NewPCG(seed, 0))
 		m := newModel(3, 3+random.IntN(4), func(_ string, limit int) int { return random.IntN(limit) })
 		acted := 0
+		if _, err := m.run(time.Minute, func() bool { return m.holder() != nil }); err != nil {
+			t.Fatal(err)
+		}
 		for range 60 {
 			fault(m, random)
 			if _, err := m.run(time.Duration(1+random.IntN(80))*100*time.Millisecond, func() bool { return false }); err != nil {
