Write the role's records by the rule that its proof covers

Cause: the daemon derived a term's record by itself: a term kept after an outage counted as established even if it never had its majorities, which would hide earlier rosters, and a new term could fall inside a block of terms begun without the store. role.NextRecord is the rule that the randomised proof runs.

--- a/daemon/election.go
+++ b/daemon/election.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/role"
 )
 
 // electionTimeout bounds one step of an election at the store.
@@ -32,7 +33,7 @@
 	if err != nil {
 		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
 	}
-	record, ok := e.next(command, before)
+	record, ok := role.NextRecord(before, command, e.member)
 	if !ok {
 		return cyclamendyke.ElectionLost, before
 	}
@@ -82,37 +83,6 @@
 	return err
 }
 
-// next returns the record of the term asked for; it reports false if an epoch to be kept has been passed.
-func (e *election) next(command cyclamendyke.ElectCommand, before cyclamendyke.ZoneScheduler) (cyclamendyke.ZoneScheduler, bool) {
-	record := cyclamendyke.ZoneScheduler{
-		Epoch:  cyclamendyke.Epoch{Term: max(before.Epoch.Term+1, command.MinTerm), Owner: e.member.Name},
-		Member: e.member,
-		Roster: command.Roster,
-	}
-	if !command.Keep.IsZero() {
-		if before.Epoch.Compare(command.Keep) > 0 {
-			return cyclamendyke.ZoneScheduler{}, false
-		}
-		record.Epoch = command.Keep
-		record.Established = true
-		return record, true
-	}
-	record.Earlier = earlierRosters(before)
-	return record, true
-}
-
-// earlierRosters returns the rosters that may still hold sessions when a term follows before.
-func earlierRosters(before cyclamendyke.ZoneScheduler) [][]cyclamendyke.WorkerName {
-	var rosters [][]cyclamendyke.WorkerName
-	if !before.Established {
-		rosters = append(rosters, before.Earlier...)
-	}
-	if len(before.Roster) > 0 {
-		rosters = append(rosters, before.Roster)
-	}
-	return rosters
-}
-
 // renew keeps the lease alive.
 func (e *election) renew(ctx context.Context, command cyclamendyke.RenewElectionCommand) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
 	e.mu.Lock()
