Extend task leases only with authority

Cause: a candidate that had claimed a worker went on to renew, so tasks that the holder counted as lapsed after the task TTL could run on. Without authority a link now repeats the claim, which leaves task leases alone.

--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -161,11 +161,11 @@
 // publishOrder tells the worker links what to send if that has changed.
 func (c *controller) publishOrder(now time.Time) {
 	claim, send := c.cfg.Role.Claim(now)
-	before := c.order.Load()
-	if before.send == send && before.claim == claim {
+	order := sessionOrder{claim: claim, send: send, renew: c.cfg.Role.Authority(now).Valid(now)}
+	if *c.order.Load() == order {
 		return
 	}
-	c.order.Store(&sessionOrder{claim: claim, send: send})
+	c.order.Store(&order)
 	for _, link := range c.links {
 		link.kicked()
 	}
--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -16,6 +16,7 @@
 	startCallTimeout     = 2 * time.Second
 	workerRetryMin       = 200 * time.Millisecond
 	workerRetryMax       = 3 * time.Second
+	claimRepeat          = 3 * time.Second // Between claims while there is no authority to renew.
 	failuresUntilVerdict = 2 // The second call uses a fresh connection.
 	orderQueueLength     = 256
 )
@@ -24,6 +25,7 @@
 type sessionOrder struct {
 	claim cyclamendyke.Claim
 	send  bool
+	renew bool // Task leases may be extended, which only a scheduler with authority does.
 }
 
 // workerEvents receives what worker links learn; each call returns after it was taken in.
@@ -70,8 +72,12 @@
 			l.wait(ctx, time.Hour)
 			continue
 		}
-		if err := l.sessionCall(ctx, order.claim); err != nil {
+		err := l.sessionCall(ctx, order)
+		switch {
+		case err != nil:
 			l.wait(ctx, workerRetry(l.failures))
+		case !order.renew:
+			l.wait(ctx, claimRepeat)
 		}
 	}
 }
@@ -94,11 +100,12 @@
 }
 
 // sessionCall sends one claim or renewal and reports its answer.
-func (l *workerLink) sessionCall(ctx context.Context, claim cyclamendyke.Claim) error {
+func (l *workerLink) sessionCall(ctx context.Context, order *sessionOrder) error {
+	claim := order.claim
 	if l.relist.Swap(false) {
 		l.epoch = cyclamendyke.Epoch{}
 	}
-	fresh := l.epoch != claim.Epoch
+	fresh := l.epoch != claim.Epoch || !order.renew
 	if fresh || l.mode != claim.Mode || l.failures > 0 {
 		claim.Hold = 0
 	}
