--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,9 +30,11 @@
 	Settings *settings.Daemon
 	Platform Platform
 	Log      *log.Logger
-	Dial     peer.Dial // The system's dialer if nil.
-	Fatal    bool      // Panic at the first broken invariant, for tests.
-	Seed     uint64    // Of the jitter in the scheduler's retry times.
+	Dial     peer.Dial    // The system's dialer if nil.
+	HTTP     net.Listener // Opened on the settings' address if nil.
+	Peer     net.Listener // Opened on the settings' address if nil.
+	Fatal    bool         // Panic at the first broken invariant, for tests.
+	Seed     uint64       // Of the jitter in the scheduler's retry times.
 }
 
 // Daemon is the process that runs on every entry VM.
@@ -77,11 +79,11 @@
 
 // New listens on both addresses and starts everything but the HTTP server, which Run starts.
 func New(cfg Config) (*Daemon, error) {
-	httpLine, err := net.Listen("tcp", cfg.Settings.Member.HTTP)
+	httpLine, err := listen(cfg.HTTP, cfg.Settings.Member.HTTP)
 	if err != nil {
 		return nil, &Error{Op: "listen http", Kind: cyclamendyke.KindInvalid, Err: err}
 	}
-	peerLine, err := net.Listen("tcp", cfg.Settings.Member.Peer)
+	peerLine, err := listen(cfg.Peer, cfg.Settings.Member.Peer)
 	if err != nil {
 		_ = httpLine.Close()
 		return nil, &Error{Op: "listen peer", Kind: cyclamendyke.KindInvalid, Err: err}
@@ -92,6 +94,13 @@
 	return d, nil
 }
 
+func listen(given net.Listener, address string) (net.Listener, error) {
+	if given != nil {
+		return given, nil
+	}
+	return net.Listen("tcp", address)
+}
+
 // assemble makes the parts that need no connection.
 func assemble(cfg Config) *Daemon {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -201,16 +210,16 @@
 		kratos.ID(string(d.member.Name)),
 		kratos.Context(ctx),
 		kratos.Server(d.http),
-		kratos.BeforeStop(func(context.Context) error { d.drain(); return nil }),
+		kratos.BeforeStop(func(context.Context) error { d.Drain(); return nil }),
 		kratos.StopTimeout(d.cfg.Settings.Limits.StopTimeout),
 	)
 	err := app.Run()
-	d.close()
+	d.Close()
 	return err
 }
 
-// drain hands over the role and waits until every request in progress is answered, for StopTimeout at most.
-func (d *Daemon) drain() {
+// Drain hands over the role and waits until every request in progress is answered, for StopTimeout at most.
+func (d *Daemon) Drain() {
 	d.accept.Lock()
 	d.stopping.Store(true)
 	d.accept.Unlock()
@@ -230,8 +239,8 @@
 	}
 }
 
-// close ends everything that runs in the background.
-func (d *Daemon) close() {
+// Close ends everything that runs in the background, without waiting for requests in progress.
+func (d *Daemon) Close() {
 	d.cancel()
 	d.background.Wait()
 	d.records.close()
