--- a/core/scheduler/authority.go
+++ b/core/scheduler/authority.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 	"cyclamendyke/core/share"
 )
 
@@ -22,7 +23,7 @@
 		return
 	}
 	if authority.Epoch.Compare(s.authority.Epoch) < 0 {
-		s.assert(false, InvariantEpoch, "%s after %s", authority.Epoch, s.authority.Epoch)
+		s.assert(false, invariant.EpochForward, "%s after %s", authority.Epoch, s.authority.Epoch)
 		return
 	}
 	s.authority = authority
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 	"cyclamendyke/core/policy"
 )
 
@@ -112,7 +113,7 @@
 	j := t.job
 	s.assertStart(t)
 	if j.spec.NotRepeatable {
-		s.assert(!j.mayHaveStarted && !j.sentOnce.has(t.id.Index), InvariantOnce, "%s", t.id)
+		s.assert(!j.mayHaveStarted && !j.sentOnce.has(t.id.Index), invariant.OnceOnly, "%s", t.id)
 		j.sentOnce.add(t.id.Index)
 	}
 	j.startsSent++
--- a/core/scheduler/session.go
+++ b/core/scheduler/session.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 )
 
 // proofTime is how long after the last renewal that may have reached a worker its tasks are certainly over.
@@ -137,7 +138,7 @@
 	case t != nil && t.worker == w:
 		s.confirm(t)
 	case t != nil:
-		s.assert(false, InvariantOnePlace, "%s on %s and %s", t.id, t.worker.vm.Name, w.vm.Name)
+		s.assert(false, invariant.OnePlace, "%s on %s and %s", t.id, t.worker.vm.Name, w.vm.Name)
 		s.sendStop(w, running.Task, cyclamendyke.StopKill)
 	default:
 		s.adopt(w, j, running)
--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -16,6 +16,9 @@
 		s.submitAgain(j, spec)
 		return
 	}
+	if spec.Team == "" {
+		spec.Team = cyclamendyke.OpenTeam
+	}
 	if reason, detail, retry := s.refusal(&spec); reason != cyclamendyke.ReasonNone {
 		s.refuse(&spec, reason, detail, retry)
 		return
--- a/core/scheduler/team.go
+++ b/core/scheduler/team.go
@@ -52,11 +52,8 @@
 	return t
 }
 
-// allows reports whether the team may reserve need besides what it has; work on open routes has no team and no limit.
+// allows reports whether the team may reserve need besides what it has.
 func (t *team) allows(need cyclamendyke.Resources) bool {
-	if t.name == "" {
-		return true
-	}
 	return t.known && limited(t.reserved.Add(need), t.limit).FitsIn(limited(t.allotment, t.limit))
 }
 
