--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -17,7 +17,7 @@
 	workerRetryMin       = 200 * time.Millisecond
 	workerRetryMax       = 3 * time.Second
 	claimRepeat          = 3 * time.Second // Between claims while there is no authority to renew.
-	failuresUntilVerdict = 2 // The second call uses a fresh connection.
+	failuresUntilVerdict = 2               // The second call uses a fresh connection.
 	orderQueueLength     = 256
 )
 
