--- a/core/journal/journal_test.go
+++ b/core/journal/journal_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,9 +166,10 @@
 	loaded map[cyclamendyke.RequestID]int
 }
 
-// history is what all writers were told.
+// history is what all writers were told, each from its own goroutine.
 type history struct {
 	is      *is.I
+	mu      sync.Mutex
 	terms   []*term
 	kept    map[cyclamendyke.RequestID]int          // Highest version told as kept.
 	refused map[cyclamendyke.RequestID]map[int]bool // Versions told as refused.
@@ -175,6 +177,8 @@
 
 // told notes one result; a record kept for an ousted writer has to be in what every later term loaded.
 func (h *history) told(by int, request cyclamendyke.RequestID, version int, result cyclamendyke.PersistResult) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	switch result {
 	case cyclamendyke.PersistKept:
 		h.kept[request] = max(h.kept[request], version)
@@ -189,13 +193,17 @@
 	}
 }
 
-func (h *history) check(loaded map[cyclamendyke.RequestID]int) {
+// opened checks what a new term loaded against what its predecessors were told.
+func (h *history) opened(writer *journal.Writer, loaded map[cyclamendyke.RequestID]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	for request, version := range h.kept {
 		h.is.True(loaded[request] >= version)
 	}
 	for request, version := range loaded {
 		h.is.True(!h.refused[request][version])
 	}
+	h.terms = append(h.terms, &term{writer: writer, loaded: loaded})
 }
 
 // TestTerms has terms follow each other under faults while ousted writers go on writing.
@@ -214,8 +222,7 @@
 					owner := fmt.Sprint(len(h.terms))
 					writer, loaded, err := open(t, service.As(owner), uint64(len(h.terms)+1), owner)
 					if err == nil {
-						h.check(loaded)
-						h.terms = append(h.terms, &term{writer: writer, loaded: loaded})
+						h.opened(writer, loaded)
 					}
 					return err
 				}
