Measure real daemons, and policies against the baseline

idle and load run a zone of three daemons as processes over the stand-in's server and read what each used from /proc; policy drives the scheduler on its own clock over the two users' mixes and the large fleet's, beside first fit in order of arrival.

--- /dev/null
+++ b/bench/cell.go
@@ -0,0 +1,244 @@
+package bench
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"cyclamendyke"
+	"cyclamendyke/core/cas"
+	"cyclamendyke/core/keys"
+	"cyclamendyke/core/tables"
+	"cyclamendyke/io/store"
+	"cyclamendyke/platform/kv"
+)
+
+const (
+	// daemonCommand makes this command run a daemon.
+	daemonCommand = "daemon"
+
+	cellOperatorKey  = "bench-operator"
+	cellReadyTimeout = 60 * time.Second
+	cellPollInterval = 200 * time.Millisecond
+)
+
+// cell is one zone of real daemons, each in a process of its own, over a stand-in in another one.
+type cell struct {
+	platform *platformProcess
+	store    *store.Store
+	dir      string
+	daemons  []*daemonProcess
+	key      string // Of the first team.
+}
+
+// daemonProcess is one daemon.
+type daemonProcess struct {
+	member  cyclamendyke.Member
+	command *exec.Cmd
+}
+
+// newCell starts a zone with its daemons and waits until every worker is claimed.
+func newCell(workers, daemons int) (*cell, error) {
+	c := &cell{}
+	err := c.start(workers, daemons)
+	if err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cell) start(workers, daemons int) error {
+	var err error
+	if c.platform, err = startPlatform("--zones", "a1", "--pool", fmt.Sprintf("search:64:128:0:%d:4", workers)); err != nil {
+		return err
+	}
+	c.store = store.New(store.Config{Addresses: []string{c.platform.address}, Caller: "bench"})
+	if err := c.configure(); err != nil {
+		return err
+	}
+	if c.dir, err = os.MkdirTemp("", "cyclamendyke-bench"); err != nil {
+		return err
+	}
+	for i := range daemons {
+		if err := c.startDaemon(i); err != nil {
+			return err
+		}
+	}
+	return c.wait(func() bool { return c.claimed() == workers })
+}
+
+// configure writes the tables and a key of the first team into the store.
+func (c *cell) configure() error {
+	ctx, cancel := context.WithTimeout(context.Background(), cellReadyTimeout)
+	defer cancel()
+	value, err := tables.Encode(cellTables())
+	if err != nil {
+		return err
+	}
+	writer := cas.New(cas.Config{Store: c.store})
+	if _, err := writer.Swap(ctx, cyclamendyke.TablesKey, value, 0); err != nil {
+		return err
+	}
+	granted, err := keys.New(keys.Config{Writer: writer}).Grant(ctx, teamName(0))
+	c.key = granted.Key
+	return err
+}
+
+// cellTables returns tables of the large fleet's number of teams, of which the first may use the zone.
+func cellTables() cyclamendyke.TablesText {
+	text := tablesText(largeTeams)
+	text.Pools = "[pool \"search\"]\ncores = 64\nmemory = 128GiB\nslots = 8\nconnections = 64\nzones = a1\nkinds = service, batch, gang\n"
+	return text
+}
+
+func (c *cell) startDaemon(i int) error {
+	ports, err := freePorts(2)
+	if err != nil {
+		return err
+	}
+	member := cyclamendyke.Member{
+		Name: cyclamendyke.MemberName(fmt.Sprintf("entry-%d", i)),
+		Peer: fmt.Sprintf("127.0.0.1:%d", ports[0]),
+		HTTP: fmt.Sprintf("127.0.0.1:%d", ports[1]),
+	}
+	hash := sha256.Sum256([]byte(cellOperatorKey))
+	settings := fmt.Sprintf("[member]\nname = %s\nzone = a1\nregion = a\n[listen]\npeer = %s\nhttp = %s\n[platform]\nstore = %s\nvm-list = %s\n[operator]\nkey-hash = %s\n[log]\nlevel = error\n",
+		member.Name, member.Peer, member.HTTP, c.platform.address, c.platform.address, hex.EncodeToString(hash[:]))
+	path := filepath.Join(c.dir, string(member.Name)+".ini")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	command := exec.Command(self, daemonCommand, "--settings", path)
+	command.Stderr = os.Stderr
+	if err := command.Start(); err != nil {
+		return err
+	}
+	c.daemons = append(c.daemons, &daemonProcess{member: member, command: command})
+	return nil
+}
+
+// freePorts returns ports that were free a moment ago.
+func freePorts(n int) ([]int, error) {
+	ports := make([]int, 0, n)
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// wait polls until ready.
+func (c *cell) wait(ready func() bool) error {
+	deadline := time.Now().Add(cellReadyTimeout)
+	for !ready() {
+		if time.Now().After(deadline) {
+			return errors.New("the cell did not get ready")
+		}
+		time.Sleep(cellPollInterval)
+	}
+	return nil
+}
+
+// claimed returns how many workers the zone's scheduler has claimed.
+func (c *cell) claimed() int {
+	var answer struct {
+		Workers []cyclamendyke.WorkerState `json:"workers"`
+	}
+	if err := c.get(c.daemons[0].member.HTTP, "/v1/workers?zone=a1", &answer); err != nil {
+		return 0
+	}
+	claimed := 0
+	for _, worker := range answer.Workers {
+		if worker.Claimed {
+			claimed++
+		}
+	}
+	return claimed
+}
+
+// scheduler returns the daemon that holds the zone's role, and another one.
+func (c *cell) scheduler() (holder, standby *daemonProcess, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), cellReadyTimeout)
+	defer cancel()
+	entry, err := c.store.Get(ctx, cyclamendyke.SchedulerPrefix+"a1")
+	if err != nil {
+		return nil, nil, err
+	}
+	var record cyclamendyke.ZoneScheduler
+	if err := json.Unmarshal(entry.Value, &record); err != nil {
+		return nil, nil, err
+	}
+	for _, daemon := range c.daemons {
+		if daemon.member.Name == record.Member.Name {
+			holder = daemon
+		} else {
+			standby = daemon
+		}
+	}
+	if holder == nil || standby == nil {
+		return nil, nil, errors.New("the scheduler is none of the daemons")
+	}
+	return holder, standby, nil
+}
+
+// storeCounts returns the store calls of one daemon.
+func (c *cell) storeCounts(daemon *daemonProcess) (kv.Counts, error) {
+	var answer struct {
+		Store kv.Counts `json:"store"`
+	}
+	err := c.get(c.platform.address, "/counts?caller="+string(daemon.member.Name), &answer)
+	return answer.Store, err
+}
+
+func (c *cell) get(address, path string, answer any) error {
+	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Authorization", "Bearer "+cellOperatorKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return errors.New(response.Status)
+	}
+	return json.NewDecoder(response.Body).Decode(answer)
+}
+
+// stop ends every process of the cell.
+func (c *cell) stop() {
+	for _, daemon := range c.daemons {
+		_ = daemon.command.Process.Signal(syscall.SIGKILL)
+		_ = daemon.command.Wait()
+	}
+	if c.store != nil {
+		c.store.Close()
+	}
+	if c.platform != nil {
+		c.platform.stop()
+	}
+	if c.dir != "" {
+		_ = os.RemoveAll(c.dir)
+	}
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"cyclamendyke/daemon"
 	"cyclamendyke/platform/server"
 )
 
@@ -50,13 +51,21 @@
 		{"heartbeats", "bytes and processor time between daemons", measureHeartbeats},
 		{"overload", "goodput, refusals and times at and beyond the capacity of a cell, and after", measureOverload},
 		{"decide", "time of a decision and sustained placement by fleet size and backlog", measureDecide},
+		{"idle", "processor time, memory, bytes and store calls of idle daemons by workers", measureIdle},
+		{"load", "the same under work, by started tasks a second", measureLoad},
+		{"policy", "waits, packing and distance from share against first fit in order of arrival", measurePolicy},
 	}
 }
 
 // Main runs the named experiments, or all of them, and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
-	if len(args) > 0 && args[0] == platformCommand {
-		return server.Main(args[1:], stderr) // In a process of its own, so that its processor time does not count.
+	if len(args) > 0 {
+		switch args[0] { // In a process of its own, so that its processor time counts for itself.
+		case platformCommand:
+			return server.Main(args[1:], stderr)
+		case daemonCommand:
+			return daemon.Main(args[1:], stderr)
+		}
 	}
 	parsed := options{}
 	_, err := flags.NewParser(&parsed, flags.HelpFlag|flags.PassDoubleDash).ParseArgs(args)
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -20,7 +20,8 @@
 	now       time.Time
 	machines  map[cyclamendyke.WorkerName]*zoneMachine
 	ends      endHeap
-	cost      time.Duration // Spent in calls to the scheduler, by the clock on the wall.
+	ended     map[cyclamendyke.WorkerName]bool // Workers with ends to report.
+	cost      time.Duration                    // Spent in calls to the scheduler, by the clock on the wall.
 	calls     int
 	placed    int
 	commands  commandCounts
@@ -89,6 +90,7 @@
 		epoch:    cyclamendyke.Epoch{Term: 1 << 16, Owner: "entry"},
 		now:      zoneStart,
 		machines: map[cyclamendyke.WorkerName]*zoneMachine{},
+		ended:    map[cyclamendyke.WorkerName]bool{},
 		runTime:  config.RunTime,
 		scheduler: scheduler.New(scheduler.Config{
 			Zone:              config.Name,
@@ -216,6 +218,7 @@
 		return
 	}
 	delete(machine.running, task)
+	z.ended[worker] = true
 	machine.sequence++
 	machine.finished = append(machine.finished, cyclamendyke.TaskResult{
 		Task: task, Worker: worker, Stopped: stopped, Started: running.Started, Finished: z.now,
@@ -232,21 +235,20 @@
 		Worker: worker, Capacity: machine.vm.Capacity, Sequence: machine.sequence, Finished: machine.finished,
 	}
 	machine.finished = nil
+	delete(z.ended, worker)
 	z.call(func() []cyclamendyke.Command { return z.scheduler.Renewed(z.now, report, z.now) })
 }
 
 // advance moves the clock by one tick: due tasks end, their workers report, and the scheduler places.
 func (z *zone) advance() {
 	z.now = z.now.Add(cyclamendyke.TickInterval)
-	ended := map[cyclamendyke.WorkerName]bool{}
 	for len(z.ends) > 0 && !z.ends[0].at.After(z.now) {
 		due := heap.Pop(&z.ends).(taskEnd)
 		if z.machines[due.worker].running[due.task].Started.Equal(due.began) {
 			z.end(due.worker, due.task, false)
-			ended[due.worker] = true
 		}
 	}
-	for _, worker := range sortedKeys(ended) {
+	for _, worker := range sortedKeys(z.ended) {
 		z.renew(worker)
 	}
 	z.call(func() []cyclamendyke.Command { return z.scheduler.Tick(z.now) })
