--- a/core/tables/route.go
+++ b/core/tables/route.go
@@ -22,7 +22,7 @@
 		Open:     file.Bool(section, "open", false),
 		Urgent:   file.Bool(section, "urgent", false),
 		MaxQueue: file.Int(section, "max-queue", defaultMaxQueue, 1, maxMaxQueue),
-		ZoneLoss: inifile.OneOf(file, section, "zone-loss", cyclamendyke.ZoneLossStay, cyclamendyke.ZoneLossStay, cyclamendyke.ZoneLossMove),
+		ZoneLoss: inifile.OneOf(file, section, "zone-loss", cyclamendyke.ZoneLossStay, cyclamendyke.ZoneLossStay),
 	}
 	p.checkPools(section, route)
 	p.checkTeams(section, route)
--- a/tables.go
+++ b/tables.go
@@ -8,11 +8,8 @@
 // ZoneLoss says what happens to a route's work when its whole zone falls silent.
 type ZoneLoss string
 
-// The settings for a silent zone.
-const (
-	ZoneLossStay ZoneLoss = "stay" // The work stays with its zone, which may be cut off and still running it.
-	ZoneLossMove ZoneLoss = "move" // The zone stops the work after losing contact for a known time, then others may take it over.
-)
+// ZoneLossStay leaves the work with its zone, which may be cut off and still running it.
+const ZoneLossStay ZoneLoss = "stay"
 
 // Route is one row of the table of routes.
 type Route struct {
