Let no election calls pile up while the store is silent

Cause: each renewal waited for the mutex behind a call that lasts until its timeout, so one goroutine more a second waited for as long as the outage. A call that finds another in progress now answers at once that nothing is known. Found by the in-process run, whose fake clock a waiting mutex stops.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -183,7 +183,7 @@
 			Hold:          timing.Hold,
 		}),
 		Workers:   d.platform.Workers,
-		Election:  &election{store: d.platform.Store, member: d.member},
+		Election:  newElection(d.platform.Store, d.member),
 		Recorder:  d.records,
 		Event:     d.event,
 		Metrics:   d.metrics,
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync"
 	"time"
 
 	"cyclamendyke"
@@ -19,14 +18,34 @@
 	store  cyclamendyke.Store
 	member cyclamendyke.Member
 
-	mu    sync.Mutex // Elections are carried out one at a time.
+	turn  chan struct{} // Holds a token while a call is carried out.
 	lease cyclamendyke.LeaseID
 }
 
+func newElection(store cyclamendyke.Store, member cyclamendyke.Member) *election {
+	return &election{store: store, member: member, turn: make(chan struct{}, 1)}
+}
+
+// begin takes the turn unless another call is in progress, so that none pile up while the store is silent.
+func (e *election) begin() bool {
+	select {
+	case e.turn <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *election) await() { e.turn <- struct{}{} }
+
+func (e *election) end() { <-e.turn }
+
 // elect writes the record of a term under a fresh lease; the record returned is the one that the store then holds.
 func (e *election) elect(ctx context.Context, command cyclamendyke.ElectCommand) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	if !e.begin() {
+		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+	}
+	defer e.end()
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	before, revision, err := e.record(ctx)
@@ -85,8 +104,10 @@
 
 // renew keeps the lease alive.
 func (e *election) renew(ctx context.Context, command cyclamendyke.RenewElectionCommand) (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	if !e.begin() {
+		return cyclamendyke.ElectionUnknown, cyclamendyke.ZoneScheduler{}
+	}
+	defer e.end()
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	err := e.store.KeepAlive(ctx, e.lease)
@@ -102,8 +123,8 @@
 
 // establish marks the record of an epoch, best effort.
 func (e *election) establish(ctx context.Context, epoch cyclamendyke.Epoch) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.await()
+	defer e.end()
 	ctx, cancel := context.WithTimeout(ctx, electionTimeout)
 	defer cancel()
 	record, revision, err := e.record(ctx)
@@ -118,8 +139,8 @@
 
 // release ends the lease, so that a successor need not wait for it to lapse.
 func (e *election) release() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	e.await()
+	defer e.end()
 	if e.lease != 0 {
 		e.revoke(e.lease)
 		e.lease = 0
