--- a/daemon/records.go
+++ b/daemon/records.go
@@ -30,8 +30,8 @@
 	done    sync.WaitGroup
 
 	mu     sync.Mutex
-	epoch  cyclamendyke.Epoch // The latest term asked for.
-	writer *journal.Writer    // Of that term; nil until the journal is open.
+	opened uint64          // Counts the calls of open; an epoch may be opened again after a gap in its authority.
+	writer *journal.Writer // Of the latest call; nil until the journal is open.
 }
 
 func newRecords(member cyclamendyke.Member, store cyclamendyke.Store, away func() bool) *records {
@@ -52,15 +52,16 @@
 	r.mu.Lock()
 	old := r.writer
 	r.writer = nil
-	r.epoch = epoch
+	r.opened++
+	opened := r.opened
 	r.mu.Unlock()
 	r.done.Go(func() {
 		closeWriter(old)
-		for r.isCurrent(epoch) && r.ctx.Err() == nil {
+		for r.isCurrent(opened) && r.ctx.Err() == nil {
 			writer, found, err := r.journal.Open(r.ctx, epoch)
 			switch {
 			case err == nil:
-				r.use(epoch, writer)
+				r.use(opened, writer)
 				loaded(found)
 				return
 			case errors.Is(err, cyclamendyke.KindFenced):
@@ -71,16 +72,16 @@
 	})
 }
 
-func (r *records) isCurrent(epoch cyclamendyke.Epoch) bool {
+func (r *records) isCurrent(opened uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.epoch == epoch
+	return r.opened == opened
 }
 
-// use puts a writer in place unless another term has begun.
-func (r *records) use(epoch cyclamendyke.Epoch, writer *journal.Writer) {
+// use puts a writer in place unless the journal has been opened again.
+func (r *records) use(opened uint64, writer *journal.Writer) {
 	r.mu.Lock()
-	current := r.epoch == epoch
+	current := r.opened == opened
 	if current {
 		r.writer = writer
 	}
