--- /dev/null
+++ b/proofs/network.go
@@ -0,0 +1,101 @@
+package proofs
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// network connects daemons in memory by their peer addresses.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}}
+}
+
+// listen returns a listener, which replaces an earlier one at the address.
+func (n *network) listen(address string) *listener {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l := &listener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners[address] = l
+	return l
+}
+
+// dial connects to a listener through the gates of both ends.
+func (n *network) dial(ctx context.Context, address string, gates ...*Gate) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	near, far := net.Pipe()
+	if l == nil || blocked(gates) {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	select {
+	case l.accepted <- far:
+	case <-l.closed:
+		return nil, errCut
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	return &gatedConn{Conn: near, gates: gates}, nil
+}
+
+func blocked(gates []*Gate) bool {
+	for _, g := range gates {
+		if fault, _ := g.state(); fault != FaultNone {
+			return true
+		}
+	}
+	return false
+}
+
+// listener hands over the far ends of dialled connections.
+type listener struct {
+	address  string
+	accepted chan net.Conn
+	closed   chan struct{}
+	once     sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// gatedConn loses what is written while a gate is shut, as a connection that has gone silent.
+type gatedConn struct {
+	net.Conn
+	gates []*Gate
+}
+
+func (c *gatedConn) Write(p []byte) (int, error) {
+	if blocked(c.gates) {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *gatedConn) Read(p []byte) (int, error) {
+	for {
+		count, err := c.Conn.Read(p)
+		if err != nil || !blocked(c.gates) {
+			return count, err
+		}
+	}
+}
