Wake one blocked queue at a time in order of shares

Each freed slot made every blocked queue that fits runnable, and each of those then searched the index in vain: with 50,000 tasks waiting in some thousands of shapes, sustained placement fell with the number of workers. Blocked queues now stand in their pool by team, in order of shares, with a lower bound of their needs; a freed worker wakes the first that fits and the next only after that was tried. A worker without a free slot is left out of the search for room.

--- a/core/policy/index.go
+++ b/core/policy/index.go
@@ -82,12 +82,6 @@
 	return x.byName.Len()
 }
 
-// Has reports whether the candidate is in the index.
-func (x *Index) Has(c *Candidate) bool {
-	_, found := x.byName.Get(c)
-	return found
-}
-
 // Add puts a candidate in.
 func (x *Index) Add(c *Candidate) {
 	x.byName.ReplaceOrInsert(c)
@@ -180,9 +174,13 @@
 	return most
 }
 
+// insert leaves workers without a free slot out of the search for room, whatever else they have free.
 func (x *Index) insert(c *Candidate) {
+	full := x.shape.Slots > 0 && c.Free.Slots <= 0
 	for d := range dimensions {
-		x.free[d].ReplaceOrInsert(c)
+		if !full {
+			x.free[d].ReplaceOrInsert(c)
+		}
 		x.reclaimable[d].ReplaceOrInsert(c)
 	}
 }
--- a/core/scheduler/gang.go
+++ b/core/scheduler/gang.go
@@ -12,7 +12,7 @@
 func (s *Scheduler) placeGang(q *queue, j *job) {
 	whole := j.need.Scale(int64(j.waiting.count))
 	if !q.team.allows(whole) {
-		s.blockOnTeam(q)
+		s.blockOnTeam(q, j)
 		return
 	}
 	for _, p := range s.gangPools(q, j) {
@@ -143,7 +143,7 @@
 	j.gangTimer = true
 	s.after(gangRecheck, func() {
 		j.gangTimer = false
-		if j.state == jobActive && q.head() == j && !q.runnable {
+		if j.state == jobActive && q.head() == j && q.state != queueRunnable {
 			s.ready(q)
 		}
 	})
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -35,17 +35,22 @@
 
 // placeFrom places one task, or one gang, of the queue's first job, or blocks the queue.
 func (s *Scheduler) placeFrom(q *queue) {
+	wokenBy := q.wokenBy
+	q.wokenBy = nil
 	j := q.head()
 	switch {
 	case j == nil:
-		s.unready(q)
+		s.ready(q)
 	case j.policy.AllAtOnce():
 		s.placeGang(q, j)
 	case !q.team.allows(j.need):
-		s.blockOnTeam(q)
+		s.blockOnTeam(q, j)
 	default:
 		s.placeTask(q, j)
 	}
+	if wokenBy != nil {
+		s.wakeNext(wokenBy, q)
+	}
 }
 
 func (s *Scheduler) placeTask(q *queue, j *job) {
@@ -187,7 +192,7 @@
 	q.team.queues[q.key] = q
 	wasEmpty := q.head() == nil
 	q.jobs.ReplaceOrInsert(j)
-	if q.runnable || wasEmpty || q.head() == j {
+	if q.state == queueRunnable || wasEmpty || q.head() == j {
 		s.ready(q)
 	}
 }
@@ -208,84 +213,63 @@
 // ready makes a queue runnable at the place of its first job, or removes it when it is empty.
 func (s *Scheduler) ready(q *queue) {
 	head := q.head()
-	if head != nil && q.runnable && q.headSeq == head.seq {
+	if head != nil && q.state == queueRunnable && q.headSeq == head.seq {
 		s.reorder(q.team)
 		return
 	}
-	s.unready(q)
+	s.leaveState(q)
 	if head == nil {
+		delete(q.team.queues, q.key)
+		s.reorder(q.team)
 		return
 	}
-	q.headSeq = head.seq
-	q.runnable = true
+	s.enterState(q, head, queueRunnable)
 	q.team.runnable[urgencyOf(q.key.urgent)].ReplaceOrInsert(q)
 	s.reorder(q.team)
 }
 
-func (s *Scheduler) unready(q *queue) {
-	q.blocks++
-	if q.runnable {
+func (s *Scheduler) enterState(q *queue, head *job, state queueState) {
+	q.state = state
+	q.headSeq = head.seq
+	q.need = head.need
+}
+
+// leaveState takes a queue out of wherever its state has put it.
+func (s *Scheduler) leaveState(q *queue) {
+	switch q.state {
+	case queueRunnable:
 		q.team.runnable[urgencyOf(q.key.urgent)].Delete(q)
-		q.runnable = false
-	}
-	if q.jobs.Len() == 0 {
-		delete(q.team.queues, q.key)
+	case queueNoRoom:
+		for _, p := range q.blockedIn {
+			p.blocked.remove(q, s.valueOf)
+		}
+		q.blockedIn = nil
+	case queueOverAllotment:
+		q.team.blocked.Delete(q)
 	}
-	s.reorder(q.team)
+	q.state = queueIdle
 }
 
-func (s *Scheduler) blockOnTeam(q *queue) {
-	s.unready(q)
-	q.team.blocked = append(q.team.blocked, blockedQueue{q, q.blocks})
+func (s *Scheduler) blockOnTeam(q *queue, j *job) {
+	s.leaveState(q)
+	s.enterState(q, j, queueOverAllotment)
+	q.team.blocked.ReplaceOrInsert(q)
+	s.reorder(q.team)
 }
 
 func (s *Scheduler) blockOnPools(q *queue, j *job) {
-	s.unready(q)
-	for _, p := range q.pools {
-		p.blocked = append(p.blocked, blockedQueue{q, q.blocks})
+	s.leaveState(q)
+	s.enterState(q, j, queueNoRoom)
+	q.blockedIn = q.pools
+	for _, p := range q.blockedIn {
+		p.blocked.add(q, q.need, s.valueOf)
 	}
+	s.reorder(q.team)
 	if j.spec.Urgent {
 		s.preemptFor(q, j)
 	}
 }
 
-// wake makes runnable the queues whose next task fits on w.
-func (s *Scheduler) wake(w *worker) {
-	if !w.indexed {
-		return
-	}
-	free := w.free()
-	kept := w.pool.blocked[:0]
-	var woken []*queue
-	for _, b := range w.pool.blocked {
-		if !b.isCurrent() {
-			continue
-		}
-		head := b.queue.head()
-		if head == nil || head.need.FitsIn(free) {
-			woken = append(woken, b.queue)
-			continue
-		}
-		kept = append(kept, b)
-	}
-	clear(w.pool.blocked[len(kept):])
-	w.pool.blocked = kept
-	for _, q := range woken {
-		s.ready(q)
-	}
-}
-
-// wakeTeam makes runnable what the team's allotment held back.
-func (s *Scheduler) wakeTeam(t *team) {
-	blocked := t.blocked
-	t.blocked = nil
-	for _, b := range blocked {
-		if b.isCurrent() {
-			s.ready(b.queue)
-		}
-	}
-}
-
 // recount brings the sums of waiting work in line with the job.
 func (s *Scheduler) recount(j *job) {
 	count := j.waiting.count
--- a/core/scheduler/pool.go
+++ b/core/scheduler/pool.go
@@ -16,7 +16,7 @@
 	capacity cyclamendyke.Resources
 	reserved cyclamendyke.Resources
 	waiting  int // Tasks that would go here first.
-	blocked  []blockedQueue
+	blocked  *blockedSet
 	holder   *job // The only gang that may hold room before it starts.
 }
 
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -26,7 +26,7 @@
 	j.preemptTimer = true
 	s.after(max(s.cfg.PreemptAfter-waited, s.cfg.PreemptAfter/2), func() {
 		j.preemptTimer = false
-		if j.state == jobActive && q.head() == j && !q.runnable {
+		if j.state == jobActive && q.head() == j && q.state != queueRunnable {
 			s.ready(q)
 		}
 	})
--- a/core/scheduler/queue.go
+++ b/core/scheduler/queue.go
@@ -15,27 +15,30 @@
 	urgent  bool
 }
 
-// queue holds one team's waiting jobs of the same shape, oldest first; when the first has no room, none has.
-type queue struct {
-	key      queueKey
-	team     *team
-	pools    []*pool // In order of preference.
-	jobs     *btree.BTreeG[*job]
-	created  uint64
-	rank     int
-	runnable bool
-	headSeq  uint64 // Under which a runnable queue stands in its team's order.
-	blocks   uint64 // Grows at each change, so that old entries in lists of blocked queues are told from new ones.
-}
+type queueState int
 
-// blockedQueue is an entry in a list of queues that wait for room.
-type blockedQueue struct {
-	queue  *queue
-	blocks uint64
-}
+const (
+	queueIdle          queueState = iota
+	queueRunnable                 // In the team's order of runnable queues.
+	queueNoRoom                   // In the blocked sets of its pools.
+	queueOverAllotment            // Among the team's blocked queues.
+)
 
-func (b blockedQueue) isCurrent() bool {
-	return b.queue.blocks == b.blocks
+// queue holds one team's waiting jobs of the same shape, oldest first; when the first has no room, none has.
+type queue struct {
+	key       queueKey
+	team      *team
+	pools     []*pool // In order of preference.
+	jobs      *btree.BTreeG[*job]
+	created   uint64
+	rank      int
+	state     queueState
+	headSeq   uint64                 // Of the first job when the queue got into its state.
+	need      cyclamendyke.Resources // Of the first job's next task then.
+	blockedIn []*pool
+	wokenBy   *worker // Whose freed room it is to try first.
+	triedOn   *worker // Where it was last tried without finding room,
+	triedIn   uint64  // and in which tick.
 }
 
 func newQueue(key queueKey, team *team, rank int) *queue {
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -26,6 +26,7 @@
 	orders     [urgencies]*share.Order
 	capacity   cyclamendyke.Resources // Of all workers of the zone.
 	nextSeq    uint64
+	ticks      uint64
 	unfinished int
 	finished   []*job // Oldest first.
 	stray      map[cyclamendyke.RequestID][]cyclamendyke.TaskResult
@@ -150,6 +151,7 @@
 // Tick expires timers and places waiting work.
 func (s *Scheduler) Tick(now time.Time) []cyclamendyke.Command {
 	s.now = now
+	s.ticks++
 	s.timers.run(now)
 	s.forgetFinished()
 	s.place()
--- a/core/scheduler/tables.go
+++ b/core/scheduler/tables.go
@@ -49,7 +49,7 @@
 func (s *Scheduler) poolOf(name cyclamendyke.PoolName) *pool {
 	p := s.pools[name]
 	if p == nil {
-		p = &pool{name: name, index: policy.NewIndex(cyclamendyke.Resources{})}
+		p = &pool{name: name, index: policy.NewIndex(cyclamendyke.Resources{}), blocked: newBlockedSet()}
 		s.pools[name] = p
 	}
 	return p
@@ -124,14 +124,23 @@
 			s.orders[u].Remove(t.name)
 			continue
 		}
-		value := float64(first.headSeq)
-		if s.cfg.Policies.FairShare {
-			value = share.Value(t.reserved, s.capacity, t.weight)
+		s.orders[u].Set(t.name, s.valueOf(first))
+	}
+	for _, p := range s.pools {
+		for u := range urgencies {
+			p.blocked.reorder(u, t.name, s.valueOf)
 		}
-		s.orders[u].Set(t.name, value)
 	}
 }
 
+// valueOf returns what the order of teams goes by: the share of the queue's team, or the arrival of the queue's first job.
+func (s *Scheduler) valueOf(q *queue) float64 {
+	if s.cfg.Policies.FairShare {
+		return share.Value(q.team.reserved, s.capacity, q.team.weight)
+	}
+	return float64(q.headSeq)
+}
+
 // capacityChanged applies a change of the zone's capacity to the order of the teams.
 func (s *Scheduler) capacityChanged() {
 	for _, t := range s.teams {
--- a/core/scheduler/team.go
+++ b/core/scheduler/team.go
@@ -20,7 +20,7 @@
 	wanted    cyclamendyke.Resources // By waiting tasks.
 	queues    map[queueKey]*queue
 	runnable  [urgencies]*btree.BTreeG[*queue]
-	blocked   []blockedQueue                 // By the allotment.
+	blocked   *btree.BTreeG[*queue]          // By the allotment.
 	waiting   map[cyclamendyke.RouteName]int // Jobs.
 }
 
@@ -45,6 +45,7 @@
 		name:    name,
 		queues:  make(map[queueKey]*queue),
 		waiting: make(map[cyclamendyke.RouteName]int),
+		blocked: btree.NewG(treeDegree, queueLess),
 	}
 	for u := range urgencies {
 		t.runnable[u] = btree.NewG(treeDegree, queueLess)
--- a/core/share/order.go
+++ b/core/share/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 
 	"github.com/google/btree"
 
@@ -58,6 +59,13 @@
 	return first.team, found
 }
 
+// All yields the teams, least served first; the order must not be changed meanwhile.
+func (o *Order) All() iter.Seq[cyclamendyke.TeamName] {
+	return func(yield func(cyclamendyke.TeamName) bool) {
+		o.tree.Ascend(func(e entry) bool { return yield(e.team) })
+	}
+}
+
 // Value returns the dominant share of reserved in total, divided by the team's weight; a weight below one counts as one.
 func Value(reserved, total cyclamendyke.Resources, weight int) float64 {
 	return reserved.DominantShare(total) / float64(max(weight, 1))
