State what claim and forget commands promise

Tasks are started elsewhere once a worker's leases must have lapsed, which is only true if nothing more was sent that could extend them. The daemon keeps neither promise yet: its list of VMs opens a link again to a worker that the scheduler had forgotten (followVMs, openLinkIfNew), and a claim command for a worker with a link is answered by a renewal in place of a listing (openLink has to set relist).

--- a/scheduler.go
+++ b/scheduler.go
@@ -113,12 +113,12 @@
 	Mode   StopMode
 }
 
-// ClaimCommand asks for a worker to be claimed and then renewed for as long as it is in the list.
+// ClaimCommand asks for a worker to be claimed, anew for a fresh listing if it is claimed already, and then renewed until a ForgetCommand.
 type ClaimCommand struct {
 	VM VM
 }
 
-// ForgetCommand asks for a removed worker's renewals to end.
+// ForgetCommand asks for a worker's renewals to end: until the next ClaimCommand nothing may be sent that could extend its leases.
 type ForgetCommand struct {
 	Worker WorkerName
 }
