--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -26,7 +26,7 @@
 			"submit":   onWorld(func(w *world, args []string) { w.submit(parseJob(args)) }),
 			"cancel":   onWorld(func(w *world, args []string) { w.do(w.s.Cancel(w.now, cyclamendyke.RequestID(args[0]))) }),
 			"tick":     onWorld(func(w *world, _ []string) { w.do(w.s.Tick(w.now)) }),
-			"wait":     scriptWait,
+			"pass":     scriptPass,
 			"finish":   scriptFinish,
 			"worker":   scriptWorker,
 			"list":     scriptList,
@@ -68,7 +68,7 @@
 	}
 }
 
-func scriptWait(ts *testscript.TestScript, _ bool, args []string) {
+func scriptPass(ts *testscript.TestScript, _ bool, args []string) {
 	w := ts.Value(worldKey{}).(*world)
 	d, err := time.ParseDuration(args[0])
 	ts.Check(err)
