--- /dev/null
+++ b/core/account/account_test.go
@@ -0,0 +1,189 @@
+package account_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/core/account"
+	"cyclamendyke/platform"
+	"cyclamendyke/platform/kv"
+)
+
+const zone = "z1"
+
+func writer(store cyclamendyke.Store, member cyclamendyke.MemberName) *account.Writer {
+	return account.New(account.Config{Store: store, Zone: zone, Member: member, Started: time.Now(), MaxBuffered: 200, IndividualPerMinute: 50})
+}
+
+func read(t *testing.T, store cyclamendyke.Store, query account.Query) account.Result {
+	t.Helper()
+	query.Zones = []cyclamendyke.ZoneName{zone, "z2"}
+	query.To = time.Now()
+	query.From = query.To.Add(-7 * 24 * time.Hour)
+	query.Limit = 1_000_000
+	result, err := account.NewReader(account.ReaderConfig{Store: store}).Read(t.Context(), query)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// kind is what totals are compared by.
+type kind struct {
+	team    cyclamendyke.TeamName
+	verdict cyclamendyke.Verdict
+	reason  cyclamendyke.Reason
+}
+
+// total is what has to add up.
+type total struct {
+	count, tasks int
+	coreSeconds  float64
+}
+
+func add(totals map[kind]total, records ...cyclamendyke.AccountRecord) {
+	for _, record := range records {
+		key := kind{team: record.Team, verdict: record.Verdict, reason: record.Reason}
+		sum := totals[key]
+		sum.count += record.Count
+		sum.tasks += record.Tasks
+		sum.coreSeconds += record.CoreSeconds
+		totals[key] = sum
+	}
+}
+
+func randomRecord(random *rand.Rand, number int) cyclamendyke.AccountRecord {
+	record := cyclamendyke.AccountRecord{
+		At:      time.Now(),
+		Request: cyclamendyke.RequestID(fmt.Sprint("z1-", number)),
+		Team:    cyclamendyke.TeamName(fmt.Sprint("team-", random.IntN(4))),
+		Route:   cyclamendyke.RouteName(fmt.Sprint("route-", random.IntN(3))),
+		Verdict: cyclamendyke.VerdictNotRun,
+		Reason:  cyclamendyke.ReasonQueueFull,
+		Tasks:   random.IntN(5),
+		Count:   1,
+	}
+	if random.IntN(4) == 0 {
+		record.Verdict = cyclamendyke.VerdictRan
+		record.Reason = cyclamendyke.ReasonNone
+		record.CoreSeconds = float64(random.IntN(100))
+	}
+	return record
+}
+
+// TestAddsUp has two processes account under faults and restarts; the totals are those handed in, and what waits is bounded.
+func TestAddsUp(t *testing.T) {
+	for seed := range uint64(10) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				random := rand.New(rand.NewPCG(seed, 4))
+				service := kv.New(kv.Config{})
+				writers := []*account.Writer{writer(service.As("a"), "a"), writer(service.As("b"), "b")}
+				want := map[kind]total{}
+				for step := range 3000 {
+					at := random.IntN(2)
+					switch random.IntN(200) {
+					case 0:
+						service.SetFaults(kv.Faults{LoseAnswers: random.IntN(5)})
+					case 1:
+						late := platform.Duration(random.IntN(20)) * platform.Duration(time.Second)
+						service.SetFaults(kv.Faults{LateWrites: 1 + random.IntN(30), LateBy: late})
+					case 2:
+						service.SetFaults(kv.Faults{Down: random.IntN(2) == 0, Silent: random.IntN(2) == 0})
+					case 3:
+						service.SetFaults(kv.Faults{})
+						writers[at].Close(t.Context())
+						writers[at] = writer(service.As("a"), "a")
+					default:
+						record := randomRecord(random, step)
+						add(want, record)
+						writers[at].Add(record)
+					}
+					is.True(writers[at].Stats().Buffered <= 200+200) // Records, and sums of an outage in these few teams and routes.
+					time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+				}
+				service.SetFaults(kv.Faults{})
+				for _, w := range writers {
+					w.Close(t.Context())
+				}
+				got := map[kind]total{}
+				add(got, read(t, service.As("auditor"), account.Query{}).Records...)
+				is.Equal(got, want)
+			})
+		})
+	}
+}
+
+// TestOutage keeps the store away for a day of refusals with ever new names; what waits stays bounded and adds up.
+func TestOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		service.SetFaults(kv.Faults{Down: true})
+		w := writer(service.As("a"), "a")
+		const refusals = 40_000
+		for i := range refusals {
+			w.Add(cyclamendyke.AccountRecord{
+				At:      time.Now(),
+				Team:    cyclamendyke.TeamName(fmt.Sprint("team-", i)),
+				Route:   cyclamendyke.RouteName(fmt.Sprint("route-", i)),
+				Verdict: cyclamendyke.VerdictNotRun,
+				Reason:  cyclamendyke.ReasonUnknownRoute,
+			})
+			time.Sleep(2 * time.Second)
+		}
+		is.True(w.Stats().Buffered < 4*4096+1000)
+		service.SetFaults(kv.Faults{})
+		w.Close(t.Context())
+		counted := 0
+		for _, record := range read(t, service.As("auditor"), account.Query{}).Records {
+			counted += record.Count
+		}
+		is.Equal(counted, refusals)
+	})
+}
+
+func TestReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		store := service.As("a")
+		a, b := writer(store, "a"), writer(store, "b")
+		for i := range 300 {
+			w := []*account.Writer{a, b}[i%2]
+			w.Add(cyclamendyke.AccountRecord{
+				At:      time.Now(),
+				Request: cyclamendyke.RequestID(fmt.Sprint("z1-", i)),
+				Team:    cyclamendyke.TeamName(fmt.Sprint("team-", i%3)),
+				Verdict: cyclamendyke.VerdictRan,
+			})
+			time.Sleep(10 * time.Minute) // Two days in all.
+		}
+		found := read(t, store, account.Query{Request: "z1-7"}).Records
+		is.Equal(len(found), 1)
+		is.Equal(found[0].Zone, cyclamendyke.ZoneName(zone))
+		is.Equal(found[0].Count, 1)
+		is.Equal(len(read(t, store, account.Query{Team: "team-1"}).Records), 100)
+		reader := account.NewReader(account.ReaderConfig{Store: store})
+		query := account.Query{Zones: []cyclamendyke.ZoneName{zone}, From: time.Now().Add(-72 * time.Hour), To: time.Now(), Limit: 10}
+		latest, err := reader.Read(t.Context(), query)
+		is.NoErr(err)
+		is.True(latest.Truncated)
+		is.Equal(latest.Records[9].Request, cyclamendyke.RequestID("z1-299"))
+		deleted, err := reader.Prune(t.Context(), zone, time.Now().Add(-24*time.Hour))
+		is.NoErr(err)
+		is.Equal(deleted, 2) // One segment of each writer and day.
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		a.Close(ctx)
+		b.Close(ctx)
+	})
+}
