Let the owner of an idempotency key wait until it is given back

Register.Release returns once the store holds no record of a request that was not run, so that the caller's own repeat doesn't join it.

--- a/core/once/operation.go
+++ b/core/once/operation.go
@@ -30,7 +30,7 @@
 	request   cyclamendyke.RequestID
 	token     string // Of the reservation that the operation makes or gives back.
 	outcome   cyclamendyke.Outcome
-	answer    chan answer // Of a reservation; holds one.
+	answer    chan answer // Of a reservation or release; holds one.
 	abandoned bool        // The caller of a reservation has gone; guarded by the register.
 
 	reservation Reservation // What the last application found.
@@ -47,7 +47,7 @@
 }
 
 func newRelease(key, token string) *operation {
-	return &operation{action: actionRelease, key: key, token: token}
+	return &operation{action: actionRelease, key: key, token: token, answer: make(chan answer, 1)}
 }
 
 // apply changes the slot and reports whether it has to be written.
--- a/core/once/queue.go
+++ b/core/once/queue.go
@@ -130,6 +130,9 @@
 			r.pending[number] = append(r.pending[number], op)
 		default:
 			r.count--
+			if op.action == actionRelease {
+				op.answer <- answer{}
+			}
 		}
 	}
 	r.settleIdle()
--- a/core/once/register.go
+++ b/core/once/register.go
@@ -98,21 +98,50 @@
 
 // Complete keeps the outcome of the request that holds the key, and tries until it is written.
 //
-// An outcome of VerdictNotRun gives the key back, so that a repeat may run, if
-// this register took the key when it was free and no other reservation followed;
-// else it changes nothing.
+// An outcome of VerdictNotRun gives the key back as Release does, but does not wait.
 func (r *Register) Complete(team cyclamendyke.TeamName, key string, outcome cyclamendyke.Outcome) {
 	hash := keyHash(team, key)
+	if outcome.Verdict == cyclamendyke.VerdictNotRun {
+		r.release(hash)
+		return
+	}
+	r.mu.Lock()
+	delete(r.tokens, hash)
+	r.mu.Unlock()
+	r.submit(newComplete(hash, bounded(outcome)))
+}
+
+// Release gives a key back whose request has certainly not run, so that a
+// repeat may run, if this register took the key when it was free and no other
+// reservation followed; else it changes nothing.
+//
+// It returns once that is in the store, or the context's error, after which it
+// is still tried until it is written.
+func (r *Register) Release(ctx context.Context, team cyclamendyke.TeamName, key string) error {
+	op := r.release(keyHash(team, key))
+	if op == nil {
+		return nil
+	}
+	select {
+	case <-op.answer:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// release queues the giving back of a key, or returns nil if this register does not hold it.
+func (r *Register) release(hash string) *operation {
 	r.mu.Lock()
 	token, held := r.tokens[hash]
 	delete(r.tokens, hash)
 	r.mu.Unlock()
-	switch {
-	case outcome.Verdict != cyclamendyke.VerdictNotRun:
-		r.submit(newComplete(hash, bounded(outcome)))
-	case held:
-		r.submit(newRelease(hash, token))
+	if !held {
+		return nil
 	}
+	op := newRelease(hash, token)
+	r.submit(op)
+	return op
 }
 
 // Pending returns the operations that are not in the store yet.
