Free the key of a request that was not run, and trust no view that the store never confirmed

Cause: the entry reserves an idempotency key, but only the scheduler's process completed it, which does not hold the reservation, so that a repeat after a refusal joined the refused request for as long as its scheduler knew it. The entry now gives the key back before it answers not-run. A process that never reached the store told its uptime as the age of its view, so that for its first 8 s it, and peers with the same keys, took a stale copy as fresh; it now tells the view's own age. Found by reading; daemon tests as before.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -182,7 +182,11 @@
 		job.Request = reservation.Request
 		job.Resubmitted = true
 	}
-	return d.entry.run(ctx, job)
+	outcome := d.entry.run(ctx, job)
+	if outcome.Verdict == cyclamendyke.VerdictNotRun {
+		d.records.giveBack(ctx, job)
+	}
+	return outcome
 }
 
 // submit hands a job to its zone's scheduler, which may be this process.
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -187,13 +187,9 @@
 	return 0
 }
 
-// storeAge returns the time since the store last confirmed this process's view.
+// storeAge returns the time since the store last confirmed this process's view; a view that it never confirmed is not fresh.
 func (d *Daemon) storeAge() time.Duration {
-	confirmed := d.view.Confirmed()
-	if confirmed.IsZero() {
-		return time.Since(d.member.Started)
-	}
-	return time.Since(confirmed)
+	return d.view.Age()
 }
 
 // storeAway reports whether the last calls to the store failed.
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -16,6 +16,7 @@
 const (
 	journalOpenPause = 500 * time.Millisecond
 	recordsCloseTime = 5 * time.Second // For writing what still waits at a planned stop.
+	giveBackTime     = time.Second     // How long the answer of a request that was not run waits for its key to be free.
 )
 
 // records keeps jobs, outcomes and the account in the store; a store that is away never blocks its callers.
@@ -124,6 +125,13 @@
 	r.once.Complete(job.Team, job.IdempotencyKey, outcome)
 }
 
+// giveBack frees the idempotency key of a request that has certainly not run, so that a repeat may run.
+func (r *records) giveBack(ctx context.Context, job cyclamendyke.Job) {
+	ctx, cancel := context.WithTimeout(ctx, giveBackTime)
+	defer cancel()
+	_ = r.once.Release(ctx, job.Team, job.IdempotencyKey) // Goes on by itself if the store is slow.
+}
+
 // close writes what still waits.
 func (r *records) close() {
 	r.cancel()
