--- a/client/status.go
+++ b/client/status.go
@@ -97,6 +97,6 @@
 			{"tasks", fmt.Sprintf("%d: %d waiting, %d running, %d done, %d failed", status.Job.Tasks, status.Waiting, status.Running, status.Done, status.Failed)},
 			{"accepted", formatTime(status.Job.Accepted)},
 		}
-		return append(outcomeRows(status.Outcome), rows...)
+		return append(rows, outcomeRows(status.Outcome)...)
 	})
 }
