--- a/daemon/records.go
+++ b/daemon/records.go
@@ -16,6 +16,7 @@
 const (
 	journalOpenPause = 500 * time.Millisecond
 	recordsCloseTime = 5 * time.Second // For writing what still waits at a planned stop.
+	giveBackTime     = time.Second     // How long the answer of a request that was not run waits for its key to be free.
 )
 
 // records keeps jobs, outcomes and the account in the store; a store that is away never blocks its callers.
@@ -30,8 +31,8 @@
 	done    sync.WaitGroup
 
 	mu     sync.Mutex
-	epoch  cyclamendyke.Epoch // The latest term asked for.
-	writer *journal.Writer    // Of that term; nil until the journal is open.
+	opened uint64          // Counts the calls of open; an epoch may be opened again after a gap in its authority.
+	writer *journal.Writer // Of the latest call; nil until the journal is open.
 }
 
 func newRecords(member cyclamendyke.Member, store cyclamendyke.Store, away func() bool) *records {
@@ -52,15 +53,16 @@
 	r.mu.Lock()
 	old := r.writer
 	r.writer = nil
-	r.epoch = epoch
+	r.opened++
+	opened := r.opened
 	r.mu.Unlock()
 	r.done.Go(func() {
 		closeWriter(old)
-		for r.isCurrent(epoch) && r.ctx.Err() == nil {
+		for r.isCurrent(opened) && r.ctx.Err() == nil {
 			writer, found, err := r.journal.Open(r.ctx, epoch)
 			switch {
 			case err == nil:
-				r.use(epoch, writer)
+				r.use(opened, writer)
 				loaded(found)
 				return
 			case errors.Is(err, cyclamendyke.KindFenced):
@@ -71,16 +73,16 @@
 	})
 }
 
-func (r *records) isCurrent(epoch cyclamendyke.Epoch) bool {
+func (r *records) isCurrent(opened uint64) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.epoch == epoch
+	return r.opened == opened
 }
 
-// use puts a writer in place unless another term has begun.
-func (r *records) use(epoch cyclamendyke.Epoch, writer *journal.Writer) {
+// use puts a writer in place unless the journal has been opened again.
+func (r *records) use(opened uint64, writer *journal.Writer) {
 	r.mu.Lock()
-	current := r.epoch == epoch
+	current := r.opened == opened
 	if current {
 		r.writer = writer
 	}
@@ -124,6 +126,13 @@
 	r.once.Complete(job.Team, job.IdempotencyKey, outcome)
 }
 
+// giveBack frees the idempotency key of a request that has certainly not run, so that a repeat may run.
+func (r *records) giveBack(ctx context.Context, job cyclamendyke.Job) {
+	ctx, cancel := context.WithTimeout(ctx, giveBackTime)
+	defer cancel()
+	_ = r.once.Release(ctx, job.Team, job.IdempotencyKey) // Goes on by itself if the store is slow.
+}
+
 // close writes what still waits.
 func (r *records) close() {
 	r.cancel()
