Let idle zones keep half of a limit between them

While nobody lacks anything each zone keeps its part of half of the limit; it goes as soon as another zone lacks more than is free.

--- a/core/quota/division.go
+++ b/core/quota/division.go
@@ -51,10 +51,23 @@
 		return min(fair-own.held+headroom(own.want, unmet), free)
 	case unmet > free:
 		return -min(surplus, unmet-free)
+	case unmet == 0:
+		return max(min(floor(limit, claimants)-own.held, free), 0)
 	}
 	return 0
 }
 
+// floor is what a zone keeps without a want, so that it can start work while the store is away.
+func floor(limit int64, claimants []claimant) int64 {
+	alive := int64(0)
+	for _, c := range claimants {
+		if c.alive {
+			alive++
+		}
+	}
+	return limit / (alive * floorFraction)
+}
+
 // headroom is what a zone takes beyond its want while no other zone lacks anything.
 func headroom(want, unmet int64) int64 {
 	if unmet > 0 {
--- a/core/quota/planner.go
+++ b/core/quota/planner.go
@@ -13,6 +13,7 @@
 
 const (
 	moveInterval     = time.Second // Least time between two writes of one zone.
+	floorFraction    = 2           // Idle zones together keep one part in so many of the limit.
 	headroomFraction = 4           // A grant adds one part in so many of the want.
 	wantFraction     = 4           // A recorded want is left alone while it is off by less than one part in so many.
 )
@@ -234,7 +235,7 @@
 		return len(row.Zones) > 0
 	}
 	demand := p.demand[team]
-	zones := p.zonesOf(row)
+	zones := p.zonesOf(row, alive)
 	self := slices.Index(zones, p.config.Zone)
 	own := row.Zones[p.config.Zone]
 	moved, wanted := toVector(own.Held), toVector(demand.Reserved.Add(demand.Waiting))
@@ -269,9 +270,9 @@
 	return changed
 }
 
-// zonesOf returns this zone and those with a part in the row, in order.
-func (p *Planner) zonesOf(row cyclamendyke.TeamAllotments) []cyclamendyke.ZoneName {
-	zones := append(slices.Collect(maps.Keys(row.Zones)), p.config.Zone)
+// zonesOf returns this zone, those that are alive and those with a part in the row, in order.
+func (p *Planner) zonesOf(row cyclamendyke.TeamAllotments, alive []cyclamendyke.ZoneName) []cyclamendyke.ZoneName {
+	zones := slices.Concat(slices.Collect(maps.Keys(row.Zones)), alive, []cyclamendyke.ZoneName{p.config.Zone})
 	slices.Sort(zones)
 	return slices.Compact(zones)
 }
