Connect the daemons of the in-process run and cut workers and thaw in it

Cause: the memory network named port zero, so no daemon heard another and half of the requests found no scheduler. Two nodes of one zone that both take themselves for its scheduler are now a breach.

--- a/proofs/cell.go
+++ b/proofs/cell.go
@@ -187,19 +187,27 @@
 // Scheduler returns the node that holds a zone's role, or nil.
 func (c *Cell) Scheduler(zone cyclamendyke.ZoneName) *Node {
 	for _, node := range c.Nodes {
-		if node.Member.Zone != zone || node.Daemon == nil {
-			continue
-		}
-		states, _ := node.Members(context.Background())
-		for _, state := range states {
-			if state.Member.Name == node.Member.Name && state.Scheduling {
-				return node
-			}
+		if node.Member.Zone == zone && node.schedules() {
+			return node
 		}
 	}
 	return nil
 }
 
+// schedules reports whether the node itself takes its authority for valid.
+func (n *Node) schedules() bool {
+	if n.Daemon == nil {
+		return false
+	}
+	states, _ := n.Members(context.Background())
+	for _, state := range states {
+		if state.Member.Name == n.Member.Name {
+			return state.Scheduling
+		}
+	}
+	return false
+}
+
 // Violations returns the log lines of broken invariants.
 func (c *Cell) Violations() []string {
 	var broken []string
@@ -228,3 +236,6 @@
 	defer b.mu.Unlock()
 	return b.buffer.String()
 }
+
+// Log returns what the daemons have logged.
+func (c *Cell) Log() string { return c.log.String() }
--- a/proofs/cell_test.go
+++ b/proofs/cell_test.go
@@ -126,7 +126,14 @@
 	name := names[r.random.IntN(len(names))]
 	gates := []*proofs.Gate{node.Store, node.Fleet, node.Peers}
 	cuts := []proofs.Fault{proofs.FaultCutOut, proofs.FaultCutBack, proofs.FaultLateOut}
-	switch kind := r.random.IntN(12); kind {
+	switch kind := r.random.IntN(14); kind {
+	case 12:
+		r.cutWorkers(node)
+		return "half the workers cut from " + string(node.Member.Name)
+	case 13:
+		r.cutWorkers(node)
+		r.cell.Store.SetFaults(kv.Faults{Silent: true})
+		return "store silent, half the workers cut from " + string(node.Member.Name)
 	case 0:
 		if err := r.cell.Restart(node); err != nil {
 			r.t.Error(err)
@@ -165,6 +172,15 @@
 	}
 }
 
+// cutWorkers cuts a node from about half of the workers.
+func (r *run) cutWorkers(node *proofs.Node) {
+	for _, name := range r.cell.Fleet.Names() {
+		if r.random.IntN(2) == 0 {
+			r.cell.Fleet.SetFaults(name, worker.Faults{Cut: []string{string(node.Member.Name)}})
+		}
+	}
+}
+
 // wait lets d pass on the fake clock and checks all the while.
 func (r *run) wait(d time.Duration) {
 	for range d / (200 * time.Millisecond) {
@@ -184,11 +200,14 @@
 				defer cell.Close()
 				r := &run{t: t, cell: cell, ledger: &proofs.Ledger{}, random: rand.New(rand.NewPCG(seed, 1))}
 				for range *steps {
-					for range 1 + r.random.IntN(6) {
+					for range 2 + r.random.IntN(8) {
 						r.submit()
 					}
+					if r.random.IntN(2) == 0 {
+						cell.Heal()
+					}
 					t.Log(r.fault())
-					r.wait(time.Duration(1+r.random.IntN(24)) * time.Second)
+					r.wait(time.Duration(2+r.random.IntN(60)) * 500 * time.Millisecond)
 				}
 				cell.Heal()
 				r.wait(7 * time.Minute)
--- a/proofs/network.go
+++ b/proofs/network.go
@@ -76,7 +76,14 @@
 	return nil
 }
 
-func (l *listener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+// address is an address of the network in memory.
+type address string
+
+func (a address) Network() string { return "memory" }
+
+func (a address) String() string { return string(a) }
 
 // gatedConn loses what is written while a gate is shut, as a connection that has gone silent.
 type gatedConn struct {
--- a/proofs/truth.go
+++ b/proofs/truth.go
@@ -60,6 +60,9 @@
 	if err := c.checkWorkers(limits); err != nil {
 		return err
 	}
+	if err := c.checkSchedulers(); err != nil {
+		return err
+	}
 	for _, request := range ledger.Requests() {
 		if err := c.checkRequest(request); err != nil {
 			return fmt.Errorf("request %q answered %+v: %w", request.Payload, request.Outcome, err)
@@ -68,6 +71,21 @@
 	return nil
 }
 
+// checkSchedulers finds two nodes of one zone that both take themselves for its scheduler.
+func (c *Cell) checkSchedulers() error {
+	holders := map[cyclamendyke.ZoneName]cyclamendyke.MemberName{}
+	for _, node := range c.Nodes {
+		if !node.schedules() {
+			continue
+		}
+		if other, taken := holders[node.Member.Zone]; taken {
+			return fmt.Errorf("%s and %s both schedule zone %s", other, node.Member.Name, node.Member.Zone)
+		}
+		holders[node.Member.Zone] = node.Member.Name
+	}
+	return nil
+}
+
 func (c *Cell) checkWorkers(limits map[cyclamendyke.TeamName]cyclamendyke.Resources) error {
 	teams := map[cyclamendyke.TeamName]cyclamendyke.Resources{}
 	for _, vm := range c.rows {
