--- a/core/quota/planner.go
+++ b/core/quota/planner.go
@@ -12,12 +12,10 @@
 const Unlimited = 1 << 50
 
 const (
-	moveInterval     = time.Second      // Least time between two writes of one zone.
-	headroomFraction = 4                // A grant adds one part in so many of the want.
-	baseFraction     = 2                // One part in so many of a limit is held by the zones in equal parts though they do not want it.
-	idleFraction     = 4                // An idle surplus is given up if it is more than one part in so many of what is held.
-	idleInterval     = 30 * time.Second // Between two times at which a zone gives up an idle surplus.
-	wantFraction     = 4                // A recorded want is left alone while it is off by less than one part in so many.
+	moveInterval     = time.Second // Least time between two writes of one zone.
+	floorFraction    = 2           // Idle zones together keep one part in so many of the limit.
+	headroomFraction = 4           // A grant adds one part in so many of the want.
+	wantFraction     = 4           // A recorded want is left alone while it is off by less than one part in so many.
 )
 
 // Config names the zone and the term that a planner works for.
@@ -109,7 +107,7 @@
 	if !p.known || p.sent || overtaken || p.limits == nil || now.Sub(p.lastMove) < moveInterval {
 		return Proposal{}, false
 	}
-	next, changed := p.plan(now, alive)
+	next, changed := p.plan(alive)
 	if !changed && p.confirmed() && len(p.doubtful) == 0 {
 		p.next = nil
 		return Proposal{}, false
@@ -216,21 +214,20 @@
 }
 
 // plan returns the ledger after this zone's moves, and whether it is worth writing.
-func (p *Planner) plan(now time.Time, alive []cyclamendyke.ZoneName) (Ledger, bool) {
+func (p *Planner) plan(alive []cyclamendyke.ZoneName) (Ledger, bool) {
 	next := p.ledger.clone()
 	next.Tables = max(p.tables, p.ledger.Tables)
 	next.Zones[p.config.Zone] = p.config.Epoch
 	teams := slices.Concat(slices.Collect(maps.Keys(p.limits)), p.ledger.TeamNames())
 	slices.Sort(teams)
-	settled := now.Sub(p.lastMove) >= idleInterval
 	changed := false
 	for _, team := range slices.Compact(teams) {
-		changed = p.planTeam(&next, team, alive, settled) || changed
+		changed = p.planTeam(&next, team, alive) || changed
 	}
 	return next, changed
 }
 
-func (p *Planner) planTeam(next *Ledger, team cyclamendyke.TeamName, alive []cyclamendyke.ZoneName, settled bool) bool {
+func (p *Planner) planTeam(next *Ledger, team cyclamendyke.TeamName, alive []cyclamendyke.ZoneName) bool {
 	limit, named := p.limits[team]
 	row := next.Teams[team]
 	if limit.IsZero() && named {
@@ -251,7 +248,7 @@
 		case toVector(row.Limit)[i] == 0:
 			moved[i] = max(moved[i], reserved[i]) // What ran before there was a limit.
 		default:
-			moved[i] += move(limitOf, p.claimants(row, zones, alive, i, wanted[i]), self, reserved[i], settled)
+			moved[i] += move(limitOf, p.claimants(row, zones, alive, i, wanted[i]), self, reserved[i])
 		}
 	}
 	changed := row.Limit != limit || moved != toVector(own.Held) || wantChanged(toVector(own.Want), wanted, moved)
@@ -273,10 +270,9 @@
 	return changed
 }
 
-// zonesOf returns this zone, those with a part in the row and those that are alive, in order.
+// zonesOf returns this zone, those that are alive and those with a part in the row, in order.
 func (p *Planner) zonesOf(row cyclamendyke.TeamAllotments, alive []cyclamendyke.ZoneName) []cyclamendyke.ZoneName {
-	zones := append(slices.Collect(maps.Keys(row.Zones)), p.config.Zone)
-	zones = append(zones, alive...)
+	zones := slices.Concat(slices.Collect(maps.Keys(row.Zones)), alive, []cyclamendyke.ZoneName{p.config.Zone})
 	slices.Sort(zones)
 	return slices.Compact(zones)
 }
