Hold room for the job that has waited longest

Large tasks and gangs could be passed by smaller ones for ever, since whatever fits is placed. Once a second each pool offers to hold room for the job that has waited longest without a place: a single task keeps one worker to itself until it fits, a gang collects room. One holder in a pool at a time, so no two wait for each other; a hold that comes to nothing is given up after two minutes. A timer for each blocked gang, as it was before, is gone. The baseline policies hold nothing.

--- a/core/policy/index.go
+++ b/core/policy/index.go
@@ -153,6 +153,19 @@
 	return best
 }
 
+// Roomiest returns the candidate with most free in the dimension that need takes most of; unlike the searches for room it looks at each.
+func (x *Index) Roomiest(need cyclamendyke.Resources) *Candidate {
+	var most *Candidate
+	d := x.dominant(need)
+	x.byName.Ascend(func(c *Candidate) bool {
+		if most == nil || d.of(c.Free) > d.of(most.Free) {
+			most = c
+		}
+		return true
+	})
+	return most
+}
+
 // Reclaim calls visit for the candidates on which need would fit after preemption, best fit first, until it returns false.
 func (x *Index) Reclaim(need cyclamendyke.Resources, visit func(*Candidate) bool) {
 	x.reclaimable[x.dominant(need)].AscendGreaterOrEqual(&Candidate{Reclaimable: need}, func(c *Candidate) bool {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -27,6 +27,7 @@
 type Set struct {
 	Kinds     map[cyclamendyke.JobKind]Policy
 	FairShare bool // Otherwise jobs go in order of arrival, whatever their team.
+	Holds     bool // Room is held for the job that has waited longest, so that smaller ones don't pass it for ever.
 }
 
 // Standard returns the policies for production: spread services, packed batch, gangs all at once, fair shares.
@@ -38,6 +39,7 @@
 			cyclamendyke.KindGang:    Gang{},
 		},
 		FairShare: true,
+		Holds:     true,
 	}
 }
 
--- a/core/scheduler/blocked.go
+++ b/core/scheduler/blocked.go
@@ -77,6 +77,20 @@
 	return nil
 }
 
+// oldest returns the accepted queue whose first job has waited longest, looking at the first queue of each team.
+func (b *blockedSet) oldest(accept func(*queue) bool) *queue {
+	var oldest *queue
+	for u := range urgencies {
+		for name := range b.orders[u].All() {
+			q, _ := b.teams[u][name].queues.Min()
+			if accept(q) && (oldest == nil || q.head().passedSince().Before(oldest.head().passedSince())) {
+				oldest = q
+			}
+		}
+	}
+	return oldest
+}
+
 func (t *blockedTeam) first(free cyclamendyke.Resources, accept func(*queue) bool) *queue {
 	if !t.least.FitsIn(free) {
 		return nil
--- a/core/scheduler/config.go
+++ b/core/scheduler/config.go
@@ -21,8 +21,8 @@
 	DefaultLeavingGrace      = 30 * time.Second
 	DefaultPreemptAfter      = time.Second
 	DefaultCheckpointTimeout = 3 * time.Second
-	DefaultGangHoldAfter     = 2 * time.Second
-	DefaultGangHoldMax       = 2 * time.Minute
+	DefaultHoldAfter         = 2 * time.Second
+	DefaultHoldMax           = 2 * time.Minute
 	DefaultFailLimit         = 3
 	DefaultWorkerBackOff     = 10 * time.Second
 )
@@ -42,8 +42,8 @@
 	LeavingGrace      time.Duration // From the notice that a VM leaves to the stop of its batch work.
 	PreemptAfter      time.Duration // Urgent work waits this long before it preempts.
 	CheckpointTimeout time.Duration // From a checkpoint to the kill of the same task.
-	GangHoldAfter     time.Duration // A gang waits this long before it holds room for itself.
-	GangHoldMax       time.Duration // A gang gives up the room that it holds after this time.
+	HoldAfter         time.Duration // A job waits this long before room is held for it.
+	HoldMax           time.Duration // Held room is given up after this time.
 	FailLimit         int           // Distinct workers on which a job fails before it is given up.
 	WorkerBackOff     time.Duration // The first back-off of a worker that fails everything; doubled each time.
 	Policies          policy.Set
@@ -62,8 +62,8 @@
 	c.LeavingGrace = cmp.Or(c.LeavingGrace, DefaultLeavingGrace)
 	c.PreemptAfter = cmp.Or(c.PreemptAfter, DefaultPreemptAfter)
 	c.CheckpointTimeout = cmp.Or(c.CheckpointTimeout, DefaultCheckpointTimeout)
-	c.GangHoldAfter = cmp.Or(c.GangHoldAfter, DefaultGangHoldAfter)
-	c.GangHoldMax = cmp.Or(c.GangHoldMax, DefaultGangHoldMax)
+	c.HoldAfter = cmp.Or(c.HoldAfter, DefaultHoldAfter)
+	c.HoldMax = cmp.Or(c.HoldMax, DefaultHoldMax)
 	c.FailLimit = cmp.Or(c.FailLimit, DefaultFailLimit)
 	c.WorkerBackOff = cmp.Or(c.WorkerBackOff, DefaultWorkerBackOff)
 	if c.Policies.Kinds == nil {
--- a/core/scheduler/gang.go
+++ b/core/scheduler/gang.go
@@ -1,13 +1,9 @@
 package scheduler
 
 import (
-	"time"
-
 	"cyclamendyke"
 )
 
-const gangRecheck = time.Second
-
 // placeGang starts all waiting tasks of a gang at once, or holds room for it, or blocks its queue.
 func (s *Scheduler) placeGang(q *queue, j *job) {
 	whole := j.need.Scale(int64(j.waiting.count))
@@ -15,31 +11,28 @@
 		s.blockOnTeam(q, j)
 		return
 	}
-	for _, p := range s.gangPools(q, j) {
-		if !s.fitsInSum(p, whole) {
-			continue
-		}
-		if s.reserveGang(p, j) {
-			s.startGang(q, j)
-			return
-		}
-		s.releaseHolds(j)
-	}
-	if s.holdForGang(q, j) {
+	if s.collectGang(q, j, whole) {
+		s.startGang(q, j)
 		return
 	}
 	s.blockOnPools(q, j)
-	s.recheckGang(q, j)
 }
 
-// gangPools returns the pool that already holds room for the gang, or all that might.
-func (s *Scheduler) gangPools(q *queue, j *job) []*pool {
+// collectGang reserves room for all waiting tasks in one pool and reports whether it could; what it found is kept only where room is held for the gang.
+func (s *Scheduler) collectGang(q *queue, j *job, whole cyclamendyke.Resources) bool {
+	if p := holding(q, j); p != nil {
+		return s.reserveGang(p, j)
+	}
 	for _, p := range q.pools {
-		if p.holder == j {
-			return nil
+		if !s.fitsInSum(p, whole) {
+			continue
+		}
+		if s.reserveGang(p, j) {
+			return true
 		}
+		s.releaseHolds(j)
 	}
-	return q.pools
+	return false
 }
 
 func (s *Scheduler) fitsInSum(p *pool, whole cyclamendyke.Resources) bool {
@@ -58,40 +51,6 @@
 	return true
 }
 
-// holdForGang lets a gang that has waited collect room, one gang in a pool so that no two wait for each other, and reports whether it started.
-func (s *Scheduler) holdForGang(q *queue, j *job) bool {
-	if s.now.Sub(j.waitingSince) < s.cfg.GangHoldAfter {
-		return false
-	}
-	p := s.poolToHold(q, j)
-	if p == nil {
-		return false
-	}
-	if p.holder == nil {
-		p.holder = j
-		s.after(s.cfg.GangHoldMax, func() { s.giveUpHolds(q, p, j) })
-	}
-	if !s.reserveGang(p, j) {
-		return false
-	}
-	s.startGang(q, j)
-	return true
-}
-
-func (s *Scheduler) poolToHold(q *queue, j *job) *pool {
-	for _, p := range q.pools {
-		if p.holder == j {
-			return p
-		}
-	}
-	for _, p := range q.pools {
-		if p.holder == nil && s.placesIn(p, j) >= j.waiting.count {
-			return p
-		}
-	}
-	return nil
-}
-
 // placesIn returns how many tasks of the job an otherwise empty pool would hold.
 func (s *Scheduler) placesIn(p *pool, j *job) int {
 	places := 0
@@ -126,7 +85,7 @@
 
 // startGang sends the starts of a gang whose every task has room.
 func (s *Scheduler) startGang(q *queue, j *job) {
-	s.dropHolder(j)
+	s.dropHold(j)
 	for _, t := range j.tasksInOrder() {
 		if t.state == taskHeld {
 			s.send(t)
@@ -135,41 +94,12 @@
 	s.ready(q)
 }
 
-// recheckGang looks at a blocked gang again after a while, since it may be time to hold room for it.
-func (s *Scheduler) recheckGang(q *queue, j *job) {
-	if j.gangTimer {
-		return
-	}
-	j.gangTimer = true
-	s.after(gangRecheck, func() {
-		j.gangTimer = false
-		if j.state == jobActive && q.head() == j && q.state != queueRunnable {
-			s.ready(q)
-		}
-	})
-}
-
-// giveUpHolds puts a gang that could not be completed behind the others.
-func (s *Scheduler) giveUpHolds(q *queue, p *pool, j *job) {
-	if p.holder != j || j.state != jobActive {
-		return
-	}
-	q.jobs.Delete(j)
-	j.seq = s.seq()
-	j.waitingSince = s.now
-	for _, w := range s.releaseHolds(j) {
-		s.wake(w)
-	}
-	s.enqueue(j)
-	s.ready(q)
-}
-
 // releaseHolds gives back the room that a gang holds without having started and returns the workers that it was on.
 func (s *Scheduler) releaseHolds(j *job) []*worker {
 	if !j.policy.AllAtOnce() {
 		return nil
 	}
-	s.dropHolder(j)
+	s.dropHold(j)
 	var workers []*worker
 	for _, t := range j.tasksInOrder() {
 		if t.state != taskHeld {
@@ -183,27 +113,6 @@
 	return workers
 }
 
-func (s *Scheduler) dropHolder(j *job) {
-	for _, p := range s.pools {
-		if p.holder == j {
-			p.holder = nil
-		}
-	}
-}
-
-// dropHolds gives back the room that gangs hold on a worker which takes no more work.
-func (s *Scheduler) dropHolds(w *worker) {
-	for _, t := range w.tasksInOrder() {
-		if t.state != taskHeld {
-			continue
-		}
-		s.release(t)
-		t.job.waiting.add(t.id.Index)
-		s.recount(t.job)
-		s.enqueue(t.job)
-	}
-}
-
 // failGang stops the rest of a gang that lost a task; it starts again once all have ended.
 func (s *Scheduler) failGang(j *job) {
 	j.gangBroken = true
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -30,6 +30,7 @@
 	counted        int // Waiting tasks in the sums of team and pool.
 	countedIn      cyclamendyke.PoolName
 	waitingSince   time.Time
+	lastPlaced     time.Time // When the latest task got its place.
 	tasks          map[int]*task
 	results        []cyclamendyke.TaskResult
 	done, failed   int
@@ -43,10 +44,10 @@
 	attempts       map[int]int // Failures of each task that has failed.
 	gangAttempts   int
 	gangBroken     bool // One task was lost and the others are being stopped.
-	gangTimer      bool
 	failedOn       []*worker
 	restartDelay   time.Duration
 	notBefore      time.Time
+	pinned         *worker // Kept for its next task.
 	evicting       int
 	preemptTimer   bool
 	outcome        cyclamendyke.Outcome
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -59,13 +59,20 @@
 		s.blockOnPools(q, j)
 		return
 	}
+	if holding(q, j) != nil {
+		s.dropHold(j)
+	}
 	t := s.assign(j, w)
+	j.lastPlaced = s.now
 	s.send(t)
 	s.ready(q)
 }
 
 // choose returns a worker with room for one task of the job.
 func (s *Scheduler) choose(j *job, pools []*pool) *worker {
+	if w := j.pinnedRoom(); w != nil {
+		return w
+	}
 	for _, p := range pools {
 		if w := s.chooseIn(j, p); w != nil {
 			return w
@@ -91,7 +98,7 @@
 	if len(j.failedOn) == 0 || p.index.Len() <= len(j.failedOn) {
 		return false
 	}
-	return !j.policy.AllAtOnce() || s.now.Sub(j.waitingSince) < s.cfg.GangHoldAfter
+	return !j.policy.AllAtOnce() || s.now.Sub(j.waitingSince) < s.cfg.HoldAfter
 }
 
 func acceptAll(*policy.Candidate) bool {
@@ -152,6 +159,9 @@
 // release gives back a task's room and wakes what now fits; it is called only on proof that the task is over or never started.
 func (s *Scheduler) release(t *task) {
 	s.unreserve(t)
+	if j := t.worker.pinnedFor; j != nil && j.pinnedRoom() != nil {
+		s.ready(j.queue)
+	}
 	s.wake(t.worker)
 	s.wakeTeam(s.teamOf(t.job.spec.Team))
 }
--- a/core/scheduler/random_test.go
+++ b/core/scheduler/random_test.go
@@ -41,10 +41,12 @@
 		}
 		r.takeOver(true)
 		rt.Repeat(map[string]func(*rapid.T){
-			"submit":   r.submitAny,
-			"submit2":  r.submitAny,
-			"cancel":   r.cancelAny,
-			"advance":  func(t *rapid.T) { r.advance(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second) },
+			"submit":  r.submitAny,
+			"submit2": r.submitAny,
+			"cancel":  r.cancelAny,
+			"advance": func(t *rapid.T) {
+				r.advance(time.Duration(rapid.SampledFrom([]int{1, 2, 5, 15, 30, 90}).Draw(t, "seconds")) * time.Second)
+			},
 			"tick":     func(*rapid.T) { r.do(r.s.Tick(r.now)) },
 			"finish":   r.finishAny,
 			"finish2":  r.finishAny,
--- a/core/scheduler/result.go
+++ b/core/scheduler/result.go
@@ -174,6 +174,7 @@
 		s.conclude(j, outcome)
 		return
 	}
+	s.dropHold(j)
 	for _, w := range s.releaseHolds(j) {
 		s.wake(w)
 	}
@@ -209,6 +210,7 @@
 
 // retire takes a job with a final outcome out of what waits and remembers it for a while.
 func (s *Scheduler) retire(j *job) {
+	s.dropHold(j)
 	for _, w := range s.releaseHolds(j) {
 		s.wake(w)
 	}
--- a/core/scheduler/scheduler.go
+++ b/core/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	capacity   cyclamendyke.Resources // Of all workers of the zone.
 	nextSeq    uint64
 	ticks      uint64
+	nextHold   time.Time
 	unfinished int
 	finished   []*job // Oldest first.
 	stray      map[cyclamendyke.RequestID][]cyclamendyke.TaskResult
@@ -154,6 +155,7 @@
 	s.ticks++
 	s.timers.run(now)
 	s.forgetFinished()
+	s.offerHolds()
 	s.place()
 	return s.flush()
 }
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"fmt"
 	"regexp"
 	"strconv"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"cyclamendyke"
+	"cyclamendyke/core/policy"
 )
 
 // TestScripts runs each script of testdata against a scheduler over fake workers; any violated invariant fails it.
@@ -34,6 +36,9 @@
 			"store":    onWorld(func(w *world, args []string) { w.storeMode = cyclamendyke.PersistResult(args[0]) }),
 			"hold":     scriptHold,
 			"frozen":   onWorld(func(w *world, _ []string) { w.do(w.s.SetAuthority(w.now, cyclamendyke.Authority{})) }),
+			"baseline": onWorld(func(w *world, _ []string) { w.cfg.Policies = policy.Baseline() }),
+			"tables":   onWorld(changeTables),
+			"summary":  scriptSummary,
 			"want":     scriptWant,
 			"waiting":  scriptWaiting,
 		},
@@ -165,6 +170,41 @@
 	}
 }
 
+// changeTables puts a revision in force in which the named route is gone, or the pool's VMs have other cores.
+func changeTables(w *world, args []string) {
+	changed := testTables()
+	changed.Revision = w.tables.Revision + 1
+	for _, arg := range args {
+		delete(changed.Routes, cyclamendyke.RouteName(arg))
+		if cores, err := strconv.ParseInt(arg, 10, 64); err == nil {
+			row := changed.Pools["p"]
+			row.Shape.Cores = cyclamendyke.MilliCores(cores * 1000)
+			changed.Pools["p"] = row
+		}
+	}
+	older := w.tables
+	w.tables = changed
+	w.do(w.s.SetTables(w.now, changed))
+	w.do(w.s.SetTables(w.now, older))
+}
+
+// scriptSummary compares the cores reserved and the tasks waiting in the pool, a team's demand in cores and the healthy workers.
+func scriptSummary(ts *testscript.TestScript, _ bool, args []string) {
+	w := ts.Value(worldKey{}).(*world)
+	healthy := 0
+	for _, state := range w.s.Workers() {
+		if state.Healthy && state.Claimed && state.BackOff == 0 {
+			healthy++
+		}
+	}
+	p := w.s.Summary()["p"]
+	demand := w.s.Demand()[cyclamendyke.TeamName(args[0])]
+	got := fmt.Sprint(p.Workers, healthy, p.Reserved.Cores, p.Waiting, demand.Reserved.Cores, demand.Waiting.Cores)
+	if want := strings.Join(args[1:], " "); got != want {
+		ts.Fatalf("workers, healthy, reserved, waiting, team reserved, team waiting: %s, want %s", got, want)
+	}
+}
+
 func parseTask(text string) cyclamendyke.TaskID {
 	request, number, _ := strings.Cut(text, "/")
 	index, _ := strconv.Atoi(number)
--- a/core/scheduler/stop.go
+++ b/core/scheduler/stop.go
@@ -14,10 +14,12 @@
 	if t.stopping && mode != cyclamendyke.StopKill {
 		return
 	}
+	if !t.stopping {
+		s.taskEvent(cyclamendyke.EventStopped, t, string(mode))
+	}
 	t.stopping = true
 	s.reindex(t.worker)
 	s.sendStop(t.worker, t.id, mode)
-	s.taskEvent(cyclamendyke.EventStopped, t, string(mode))
 	s.after(s.cfg.CheckpointTimeout, func() {
 		if t.worker.tasks[t.id] == t {
 			s.stop(t, cyclamendyke.StopKill)
--- a/core/scheduler/tables.go
+++ b/core/scheduler/tables.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -116,6 +117,10 @@
 	}
 }
 
+func (s *Scheduler) poolNames() []cyclamendyke.PoolName {
+	return slices.Sorted(maps.Keys(s.pools))
+}
+
 // reorder moves a team to its place in the orders after its use or its waiting work changed.
 func (s *Scheduler) reorder(t *team) {
 	for u := range urgencies {
--- a/core/scheduler/worker.go
+++ b/core/scheduler/worker.go
@@ -24,6 +24,7 @@
 	forgotten    bool      // Renewals have ended until the tasks are proved over.
 	leavingFrom  time.Time // Zero while it is live.
 	goneSince    time.Time // Zero while it is in the list.
+	pinnedFor    *job      // Whose next task goes here before any other work.
 	listingAsked time.Time // The last time that one more listing was asked for.
 	failures     int       // Since the last success.
 	failedJobs   []*job    // Distinct, bounded by maxFailedJobs.
@@ -50,7 +51,7 @@
 // takesWork reports whether new tasks may be placed on the worker.
 func (w *worker) takesWork() bool {
 	return w.claimed && w.reachable() && w.vm.State == cyclamendyke.VMLive && w.goneSince.IsZero() && w.backOffEnds.IsZero() &&
-		(!w.probing || len(w.tasks) == 0)
+		w.pinnedFor == nil && (!w.probing || len(w.tasks) == 0)
 }
 
 func (w *worker) reachable() bool {
