--- a/bench/cell.go
+++ b/bench/cell.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -48,9 +49,9 @@
 }
 
 // newCell starts a zone with its daemons and waits until every worker is claimed.
-func newCell(workers, daemons int) (*cell, error) {
+func newCell(workers int) (*cell, error) {
 	c := &cell{}
-	err := c.start(workers, daemons)
+	err := c.start(workers)
 	if err != nil {
 		c.stop()
 		return nil, err
@@ -58,7 +59,7 @@
 	return c, nil
 }
 
-func (c *cell) start(workers, daemons int) error {
+func (c *cell) start(workers int) error {
 	var err error
 	if c.platform, err = startPlatform("--zones", "a1", "--pool", fmt.Sprintf("search:64:128:0:%d:4", workers)); err != nil {
 		return err
@@ -70,12 +71,12 @@
 	if c.dir, err = os.MkdirTemp("", "cyclamendyke-bench"); err != nil {
 		return err
 	}
-	for i := range daemons {
+	for i := range processDaemons {
 		if err := c.startDaemon(i); err != nil {
 			return err
 		}
 	}
-	return c.wait(func() bool { return c.claimed() == workers })
+	return c.wait(func() bool { return c.claimedBy(c.daemons[0]) == workers })
 }
 
 // configure writes the tables and a key of the first team into the store.
@@ -98,6 +99,7 @@
 // cellTables returns tables of the large fleet's number of teams, of which the first may use the zone.
 func cellTables() cyclamendyke.TablesText {
 	text := tablesText(largeTeams)
+	text.Routes = strings.NewReplacer("limit-cores = 1024", "limit-cores = 100000", "limit-memory = 2TiB", "limit-memory = 200TiB").Replace(text.Routes)
 	text.Pools = "[pool \"search\"]\ncores = 64\nmemory = 128GiB\nslots = 8\nconnections = 64\nzones = a1\nkinds = service, batch, gang\n"
 	return text
 }
@@ -158,16 +160,21 @@
 	return nil
 }
 
-// claimed returns how many workers the zone's scheduler has claimed.
-func (c *cell) claimed() int {
+// workers returns the zone's workers as its scheduler knows them, asked through a daemon.
+func (c *cell) workers(through *daemonProcess) []cyclamendyke.WorkerState {
 	var answer struct {
 		Workers []cyclamendyke.WorkerState `json:"workers"`
 	}
-	if err := c.get(c.daemons[0].member.HTTP, "/v1/workers?zone=a1", &answer); err != nil {
-		return 0
+	if err := c.get(through.member.HTTP, "/v1/workers?zone=a1", &answer); err != nil {
+		return nil // Not ready yet.
 	}
+	return answer.Workers
+}
+
+// claimedBy returns how many workers the zone's scheduler has claimed, asked through a daemon.
+func (c *cell) claimedBy(through *daemonProcess) int {
 	claimed := 0
-	for _, worker := range answer.Workers {
+	for _, worker := range c.workers(through) {
 		if worker.Claimed {
 			claimed++
 		}
@@ -187,17 +194,38 @@
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
 		return nil, nil, err
 	}
+	return c.split(record.Member.Name)
+}
+
+// split returns the named daemon and another one.
+func (c *cell) split(name cyclamendyke.MemberName) (named, other *daemonProcess, err error) {
 	for _, daemon := range c.daemons {
-		if daemon.member.Name == record.Member.Name {
-			holder = daemon
+		if daemon.member.Name == name {
+			named = daemon
 		} else {
-			standby = daemon
+			other = daemon
 		}
 	}
-	if holder == nil || standby == nil {
+	if named == nil || other == nil {
 		return nil, nil, errors.New("the scheduler is none of the daemons")
 	}
-	return holder, standby, nil
+	return named, other, nil
+}
+
+// seenScheduler returns the daemon that its peers see in the zone's role, and another one, without the store.
+func (c *cell) seenScheduler() (holder, standby *daemonProcess, err error) {
+	var answer struct {
+		Members []cyclamendyke.MemberState `json:"members"`
+	}
+	if err := c.get(c.daemons[0].member.HTTP, "/v1/members", &answer); err != nil {
+		return nil, nil, err
+	}
+	for _, state := range answer.Members {
+		if state.Scheduling {
+			return c.split(state.Member.Name)
+		}
+	}
+	return nil, nil, errors.New("no daemon holds the role")
 }
 
 // storeCounts returns the store calls of one daemon.
--- a/bench/main.go
+++ b/bench/main.go
@@ -53,6 +53,9 @@
 		{"decide", "time of a decision and sustained placement by fleet size and backlog", measureDecide},
 		{"idle", "processor time, memory, bytes and store calls of idle daemons by workers", measureIdle},
 		{"load", "the same under work, by started tasks a second", measureLoad},
+		{"takeover", "what the death of a scheduler takes, by running tasks", measureTakeover},
+		{"away", "an idle zone with the store there, away and back", measureAway},
+		{"waves", "a wave of cancellations and the adoption of running tasks", measureWaves},
 		{"policy", "waits, packing and distance from share against first fit in order of arrival", measurePolicy},
 	}
 }
--- a/bench/processes.go
+++ b/bench/processes.go
@@ -1,12 +1,8 @@
 package bench
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +10,9 @@
 	"cyclamendyke"
 )
 
+// loadTask is what each task of a measured cell reserves.
+var loadTask = cyclamendyke.Resources{Cores: 4000, Memory: 8192, Slots: 1, Connections: 4}
+
 const (
 	processDaemons     = largeEntriesPerZone
 	processSettle      = 5 * time.Second
@@ -58,7 +57,7 @@
 }
 
 func idleOnce(workers int, holder, standby *roleSeries) error {
-	c, err := newCell(workers, processDaemons)
+	c, err := newCell(workers)
 	if err != nil {
 		return err
 	}
@@ -80,7 +79,7 @@
 
 // measure returns the rates of the scheduler and of a standby while work runs.
 func (c *cell) measure(work func()) (used, error) {
-	holder, standby, err := c.scheduler()
+	holder, standby, err := c.seenScheduler()
 	if err != nil {
 		return used{}, err
 	}
@@ -94,7 +93,7 @@
 
 // measureLoad measures daemons under work that one standby takes from callers, by started tasks a second.
 func measureLoad(uint64) (*Report, error) {
-	c, err := newCell(largeWorkersPerZone, processDaemons)
+	c, err := newCell(largeWorkersPerZone)
 	if err != nil {
 		return nil, err
 	}
@@ -121,7 +120,7 @@
 
 // load hands in jobs at a standby for processMeasure and returns how many did not run.
 func (c *cell) load(startsPerSecond int, times histogram) int {
-	_, entry, err := c.scheduler()
+	_, entry, err := c.seenScheduler()
 	if err != nil {
 		return 0
 	}
@@ -135,7 +134,7 @@
 	for end := time.Now().Add(processMeasure); time.Now().Before(end); <-ticker.C {
 		jobs.Go(func() {
 			began := time.Now()
-			if c.submit(entry.member.HTTP) != nil {
+			if c.submitTasks(entry.member.HTTP, processTasksPerJob, processPayload, false) != nil {
 				refused.Add(1)
 				return
 			}
@@ -147,36 +146,3 @@
 	jobs.Wait()
 	return int(refused.Load())
 }
-
-// submit hands in one job and waits for its outcome.
-func (c *cell) submit(address string) error {
-	body, err := json.Marshal(cyclamendyke.Submission{
-		Route:   "route-0",
-		Tasks:   processTasksPerJob,
-		PerTask: cyclamendyke.Resources{Cores: 4000, Memory: 8192, Slots: 1, Connections: 4},
-		RunTime: 2 * time.Second,
-		Payload: processPayload,
-	})
-	if err != nil {
-		return err
-	}
-	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/jobs", bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	request.Header.Set("Authorization", "Bearer "+c.key)
-	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err != nil {
-		return err
-	}
-	if response.StatusCode != http.StatusOK {
-		return errors.New(string(answer))
-	}
-	return nil
-}
--- a/bench/state.go
+++ b/bench/state.go
@@ -103,7 +103,7 @@
 		Pools: "[pool \"search\"]\ncores = 64\nmemory = 128GiB\nslots = 8\nconnections = 64\nzones = a1, a2, a3, b1, b2, b3\nkinds = service, batch, gang\n",
 	}
 	for i := range n {
-		text.Routes += fmt.Sprintf("[route \"route-%d\"]\nkind = batch\npools = search\nteams = %s\nmax-queue = 50\nzone-loss = stay\n", i, teamName(i))
+		text.Routes += fmt.Sprintf("[route \"route-%d\"]\nkind = batch\npools = search\nteams = %s\nmax-queue = 50\nurgent = true\nzone-loss = stay\n", i, teamName(i))
 		text.Routes += fmt.Sprintf("[team \"%s\"]\nshare = 3\nlimit-cores = 1024\nlimit-memory = 2TiB\n", teamName(i))
 	}
 	return text
--- a/bench/watch.go
+++ b/bench/watch.go
@@ -1,15 +1,21 @@
 package bench
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"cyclamendyke"
 	"cyclamendyke/core/config"
+	"cyclamendyke/core/tables"
 	"cyclamendyke/platform/kv"
 )
 
-const watchFor = 15 * time.Second
+const (
+	watchFor     = 15 * time.Second
+	watchChanges = 50
+)
 
 // measureWatch counts the store calls of processes that follow the configuration, idle.
 func measureWatch(uint64) (*Report, error) {
@@ -26,7 +32,55 @@
 		reads = append(reads, Point{float64(n), float64(counts[i].Reads) / watchFor.Seconds()})
 	}
 	report.add("configuration watch calls", "calls/s", "process", reads)
-	return report, nil
+	return report, measureInForce(report)
+}
+
+// measureInForce times changes of the tables until every process has them in force.
+func measureInForce(report *Report) error {
+	for _, n := range []int{6, 18, 48} {
+		times := newHistogram()
+		if err := changeTables(n, times); err != nil {
+			return err
+		}
+		report.Distributions = append(report.Distributions, times.distribution(fmt.Sprintf("change of the tables until in force in %d processes", n)))
+	}
+	return nil
+}
+
+// changeTables writes the tables watchChanges times and records when the last of n views has each.
+func changeTables(n int, times histogram) error {
+	service := kv.New(kv.Config{})
+	defer service.Close()
+	store := service.As("view")
+	views := make([]*config.View, 0, n)
+	for range n {
+		views = append(views, config.New(config.Config{Store: store}))
+	}
+	defer func() {
+		for _, view := range views {
+			view.Close()
+		}
+	}()
+	value, err := tables.Encode(tablesText(largeTeams))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), watchFor)
+	defer cancel()
+	revision := cyclamendyke.Revision(0)
+	for range watchChanges {
+		began := time.Now()
+		if revision, err = store.CompareAndSwap(ctx, cyclamendyke.TablesKey, value, revision, 0); err != nil {
+			return err
+		}
+		for _, view := range views {
+			if err := view.Wait(ctx, revision); err != nil {
+				return err
+			}
+		}
+		times.record(time.Since(began))
+	}
+	return nil
 }
 
 // followIdle returns the calls of n views over watchFor.
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -82,6 +82,7 @@
 	MaxJobs           int
 	Seed              uint64
 	RunTime           func(job cyclamendyke.Job) time.Duration
+	Machines          map[cyclamendyke.WorkerName]*zoneMachine // With what an earlier scheduler started; new ones if nil.
 }
 
 // newZone returns a zone whose scheduler has claimed every worker.
@@ -101,7 +102,13 @@
 			Seed:              config.Seed,
 		}),
 	}
+	if config.Machines != nil {
+		z.machines = config.Machines
+	}
 	for _, vm := range config.VMs {
+		if z.machines[vm.Name] != nil {
+			continue
+		}
 		z.machines[vm.Name] = &zoneMachine{vm: vm, running: map[cyclamendyke.TaskID]cyclamendyke.RunningTask{}}
 	}
 	authority := cyclamendyke.Authority{Epoch: z.epoch, Until: z.now.Add(1000 * time.Hour)}
