--- a/bench/main.go
+++ b/bench/main.go
@@ -30,6 +30,7 @@
 	JSON bool   `long:"json" description:"print the report as JSON in place of tables"`
 	Out  string `long:"out" description:"directory for the reports as JSON"`
 	Plot string `long:"plot" description:"directory for plots of the series"`
+	Size string `long:"size" description:"directory with reports, from which the costs of the large fleet are worked out"`
 	Args struct {
 		Experiments []string `positional-arg-name:"EXPERIMENT"`
 	} `positional-args:"yes"`
@@ -78,6 +79,13 @@
 		list(stdout)
 		return exitOK
 	}
+	if err == nil && parsed.Size != "" {
+		if err := printSizing(parsed.Size, stdout); err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFailed
+		}
+		return exitOK
+	}
 	chosen, chooseErr := choose(parsed.Args.Experiments)
 	if err := errors.Join(err, chooseErr); err != nil {
 		fmt.Fprintln(stderr, err)
