--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -8,7 +8,7 @@
 	"cyclamendyke"
 )
 
-// Ledger is the division of every team's upper limit over the zones, as kept at AllotmentsKey.
+// Ledger is the division of every team's upper limit over the zones, as kept in the store, where each team has a key of its own below AllotmentsPrefix.
 type Ledger struct {
 	Tables cyclamendyke.Revision                        // The tables that the limits were taken from.
 	Zones  map[cyclamendyke.ZoneName]cyclamendyke.Epoch // The scheduler that last wrote each zone's rows.
--- a/core/quota/planner.go
+++ b/core/quota/planner.go
@@ -29,7 +29,7 @@
 	Usable map[cyclamendyke.TeamName]cyclamendyke.Resources
 }
 
-// Write is a compare-and-swap of AllotmentsKey.
+// Write is a compare-and-swap of the ledger.
 type Write struct {
 	Expected cyclamendyke.Revision
 	Value    []byte
--- a/daemon/allotments.go
+++ b/daemon/allotments.go
@@ -1,29 +1,43 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cyclamendyke"
 	"cyclamendyke/core/quota"
 )
 
-// quotaKeeper moves this zone's allotments while this process is its scheduler.
+// The rate at which one zone moves allotments, so that the journal keeps its part of the process's writes.
+const (
+	quotaMovesPerSecond = 8
+	quotaMovesAtOnce    = 64 // At the beginning of a term every team's allotment is written once.
+)
+
+// quotaKeeper moves this zone's allotments while this process is its scheduler; each team has a planner and a key of its own.
 type quotaKeeper struct {
-	daemon  *Daemon
-	epoch   cyclamendyke.Epoch
-	planner *quota.Planner // Of the present term; nil while another process holds the role.
+	daemon   *Daemon
+	moves    *rate.Limiter
+	epoch    cyclamendyke.Epoch
+	planners map[cyclamendyke.TeamName]*quota.Planner // Of the present term.
+	inForce  map[cyclamendyke.TeamName]cyclamendyke.Resources
 }
 
 // keepAllotments plans and writes this zone's allotments until ctx ends.
 func (d *Daemon) keepAllotments(ctx context.Context) {
-	keeper := &quotaKeeper{daemon: d}
+	keeper := &quotaKeeper{daemon: d, moves: rate.NewLimiter(quotaMovesPerSecond, quotaMovesAtOnce)}
 	ticker := time.NewTicker(quotaInterval)
 	defer ticker.Stop()
 	for {
-		if keeper.follow() {
-			keeper.move(ctx)
+		if epoch, here := d.control.currentEpoch(); here {
+			keeper.turn(ctx, epoch)
 		}
 		select {
 		case <-ctx.Done():
@@ -33,91 +47,154 @@
 	}
 }
 
-// follow brings the planner up to date, and reports whether this process is the scheduler.
-func (k *quotaKeeper) follow() bool {
-	epoch, here := k.daemon.control.currentEpoch()
+// turn brings every planner up to date and makes the moves that are due, those of teams with waiting work first.
+func (k *quotaKeeper) turn(ctx context.Context, epoch cyclamendyke.Epoch) {
 	tables := k.daemon.tables.Load()
-	if !here || tables == nil {
-		k.planner = nil
-		return false
+	if tables == nil {
+		return
 	}
-	if k.planner == nil || k.epoch != epoch {
+	if k.epoch != epoch {
 		k.epoch = epoch
-		k.planner = quota.New(quota.Config{Zone: k.daemon.member.Zone, Epoch: epoch})
+		k.planners = make(map[cyclamendyke.TeamName]*quota.Planner)
+		k.inForce = make(map[cyclamendyke.TeamName]cyclamendyke.Resources)
+	}
+	demand := k.daemon.control.demand()
+	k.follow(tables, demand)
+	alive := k.aliveZones()
+	for _, team := range k.order(demand) {
+		k.move(ctx, team, alive)
+	}
+	k.putInForce()
+}
+
+// follow gives each planner its team's limit, ledger and demand.
+func (k *quotaKeeper) follow(tables *cyclamendyke.Tables, demand map[cyclamendyke.TeamName]cyclamendyke.TeamDemand) {
+	snapshot := k.daemon.view.Snapshot()
+	for team := range tables.Teams {
+		k.planner(team)
+	}
+	for _, entry := range snapshot.Below(cyclamendyke.AllotmentsPrefix) {
+		k.planner(teamOf(entry))
 	}
-	k.planner.SetLimits(tables.Revision, limitsOf(tables))
-	if snapshot := k.daemon.view.Snapshot(); !snapshot.Confirmed.IsZero() {
-		entry, _ := snapshot.Entry(cyclamendyke.AllotmentsKey) // The zero entry stands for a ledger not written yet.
-		k.setLedger(entry)
+	for team, planner := range k.planners {
+		planner.SetLimits(tables.Revision, limitOf(tables, team))
+		if !snapshot.Confirmed.IsZero() {
+			entry, _ := snapshot.Entry(allotmentKey(team)) // The zero entry stands for a ledger not written yet.
+			k.setLedger(team, entry)
+		}
+		planner.SetDemand(demandOf(demand, team))
+	}
+}
+
+// planner returns the team's planner of this term.
+func (k *quotaKeeper) planner(team cyclamendyke.TeamName) *quota.Planner {
+	if _, ok := k.planners[team]; !ok {
+		k.planners[team] = quota.New(quota.Config{Zone: k.daemon.member.Zone, Epoch: k.epoch})
+	}
+	return k.planners[team]
+}
+
+// order returns the teams with waiting work, and then the others, each by name.
+func (k *quotaKeeper) order(demand map[cyclamendyke.TeamName]cyclamendyke.TeamDemand) []cyclamendyke.TeamName {
+	idle := func(team cyclamendyke.TeamName) int {
+		if demand[team].Waiting.IsZero() {
+			return 1
+		}
+		return 0
 	}
-	k.planner.SetDemand(k.daemon.control.demand())
-	return true
+	return slices.SortedFunc(maps.Keys(k.planners), func(a, b cyclamendyke.TeamName) int {
+		return cmp.Or(cmp.Compare(idle(a), idle(b)), cmp.Compare(a, b))
+	})
 }
 
-func (k *quotaKeeper) setLedger(entry cyclamendyke.Entry) {
+func (k *quotaKeeper) setLedger(team cyclamendyke.TeamName, entry cyclamendyke.Entry) {
 	ledger, err := quota.Decode(entry.Value)
 	if err != nil {
-		k.daemon.log.Error("allotments in the store cannot be read", "err", err)
+		k.daemon.log.Error("allotments in the store cannot be read", "team", team, "err", err)
 		return
 	}
-	k.planner.SetLedger(entry.Revision, ledger)
+	k.planners[team].SetLedger(entry.Revision, ledger)
+}
+
+// allotmentKey returns the key of a team's ledger.
+func allotmentKey(team cyclamendyke.TeamName) string {
+	return cyclamendyke.AllotmentsPrefix + string(team)
+}
+
+func teamOf(entry cyclamendyke.Entry) cyclamendyke.TeamName {
+	return cyclamendyke.TeamName(strings.TrimPrefix(entry.Key, cyclamendyke.AllotmentsPrefix))
 }
 
-// limitsOf returns the upper limit of each team.
-func limitsOf(tables *cyclamendyke.Tables) map[cyclamendyke.TeamName]cyclamendyke.Resources {
-	limits := make(map[cyclamendyke.TeamName]cyclamendyke.Resources, len(tables.Teams))
-	for name, team := range tables.Teams {
-		limits[name] = team.Limit
+// limitOf returns the team's upper limit alone, or nothing if the tables have no such team any more.
+func limitOf(tables *cyclamendyke.Tables, team cyclamendyke.TeamName) map[cyclamendyke.TeamName]cyclamendyke.Resources {
+	limits := make(map[cyclamendyke.TeamName]cyclamendyke.Resources, 1)
+	if row, ok := tables.Teams[team]; ok {
+		limits[team] = row.Limit
 	}
 	return limits
 }
 
+// demandOf returns the team's demand alone.
+func demandOf(demand map[cyclamendyke.TeamName]cyclamendyke.TeamDemand, team cyclamendyke.TeamName) map[cyclamendyke.TeamName]cyclamendyke.TeamDemand {
+	return map[cyclamendyke.TeamName]cyclamendyke.TeamDemand{team: demand[team]}
+}
+
 // move releases what the zone does not need and takes what it may; what it releases is out of use before the write is sent.
-func (k *quotaKeeper) move(ctx context.Context) {
-	proposal, ok := k.planner.Next(time.Now(), k.aliveZones())
-	if !ok {
-		k.putInForce(k.planner.Usable())
+func (k *quotaKeeper) move(ctx context.Context, team cyclamendyke.TeamName, alive []cyclamendyke.ZoneName) {
+	planner := k.planners[team]
+	proposal, ok := planner.Next(time.Now(), alive)
+	if !ok || !k.moves.Allow() {
 		return
 	}
-	if !k.putInForce(proposal.Usable) {
-		return
+	if usable := proposal.Usable[team]; usable != k.inForce[team] {
+		k.inForce[team] = usable
+		if !k.daemon.control.setAllotments(k.epoch, maps.Clone(k.inForce)) {
+			return
+		}
 	}
-	write, ok := k.planner.Commit(time.Now(), k.daemon.control.demand())
-	if !ok {
-		return
+	write, ok := planner.Commit(time.Now(), demandOf(k.daemon.control.demand(), team))
+	if ok {
+		k.write(ctx, team, write)
 	}
-	k.write(ctx, write)
-	k.putInForce(k.planner.Usable())
 }
 
-func (k *quotaKeeper) putInForce(usable map[cyclamendyke.TeamName]cyclamendyke.Resources) bool {
-	return k.daemon.control.setAllotments(k.epoch, usable)
+// putInForce tells the scheduler what each team may use; it is told each turn, since authority that lapsed and came back began with nothing.
+func (k *quotaKeeper) putInForce() {
+	usable := make(map[cyclamendyke.TeamName]cyclamendyke.Resources, len(k.planners))
+	for team, planner := range k.planners {
+		if allowed, ok := planner.Usable()[team]; ok {
+			usable[team] = allowed
+		}
+	}
+	k.inForce = usable
+	k.daemon.control.setAllotments(k.epoch, maps.Clone(usable))
 }
 
 // write sends one compare-and-swap and tells the planner what became of it.
-func (k *quotaKeeper) write(ctx context.Context, write quota.Write) {
+func (k *quotaKeeper) write(ctx context.Context, team cyclamendyke.TeamName, write quota.Write) {
 	ctx, cancel := context.WithTimeout(ctx, quotaWriteTimeout)
 	defer cancel()
-	revision, err := k.daemon.platform.Store.CompareAndSwap(ctx, cyclamendyke.AllotmentsKey, write.Value, write.Expected, 0)
+	planner := k.planners[team]
+	revision, err := k.daemon.platform.Store.CompareAndSwap(ctx, allotmentKey(team), write.Value, write.Expected, 0)
 	switch {
 	case err == nil:
-		k.planner.Written(revision)
+		planner.Written(revision)
 		k.daemon.metrics.quotaMoves.Inc()
-		k.daemon.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventQuotaMoved, Epoch: k.epoch, Detail: revisionDetail("allotments", revision)})
+		k.daemon.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventQuotaMoved, Team: team, Epoch: k.epoch, Detail: revisionDetail("allotments", revision)})
 	case errors.Is(err, cyclamendyke.KindConflict):
-		k.planner.NotWritten()
-		k.readLedger(ctx)
+		planner.NotWritten()
+		k.readLedger(ctx, team)
 	case errors.Is(err, cyclamendyke.KindUnavailable), errors.Is(err, cyclamendyke.KindLimited), errors.Is(err, cyclamendyke.KindTooLarge):
-		k.planner.NotWritten()
+		planner.NotWritten()
 	default:
-		k.planner.InDoubt(write.Expected)
+		planner.InDoubt(write.Expected)
 	}
 }
 
 // readLedger reads the ledger that another zone wrote first, without waiting for the watch.
-func (k *quotaKeeper) readLedger(ctx context.Context) {
-	if entry, err := k.daemon.platform.Store.Get(ctx, cyclamendyke.AllotmentsKey); err == nil {
-		k.setLedger(entry)
+func (k *quotaKeeper) readLedger(ctx context.Context, team cyclamendyke.TeamName) {
+	if entry, err := k.daemon.platform.Store.Get(ctx, allotmentKey(team)); err == nil {
+		k.setLedger(team, entry)
 	}
 }
 
@@ -131,17 +208,19 @@
 	return zones
 }
 
-// Allotments returns how each team's upper limit is divided, as this process last saw it.
+// Allotments returns how each team's upper limit is divided, as this process last saw it, and the latest revision among them.
 func (d *Daemon) Allotments(context.Context) (map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments, cyclamendyke.Revision) {
-	entry, ok := d.view.Snapshot().Entry(cyclamendyke.AllotmentsKey)
-	if !ok {
-		return map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments{}, 0
-	}
-	ledger, err := quota.Decode(entry.Value)
-	if err != nil {
-		return map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments{}, 0
+	teams := make(map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments)
+	latest := cyclamendyke.Revision(0)
+	for _, entry := range d.view.Snapshot().Below(cyclamendyke.AllotmentsPrefix) {
+		ledger, err := quota.Decode(entry.Value)
+		if err != nil {
+			continue
+		}
+		maps.Copy(teams, ledger.Teams)
+		latest = max(latest, entry.Revision)
 	}
-	return ledger.Teams, entry.Revision
+	return teams, latest
 }
 
 // demand returns what each team has reserved here and would use besides.
--- a/store.go
+++ b/store.go
@@ -41,14 +41,14 @@
 
 // Keys of the store; everything below WatchedPrefix is followed by one watch per process.
 const (
-	WatchedPrefix   = "watched/"
-	TablesKey       = WatchedPrefix + "tables"
-	KeysKey         = WatchedPrefix + "keys"
-	AllotmentsKey   = WatchedPrefix + "allotments"
-	MembersPrefix   = WatchedPrefix + "members/"    // Plus zone and member; tied to a lease.
-	SchedulerPrefix = WatchedPrefix + "schedulers/" // Plus zone; tied to the holder's lease.
-	EpochPrefix     = "epochs/"                     // Plus zone; outlives leases, never decreases.
-	JournalPrefix   = "journal/"                    // Plus zone and segment.
-	AccountPrefix   = "account/"                    // Plus zone and segment.
-	OncePrefix      = "once/"                       // Plus slot of the idempotency key.
+	WatchedPrefix    = "watched/"
+	TablesKey        = WatchedPrefix + "tables"
+	KeysKey          = WatchedPrefix + "keys"
+	AllotmentsPrefix = WatchedPrefix + "allotments/" // Plus team.
+	MembersPrefix    = WatchedPrefix + "members/"    // Plus zone and member; tied to a lease.
+	SchedulerPrefix  = WatchedPrefix + "schedulers/" // Plus zone; tied to the holder's lease.
+	EpochPrefix      = "epochs/"                     // Plus zone; outlives leases, never decreases.
+	JournalPrefix    = "journal/"                    // Plus zone and segment.
+	AccountPrefix    = "account/"                    // Plus zone and segment.
+	OncePrefix       = "once/"                       // Plus slot of the idempotency key.
 )
