Send the state in a heartbeat only after a change, and less often to other zones

A heartbeat now holds the state only if the peer lacks it, and goes each 4 s to peers of other zones, 2 s within the zone; a change of role is told at once, and a peer that does not know the state asks for it. Ruled out: heartbeats to schedulers only, since the rule of freshness needs an answer from every known process.

--- a/bench/heartbeats.go
+++ b/bench/heartbeats.go
@@ -11,16 +11,17 @@
 	"cyclamendyke"
 	"cyclamendyke/core/config"
 	"cyclamendyke/core/timeline"
+	"cyclamendyke/daemon"
 	"cyclamendyke/io/peer"
 )
 
-const heartbeatsFor = 6 * time.Second
+const heartbeatsFor = 12 * time.Second
 
 // beatHandler answers heartbeats and nothing else.
 type beatHandler struct{ peer.Handler }
 
 // Heartbeat answers with an up-to-date view.
-func (beatHandler) Heartbeat(context.Context, cyclamendyke.MemberState) (peer.ViewState, error) {
+func (beatHandler) Heartbeat(context.Context, peer.Beat) (peer.ViewState, error) {
 	return peer.ViewState{StoreAge: time.Second, TablesRevision: 520, KeysRevision: 517}, nil
 }
 
@@ -86,6 +87,8 @@
 		OnView:    func(cyclamendyke.Member, time.Time, peer.ViewState) {},
 		OnVerdict: func(cyclamendyke.Member, bool) {},
 		Dial:      counted.dial,
+		// The peers count as those of other zones, which get most of the heartbeats.
+		FarInterval: daemon.FarHeartbeatInterval,
 	})
 	defer pool.Close()
 	members := make([]cyclamendyke.Member, 0, n)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,12 +140,14 @@
 	d.registry = keys.New(keys.Config{Writer: writer})
 	d.reader = account.NewReader(account.ReaderConfig{Store: platform.Store})
 	d.peers = peer.NewPool(peer.PoolConfig{
-		Self:      member.Name,
-		Clock:     clock,
-		State:     d.state,
-		OnView:    d.peerView,
-		OnVerdict: d.peerVerdict,
-		Dial:      cfg.Dial,
+		Self:        member.Name,
+		Clock:       clock,
+		State:       d.state,
+		OnView:      d.peerView,
+		OnVerdict:   d.peerVerdict,
+		Zone:        member.Zone,
+		FarInterval: FarHeartbeatInterval,
+		Dial:        cfg.Dial,
 	})
 	d.view = config.New(config.Config{
 		Store:       platform.Store,
--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -10,7 +10,7 @@
 )
 
 // stateLifetime is how long a peer's last heartbeat speaks for it.
-const stateLifetime = 10 * time.Second
+const stateLifetime = 12 * time.Second
 
 // directory holds the last state heard from each process, this one included.
 type directory struct {
@@ -35,6 +35,20 @@
 	d.states[state.Member.Name] = heardState{state: state, at: now}
 }
 
+// renew takes in that a state has not changed; it reports false if the state is not known here.
+func (d *directory) renew(member cyclamendyke.MemberName, storeAge time.Duration, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	heard, ok := d.states[member]
+	if !ok || now.Sub(heard.at) > stateLifetime {
+		return false
+	}
+	heard.at = now
+	heard.state.StoreAge = storeAge
+	d.states[member] = heard
+	return true
+}
+
 // forget drops the state of a process that is lost.
 func (d *directory) forget(member cyclamendyke.MemberName) {
 	d.mu.Lock()
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -12,8 +12,12 @@
 	"cyclamendyke/io/peer"
 )
 
+// FarHeartbeatInterval is the time between heartbeats to daemons of other zones; a change of role is told at once.
+const FarHeartbeatInterval = 4 * time.Second
+
 // The timing of what is read again and again.
 const (
+	farHeartbeatInterval  = 4 * time.Second // To daemons of other zones; a change of role is told at once.
 	ownStateInterval      = 500 * time.Millisecond
 	holderConfirmedWithin = config.DefaultConfirmWithin
 	vmListInterval        = 2 * time.Second
@@ -198,12 +202,20 @@
 }
 
 // Heartbeat takes in a peer's state and answers with the freshness of this process's view.
-func (d *Daemon) Heartbeat(_ context.Context, state cyclamendyke.MemberState) (peer.ViewState, error) {
-	d.directory.hear(state, time.Now())
+func (d *Daemon) Heartbeat(_ context.Context, beat peer.Beat) (peer.ViewState, error) {
+	now := time.Now()
+	known := true
+	if beat.State != nil {
+		beat.State.StoreAge = beat.StoreAge
+		d.directory.hear(*beat.State, now)
+	} else {
+		known = d.directory.renew(beat.Member, beat.StoreAge, now)
+	}
 	return peer.ViewState{
 		StoreAge:       d.storeAge(),
 		TablesRevision: d.tablesRevision(),
 		KeysRevision:   d.keyRing.Load().Revision,
+		StateWanted:    !known,
 	}, nil
 }
 
--- a/io/peer/closing_test.go
+++ b/io/peer/closing_test.go
@@ -16,7 +16,7 @@
 // closingHandler answers heartbeats at once.
 type closingHandler struct{ Handler }
 
-func (closingHandler) Heartbeat(context.Context, cyclamendyke.MemberState) (ViewState, error) {
+func (closingHandler) Heartbeat(context.Context, Beat) (ViewState, error) {
 	return ViewState{}, nil
 }
 
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -11,17 +11,25 @@
 	"cyclamendyke/core/config"
 )
 
+// Beat is a heartbeat; it holds the whole state only after a change.
+type Beat struct {
+	Member   cyclamendyke.MemberName   `json:"member"`
+	StoreAge time.Duration             `json:"store-age-ns"` // Since the store last confirmed the sender's view.
+	State    *cyclamendyke.MemberState `json:"state,omitempty"`
+}
+
 // ViewState is the answer to a heartbeat: how fresh the answering process's view of the store is.
 type ViewState struct {
 	StoreAge       time.Duration         `json:"store-age-ns"` // Since the store last confirmed the view.
 	TablesRevision cyclamendyke.Revision `json:"tables-revision"`
 	KeysRevision   cyclamendyke.Revision `json:"keys-revision"`
+	StateWanted    bool                  `json:"state-wanted,omitempty"` // The answering process does not know the sender's state.
 }
 
 // Handler answers the calls of other processes; its errors match KindNotScheduler, KindNotFound or KindConflict.
 type Handler interface {
 	// Heartbeat takes in a peer's state and returns how fresh this process's view is.
-	Heartbeat(ctx context.Context, state cyclamendyke.MemberState) (ViewState, error)
+	Heartbeat(ctx context.Context, beat Beat) (ViewState, error)
 	// Submit hands a job to the zone's scheduler and waits for its outcome; it is idempotent by request.
 	Submit(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error)
 	// Status returns what the zone's scheduler knows of a request.
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"reflect"
 	"sync"
 	"time"
 
@@ -26,7 +27,8 @@
 	client *jrpc2.Client
 	alive  bool // The last heartbeat was answered.
 	cancel context.CancelFunc
-	now    chan struct{} // Asks for a heartbeat before its turn.
+	now    chan struct{}             // Asks for a heartbeat before its turn.
+	told   *cyclamendyke.MemberState // What the peer knows; used by the heartbeats' goroutine alone.
 }
 
 // connect returns the open connection or dials a fresh one.
@@ -88,6 +90,9 @@
 func (l *link) beat(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) (ViewState, time.Time, error) {
 	sent := time.Now()
 	view, err := l.beatOnce(ctx, state, timeout)
+	if err == nil && view.StateWanted {
+		view, err = l.beatOnce(ctx, state, timeout)
+	}
 	if err == nil || ctx.Err() != nil {
 		return view, sent, err
 	}
@@ -97,10 +102,23 @@
 	return view, sent, err
 }
 
+// beatOnce sends the whole state if the peer lacks it, and otherwise only that there is no change.
 func (l *link) beatOnce(ctx context.Context, state cyclamendyke.MemberState, timeout time.Duration) (ViewState, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return call[cyclamendyke.MemberState, ViewState](ctx, l, methodHeartbeat, state)
+	beat := Beat{Member: state.Member.Name, StoreAge: state.StoreAge}
+	state.StoreAge = 0
+	if !reflect.DeepEqual(l.told, &state) {
+		beat.State = &state
+	}
+	view, err := call[Beat, ViewState](ctx, l, methodHeartbeat, beat)
+	switch {
+	case err != nil || view.StateWanted:
+		l.told = nil
+	case beat.State != nil:
+		l.told = &state
+	}
+	return view, err
 }
 
 // setAlive notes the verdict and reports whether it changed.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -27,8 +27,10 @@
 	OnView            func(member cyclamendyke.Member, sent time.Time, answer ViewState) // Called with the answer to each heartbeat.
 	OnVerdict         func(member cyclamendyke.Member, alive bool)                       // Called when a peer is lost or back.
 	Dial              Dial                                                               // The system's dialer if nil.
-	HeartbeatInterval time.Duration                                                      // DefaultHeartbeatInterval if zero.
-	HeartbeatTimeout  time.Duration                                                      // DefaultHeartbeatTimeout if zero.
+	FarInterval       time.Duration                                                      // Between heartbeats to peers of other zones; HeartbeatInterval if zero.
+	Zone              cyclamendyke.ZoneName
+	HeartbeatInterval time.Duration // DefaultHeartbeatInterval if zero.
+	HeartbeatTimeout  time.Duration // DefaultHeartbeatTimeout if zero.
 }
 
 // Pool keeps one connection with heartbeats to every other process.
@@ -87,7 +89,7 @@
 	l := &link{member: member, dial: p.cfg.Dial, clock: p.cfg.Clock, dialTimeout: p.cfg.HeartbeatTimeout, cancel: cancel, now: make(chan struct{}, 1)}
 	p.done.Go(func() {
 		defer l.drop()
-		ticker := time.NewTicker(p.cfg.HeartbeatInterval)
+		ticker := time.NewTicker(p.interval(member))
 		defer ticker.Stop()
 		for {
 			view, sent, err := l.beat(ctx, p.cfg.State(), p.cfg.HeartbeatTimeout)
@@ -111,6 +113,14 @@
 	return l
 }
 
+// interval returns the time between heartbeats to a peer.
+func (p *Pool) interval(member cyclamendyke.Member) time.Duration {
+	if member.Zone != p.cfg.Zone && p.cfg.FarInterval > 0 {
+		return p.cfg.FarInterval
+	}
+	return p.cfg.HeartbeatInterval
+}
+
 // BeatNow sends a heartbeat to every peer before its turn.
 func (p *Pool) BeatNow() {
 	p.mu.Lock()
--- a/io/peer/silence_test.go
+++ b/io/peer/silence_test.go
@@ -63,7 +63,7 @@
 // blockingHandler answers heartbeats; submissions of the request "held" wait until they are cancelled.
 type blockingHandler struct{ submitted chan cyclamendyke.RequestID }
 
-func (blockingHandler) Heartbeat(context.Context, cyclamendyke.MemberState) (ViewState, error) {
+func (blockingHandler) Heartbeat(context.Context, Beat) (ViewState, error) {
 	return ViewState{KeysRevision: 7}, nil
 }
 
