Hold renewals for 10 s and sessions for 22 s

Cause: renewals are the larger part of a scheduler's control traffic, 24 a second at 120 workers and 529 bytes each, 12.7 KB/s of 11 allowed (CAPACITY.md). A hold of 10 s makes them 12 a second; the session has to outlive two of them. With the store up sessions are preemptible and nothing changes. The bounds of the role's tests stay as they were and hold.

--- a/core/role/config.go
+++ b/core/role/config.go
@@ -21,9 +21,9 @@
 // The timing used for fields of Config that are zero.
 const (
 	DefaultStoreLeaseTTL = 4 * time.Second
-	DefaultSessionTTL    = 15 * time.Second
+	DefaultSessionTTL    = 22 * time.Second
 	DefaultTaskTTL       = 60 * time.Second
-	DefaultHold          = 5 * time.Second
+	DefaultHold          = 10 * time.Second
 	DefaultClockMargin   = 250 * time.Millisecond
 )
 
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -17,7 +17,7 @@
 
 // The bounds of forwarding a caller's request.
 const (
-	schedulerWait    = 12 * time.Second // How long a request waits for its zone to have a scheduler.
+	schedulerWait    = 30 * time.Second // How long a request waits for its zone to have a scheduler; a takeover without the store takes less.
 	forwardPause     = 150 * time.Millisecond
 	forwardPauseMax  = 2 * time.Second
 	retryBudgetRate  = 50  // Retries a second that a process makes at most.
