--- a/proofs/cell_test.go
+++ b/proofs/cell_test.go
@@ -85,6 +85,8 @@
 	ledger *proofs.Ledger
 	random *rand.Rand
 	sent   int
+
+	revisions map[cyclamendyke.MemberName]cyclamendyke.Revision // Of the tables last seen in force.
 }
 
 // submit hands in one request at a random node.
@@ -172,6 +174,43 @@
 	}
 }
 
+// cancelAll cancels every request that has an identifier, in one wave.
+func (r *run) cancelAll() {
+	daemon := r.node().Daemon
+	for _, request := range r.ledger.Requests() {
+		if request.Outcome.Verdict == cyclamendyke.VerdictPending {
+			go func() { _, _ = daemon.Cancel(r.t.Context(), "", request.Outcome.Request) }()
+		}
+	}
+}
+
+// raceOperators lets every node edit the same revision of the tables; at most one may win, and no node may go back.
+func (r *run) raceOperators() {
+	_, before, err := r.node().Tables(r.t.Context())
+	if err != nil {
+		return
+	}
+	for i, node := range r.cell.Nodes {
+		text := tables
+		text.Routes = fmt.Sprintf("# %d by %d\n%s", r.sent, i, tables.Routes)
+		go func() { _, _ = node.EditTables(r.t.Context(), text, before) }()
+	}
+}
+
+// checkRevisions finds a node whose tables went back; a restarted one begins anew.
+func (r *run) checkRevisions() {
+	for _, node := range r.cell.Nodes {
+		_, revision, err := node.Tables(r.t.Context())
+		if err != nil {
+			continue
+		}
+		if revision < r.revisions[node.Member.Name] {
+			r.t.Fatalf("%s went from tables %d back to %d", node.Member.Name, r.revisions[node.Member.Name], revision)
+		}
+		r.revisions[node.Member.Name] = revision
+	}
+}
+
 // cutWorkers cuts a node from about half of the workers.
 func (r *run) cutWorkers(node *proofs.Node) {
 	for _, name := range r.cell.Fleet.Names() {
@@ -188,6 +227,7 @@
 		if err := r.cell.Check(r.ledger, limits); err != nil {
 			r.t.Fatal(err)
 		}
+		r.checkRevisions()
 	}
 }
 
@@ -198,7 +238,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				cell := newCell(t, seed)
 				defer cell.Close()
-				r := &run{t: t, cell: cell, ledger: &proofs.Ledger{}, random: rand.New(rand.NewPCG(seed, 1))}
+				r := &run{t: t, cell: cell, ledger: &proofs.Ledger{}, random: rand.New(rand.NewPCG(seed, 1)), revisions: map[cyclamendyke.MemberName]cyclamendyke.Revision{}}
 				for range *steps {
 					for range 2 + r.random.IntN(8) {
 						r.submit()
@@ -206,6 +246,12 @@
 					if r.random.IntN(2) == 0 {
 						cell.Heal()
 					}
+					switch r.random.IntN(6) {
+					case 0:
+						r.cancelAll()
+					case 1:
+						r.raceOperators()
+					}
 					t.Log(r.fault())
 					r.wait(time.Duration(2+r.random.IntN(60)) * 500 * time.Millisecond)
 				}
