--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -58,6 +58,7 @@
 	journaled bool // The journal's records were handed to this term's scheduler.
 
 	order      atomic.Pointer[sessionOrder]
+	starts     atomic.Uint64
 	scheduling atomic.Pointer[cyclamendyke.Epoch] // Nil while another process holds the role.
 }
 
@@ -367,6 +368,7 @@
 		workers: c.cfg.Workers,
 		events:  c,
 		order:   &c.order,
+		starts:  &c.starts,
 		kick:    make(chan struct{}, 1),
 		orders:  make(chan cyclamendyke.Command, orderQueueLength),
 		cancel:  cancel,
--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -43,7 +43,8 @@
 	workers cyclamendyke.Workers
 	events  workerEvents
 	order   *atomic.Pointer[sessionOrder]
-	kick    chan struct{} // Says that order has changed.
+	starts  *atomic.Uint64 // Counts the starts that this process has sent.
+	kick    chan struct{}  // Says that order has changed.
 	orders  chan cyclamendyke.Command
 	cancel  context.CancelFunc
 	invited atomic.Bool // The role asks for one claim.
@@ -115,6 +116,7 @@
 		claim.Hold = 0
 	}
 	claim.Ack = l.ack
+	claim.StartFloor = l.starts.Load() + 1
 	sent := time.Now()
 	report, err := l.send(ctx, claim, fresh)
 	if err != nil {
@@ -206,5 +208,6 @@
 	if !time.Now().Before(order.NotAfter) {
 		return &Error{Op: "start", Kind: cyclamendyke.KindUnavailable, Err: errors.New("the authority lapsed before the start was sent")}
 	}
+	order.Start.Order = l.starts.Add(1)
 	return l.workers.Start(ctx, l.vm.Name, order.Start)
 }
--- a/proofs/takeover_test.go
+++ b/proofs/takeover_test.go
@@ -199,3 +199,21 @@
 		is.NoErr(cell.Check(&proofs.Ledger{}, limits))
 	})
 }
+
+// TestLateStartInTheSameTerm delays the first copies of starts until their tasks have run from a later copy and were reported.
+func TestLateStartInTheSameTerm(t *testing.T) {
+	inZone(t, func(is *is.I, cell *proofs.Cell, holder, _ *proofs.Node) {
+		once := small("once")
+		once.NotRepeatable = true
+		holder.Fleet.Set(proofs.FaultLateOut)
+		ledger := submitAll(holder, small("a"), once)
+		time.Sleep(time.Second)
+		holder.Fleet.Set(proofs.FaultNone)
+		is.True(await(time.Minute, func() bool { return answered(ledger) }))
+		time.Sleep(time.Minute)
+		is.NoErr(cell.Check(ledger, limits))
+		for _, request := range ledger.Requests() {
+			is.Equal(cell.Fleet.Runs(request.Payload), 1)
+		}
+	})
+}
--- a/worker.go
+++ b/worker.go
@@ -25,6 +25,8 @@
 	Hold       time.Duration `json:"hold-ns"`     // How long a renewal may wait for something to report.
 	// ModeVersion rises with each change of Mode within an epoch; a worker ignores the mode of a lower version.
 	ModeVersion uint64 `json:"mode-version,omitempty"`
+	// StartFloor is above the Order of every start sent before this call under the epoch; the worker refuses those that arrive after it.
+	StartFloor uint64 `json:"start-floor,omitempty"`
 }
 
 // RunningTask is one task that a worker holds.
@@ -58,6 +60,7 @@
 	Task     TaskID    `json:"task"`
 	Job      Job       `json:"job"`
 	Reserved Resources `json:"reserved"`
+	Order    uint64    `json:"order,omitempty"` // Rises with each start sent under the epoch.
 }
 
 // StopMode says how a task is to be ended.
@@ -76,7 +79,7 @@
 	Claim(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
 	// Renew extends the session and every task lease, and waits up to claim.Hold for something to report.
 	Renew(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
-	// Start runs a task; it is idempotent for the same task under the same epoch.
+	// Start runs a task; it is idempotent for the same task under the same epoch until a report of its end is answered, and KindNoSession below the epoch's StartFloor.
 	Start(ctx context.Context, worker WorkerName, start TaskStart) error
 	// Stop throttles, checkpoints or kills a task; a task that is not there counts as stopped.
 	Stop(ctx context.Context, worker WorkerName, epoch Epoch, task TaskID, mode StopMode) error
