Feed the gang that room is held for, and bound urgent waits

Now freed room goes straight to the gang that holds room, a single task is offered a hold only after ten times as long, and the first eight queues of each team are looked at.

--- a/core/policy/index.go
+++ b/core/policy/index.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 
 	"github.com/google/btree"
@@ -157,15 +158,21 @@
 func (x *Index) Roomiest(need cyclamendyke.Resources) *Candidate {
 	var most *Candidate
 	d := x.dominant(need)
-	x.byName.Ascend(func(c *Candidate) bool {
+	for c := range x.All() {
 		if most == nil || d.of(c.Free) > d.of(most.Free) {
 			most = c
 		}
-		return true
-	})
+	}
 	return most
 }
 
+// All yields the candidates in order of name; the index must not be changed meanwhile.
+func (x *Index) All() iter.Seq[*Candidate] {
+	return func(yield func(*Candidate) bool) {
+		x.byName.Ascend(yield)
+	}
+}
+
 // Reclaim calls visit for the candidates on which need would fit after preemption, best fit first, until it returns false.
 func (x *Index) Reclaim(need cyclamendyke.Resources, visit func(*Candidate) bool) {
 	x.reclaimable[x.dominant(need)].AscendGreaterOrEqual(&Candidate{Reclaimable: need}, func(c *Candidate) bool {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -27,6 +27,7 @@
 type Set struct {
 	Kinds     map[cyclamendyke.JobKind]Policy
 	FairShare bool // Otherwise jobs go in order of arrival, whatever their team.
+	Preempts  bool // Urgent work stops other work that it would wait for.
 	Holds     bool // Room is held for the job that has waited longest, so that smaller ones don't pass it for ever.
 }
 
@@ -39,6 +40,7 @@
 			cyclamendyke.KindGang:    Gang{},
 		},
 		FairShare: true,
+		Preempts:  true,
 		Holds:     true,
 	}
 }
--- a/core/scheduler/blocked.go
+++ b/core/scheduler/blocked.go
@@ -7,6 +7,8 @@
 	"cyclamendyke/core/share"
 )
 
+const queuesLookedAt = 8 // Of each team, for the job that has waited longest.
+
 // blockedSet holds the queues that found no room in a pool, by team.
 type blockedSet struct {
 	teams  [urgencies]map[cyclamendyke.TeamName]*blockedTeam
@@ -77,15 +79,19 @@
 	return nil
 }
 
-// oldest returns the accepted queue whose first job has waited longest, looking at the first queue of each team.
+// oldest returns the accepted queue whose first job has waited longest, looking at the first few queues of each team.
 func (b *blockedSet) oldest(accept func(*queue) bool) *queue {
 	var oldest *queue
 	for u := range urgencies {
 		for name := range b.orders[u].All() {
-			q, _ := b.teams[u][name].queues.Min()
-			if accept(q) && (oldest == nil || q.head().passedSince().Before(oldest.head().passedSince())) {
-				oldest = q
-			}
+			looked := 0
+			b.teams[u][name].queues.Ascend(func(q *queue) bool {
+				if accept(q) && (oldest == nil || q.head().passedSince().Before(oldest.head().passedSince())) {
+					oldest = q
+				}
+				looked++
+				return looked < queuesLookedAt
+			})
 		}
 	}
 	return oldest
--- a/core/scheduler/hold.go
+++ b/core/scheduler/hold.go
@@ -2,7 +2,10 @@
 
 import "time"
 
-const holdInterval = time.Second // Between two offers of room to hold.
+const (
+	holdInterval     = time.Second // Between two offers of room to hold.
+	singleHoldFactor = 10          // A single task waits this many times as long as a gang.
+)
 
 // offerHolds lets in each pool the job that has waited longest hold room, one at a time so that no two wait for each other.
 func (s *Scheduler) offerHolds() {
@@ -13,6 +16,7 @@
 	for _, name := range s.poolNames() {
 		p := s.pools[name]
 		if p.holder != nil {
+			s.ready(p.holder.queue)
 			continue
 		}
 		if q := p.blocked.oldest(func(q *queue) bool { return s.mayHold(p, q) }); q != nil {
@@ -23,13 +27,14 @@
 
 func (s *Scheduler) mayHold(p *pool, q *queue) bool {
 	j := q.head()
-	if j == nil || s.now.Sub(j.passedSince()) < s.cfg.HoldAfter || holding(q, j) != nil {
+	if j == nil || holding(q, j) != nil {
 		return false
 	}
+	passed := s.now.Sub(j.passedSince())
 	if j.policy.AllAtOnce() {
-		return s.placesIn(p, j) >= j.waiting.count
+		return passed >= s.cfg.HoldAfter && s.placesIn(p, j) >= j.waiting.count
 	}
-	return j.need.FitsIn(p.usable(p.table.Shape))
+	return passed >= singleHoldFactor*s.cfg.HoldAfter && j.need.FitsIn(p.usable(p.table.Shape))
 }
 
 // holding returns the pool that holds room for the job, or nil.
@@ -70,6 +75,23 @@
 	return j.waitingSince
 }
 
+// feedHolder gives room freed on w to the gang that room is held for, unless urgent work waits for it, and starts the gang when that was the last it needed.
+func (s *Scheduler) feedHolder(w *worker) {
+	j := w.pool.holder
+	if j == nil || !j.policy.AllAtOnce() || !s.authority.Valid(s.now) {
+		return
+	}
+	if len(w.pool.blocked.teams[urgent]) > 0 && !j.spec.Urgent {
+		return
+	}
+	for j.waiting.count > 0 && j.need.FitsIn(w.free()) && j.queue.team.allows(j.need) {
+		s.assign(j, w)
+	}
+	if j.waiting.count == 0 {
+		s.startGang(j.queue, j)
+	}
+}
+
 // pinnedRoom returns the worker kept for the job if it has room by now.
 func (j *job) pinnedRoom() *worker {
 	if j.pinned != nil && j.need.FitsIn(j.pinned.free()) {
@@ -78,24 +100,22 @@
 	return nil
 }
 
-// giveUpHold ends a hold that came to nothing; a gang goes behind the others.
+// giveUpHold ends a hold that came to nothing; the job waits for another from now on.
 func (s *Scheduler) giveUpHold(q *queue, p *pool, j *job) {
 	if p.holder != j || j.state != jobActive {
 		return
 	}
-	j.waitingSince = s.now
-	if !j.policy.AllAtOnce() {
-		s.dropHold(j)
-		return
-	}
-	s.leaveState(q)
-	q.jobs.Delete(j)
-	j.seq = s.seq()
+	j.lastPlaced = s.now
+	s.yieldHold(j)
+	s.ready(q)
+}
+
+// yieldHold gives back the room that is held for a job.
+func (s *Scheduler) yieldHold(j *job) {
+	s.dropHold(j)
 	for _, w := range s.releaseHolds(j) {
 		s.wake(w)
 	}
-	q.jobs.ReplaceOrInsert(j)
-	s.ready(q)
 }
 
 // dropHold ends the job's hold, if it has one.
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -275,7 +275,7 @@
 		p.blocked.add(q, q.need, s.valueOf)
 	}
 	s.reorder(q.team)
-	if j.spec.Urgent {
+	if j.spec.Urgent && s.cfg.Policies.Preempts {
 		s.preemptFor(q, j)
 	}
 }
--- a/core/scheduler/preempt.go
+++ b/core/scheduler/preempt.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	preemptLookAt  = 8  // Workers compared for one eviction.
-	preemptAtOnce  = 64 // Evictions begun in one go for one job.
-	preemptVisited = 4 * preemptLookAt
+	lastResortFactor = 4  // Times PreemptAfter until gangs are stopped too.
+	preemptLookAt    = 8  // Workers compared for one eviction.
+	preemptAtOnce    = 64 // Evictions begun in one go for one job.
+	preemptVisited   = 4 * preemptLookAt
 )
 
 // preemptFor stops other work for an urgent job that has waited, and looks again later.
@@ -38,13 +39,26 @@
 			return
 		}
 		victims := s.cheapestVictims(q.pools, j.need)
+		if len(victims) == 0 && s.now.Sub(j.waitingSince) >= lastResortFactor*s.cfg.PreemptAfter {
+			victims = s.lastVictims(q.pools, j.need)
+		}
 		if len(victims) == 0 {
+			s.yieldTo(q)
 			return
 		}
 		s.evict(j, victims)
 	}
 }
 
+// yieldTo gives back the room that is held for other work in the pools of an urgent queue.
+func (s *Scheduler) yieldTo(q *queue) {
+	for _, p := range q.pools {
+		if p.holder != nil && !p.holder.spec.Urgent {
+			s.yieldHold(p.holder)
+		}
+	}
+}
+
 func (s *Scheduler) evict(j *job, victims []*task) {
 	j.evicting++
 	e := &eviction{job: j, left: len(victims)}
@@ -70,7 +84,7 @@
 		seen, visited := 0, 0
 		p.index.Reclaim(need, func(c *policy.Candidate) bool {
 			visited++
-			victims, cost := s.victimsOn(s.workers[c.Name], need)
+			victims, cost := s.victimsOn(s.workers[c.Name], need, ofBatch)
 			if len(victims) > 0 {
 				seen++
 				if best == nil || cost < lowest {
@@ -86,15 +100,38 @@
 	return nil
 }
 
+// lastVictims also takes tasks of gangs, each of which brings down its whole gang; it looks at every worker.
+func (s *Scheduler) lastVictims(pools []*pool, need cyclamendyke.Resources) []*task {
+	var best []*task
+	lowest := 0.0
+	for _, p := range pools {
+		for c := range p.index.All() {
+			victims, cost := s.victimsOn(s.workers[c.Name], need, ofBatchOrGang)
+			if len(victims) > 0 && (best == nil || cost < lowest) {
+				best, lowest = victims, cost
+			}
+		}
+	}
+	return best
+}
+
+func ofBatch(j *job) bool {
+	return j.policy.Preemptible()
+}
+
+func ofBatchOrGang(j *job) bool {
+	return j.policy.Preemptible() || j.policy.AllAtOnce()
+}
+
 // victimsOn returns the cheapest tasks whose stop would make room on w; none if there is room already or never.
-func (s *Scheduler) victimsOn(w *worker, need cyclamendyke.Resources) ([]*task, float64) {
+func (s *Scheduler) victimsOn(w *worker, need cyclamendyke.Resources, mayStop func(*job) bool) ([]*task, float64) {
 	room := w.free()
 	if need.FitsIn(room) {
 		return nil, 0
 	}
 	var victims []*task
 	cost := 0.0
-	for _, t := range s.preemptibleByCost(w) {
+	for _, t := range s.preemptibleByCost(w, mayStop) {
 		if need.FitsIn(room) {
 			break
 		}
@@ -119,10 +156,10 @@
 	return victims
 }
 
-func (s *Scheduler) preemptibleByCost(w *worker) []*task {
+func (s *Scheduler) preemptibleByCost(w *worker, mayStop func(*job) bool) []*task {
 	var tasks []*task
 	for _, t := range w.tasks {
-		if t.preemptible(t.job.policy.Preemptible()) {
+		if t.preemptible(mayStop(t.job)) {
 			tasks = append(tasks, t)
 		}
 	}
@@ -134,5 +171,9 @@
 
 // costOf is the work that a stop may lose, in seconds of the whole zone.
 func (s *Scheduler) costOf(t *task) float64 {
-	return t.reserved.DominantShare(s.capacity) * s.now.Sub(t.since).Seconds()
+	taken := t.reserved
+	if t.job.policy.AllAtOnce() {
+		taken = taken.Scale(int64(t.job.spec.Tasks))
+	}
+	return taken.DominantShare(s.capacity) * s.now.Sub(t.since).Seconds()
 }
--- a/core/scheduler/wake.go
+++ b/core/scheduler/wake.go
@@ -7,6 +7,7 @@
 	if !w.indexed {
 		return
 	}
+	s.feedHolder(w)
 	q := w.pool.blocked.first(w.free(), func(q *queue) bool { return s.mayFitOn(w, q) })
 	if q == nil {
 		return
