--- a/core/journal/commit.go
+++ b/core/journal/commit.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -134,9 +133,9 @@
 func (w *Writer) writeHead(ctx context.Context, next head) (int, error) {
 	w.attempt = max(w.attempt, w.head.Commit) + 1
 	next.Commit = w.attempt
-	value, err := json.Marshal(next)
+	value, err := w.packer.pack(next)
 	if err != nil {
-		return 0, newError("append", cyclamendyke.KindInvalid, err)
+		return 0, err
 	}
 	revision, err := w.store.Swap(ctx, w.config.headKey(), value, w.revision)
 	if err != nil {
@@ -171,9 +170,9 @@
 func (w *Writer) writeSegment(ctx context.Context, records []stored) (name string, size int, err error) {
 	w.segments++
 	name = segmentName(w.epoch, w.segments)
-	value, err := json.Marshal(segment{Records: records})
+	value, err := w.packer.pack(segment{Records: records})
 	if err != nil {
-		return "", 0, newError("segment", cyclamendyke.KindInvalid, err)
+		return "", 0, err
 	}
 	revision, err := w.store.Swap(ctx, w.config.prefix()+name, value, 0)
 	if err != nil {
--- a/core/journal/config.go
+++ b/core/journal/config.go
@@ -11,7 +11,7 @@
 // The defaults of Config.
 const (
 	DefaultLinger         = 20 * time.Millisecond
-	DefaultInterval       = 50 * time.Millisecond
+	DefaultInterval       = 100 * time.Millisecond
 	DefaultMaxInterval    = 500 * time.Millisecond
 	DefaultBytesPerSecond = 200_000
 	DefaultPatience       = 2 * time.Second
@@ -21,12 +21,12 @@
 	DefaultMaxSegments    = 64
 )
 
-// The bounds of one journal, in records, bytes and keys.
+// The bounds of one journal, in records and in bytes before compression.
 const (
 	maxBatchRecords = 256
 	maxBatchBytes   = 400_000
 	maxRecordBytes  = 800_000 // A larger record is refused.
-	headBytes       = 8_000   // A head that would grow past this is sealed into a segment first.
+	headBytes       = 24_000  // A head that would grow past this is sealed into a segment first.
 	segmentBytes    = 400_000 // What compaction puts into one segment.
 )
 
--- a/core/journal/head.go
+++ b/core/journal/head.go
@@ -93,10 +93,8 @@
 	if len(value) == 0 {
 		return h, nil
 	}
-	if err := json.Unmarshal(value, &h); err != nil {
-		return h, newError("head", cyclamendyke.KindInvalid, err)
-	}
-	return h, nil
+	err := unpack(value, &h)
+	return h, err
 }
 
 func (c Config) prefix() string {
--- a/core/journal/journal.go
+++ b/core/journal/journal.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -32,7 +31,11 @@
 // cannot be read, and KindUnavailable or KindUnknown if the store did not
 // answer, after which Open may be called again with the same epoch.
 func (j *Journal) Open(ctx context.Context, epoch cyclamendyke.Epoch) (*Writer, []cyclamendyke.JournalRecord, error) {
-	revision, err := j.seal(ctx, epoch)
+	packer, err := newPacker()
+	if err != nil {
+		return nil, nil, err
+	}
+	revision, err := j.seal(ctx, packer, epoch)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -40,6 +43,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	w.packer = packer
 	records, err := w.records()
 	if err != nil {
 		return nil, nil, err
@@ -49,7 +53,7 @@
 }
 
 // seal writes the epoch into the head, so that a lower epoch's next commit conflicts.
-func (j *Journal) seal(ctx context.Context, epoch cyclamendyke.Epoch) (cyclamendyke.Revision, error) {
+func (j *Journal) seal(ctx context.Context, packer *packer, epoch cyclamendyke.Epoch) (cyclamendyke.Revision, error) {
 	for {
 		entry, err := j.writer.Get(ctx, j.config.headKey())
 		if err != nil {
@@ -64,9 +68,9 @@
 		}
 		h.Epoch = epoch
 		h.Commit++
-		value, err := json.Marshal(h)
+		value, err := packer.pack(h)
 		if err != nil {
-			return 0, newError("open", cyclamendyke.KindInvalid, err)
+			return 0, err
 		}
 		revision, err := j.writer.Swap(ctx, j.config.headKey(), value, entry.Revision)
 		if err == nil {
@@ -105,8 +109,8 @@
 			return nil, newError("open", cyclamendyke.KindInvalid, errors.New("segment "+name+" is missing"))
 		}
 		var sealed segment
-		if err := json.Unmarshal(entry.Value, &sealed); err != nil {
-			return nil, newError("open", cyclamendyke.KindInvalid, err)
+		if err := unpack(entry.Value, &sealed); err != nil {
+			return nil, err
 		}
 		w.overlay(sealed.Records)
 		w.revisions[name] = entry.Revision
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -37,6 +37,7 @@
 	closing bool
 
 	// Below is used by the writing goroutine alone.
+	packer    *packer
 	head      head
 	revision  cyclamendyke.Revision
 	doubt     bool // A write of the head may still take effect.
