Put a process's own write of the keys in force at once, and prove the rule of freshness

Cause: a withdrawal whose writer lost the store before its watch answered was known to no view, while every member still counted as not reaching the store, so that all went on with the withdrawn key. The writer's view now takes its own entry ahead of the copy's revision, and peers take it over. A peer confirmed at an older revision now also proves a newer one fresh.

--- a/core/config/snapshot.go
+++ b/core/config/snapshot.go
@@ -9,7 +9,8 @@
 	"cyclamendyke"
 )
 
-// Copy is everything below the watched prefix as the store held it at one revision, in order of key.
+// Copy is everything below the watched prefix as the store held it at one
+// revision, in order of key; entries of a higher revision were written since.
 type Copy struct {
 	Revision cyclamendyke.Revision `json:"revision"`
 	Entries  []cyclamendyke.Entry  `json:"entries"`
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -123,9 +123,33 @@
 	return v.store
 }
 
-// Offer takes over a peer's copy if it is newer, and reports whether it was; it confirms nothing.
+// Offer takes over a peer's copy as far as it is newer, and reports whether it was; it confirms nothing.
 func (v *View) Offer(peer Copy) bool {
-	return v.replace(peer)
+	replaced := v.replace(peer)
+	added := false
+	for _, entry := range peer.Entries {
+		if entry.Revision > peer.Revision && v.Wrote(entry) {
+			added = true
+		}
+	}
+	return replaced || added
+}
+
+// Wrote puts an entry in force that a process has written, ahead of the copy's
+// revision, and reports whether it was news; so a withdrawal holds although the
+// store is lost right after it.
+func (v *View) Wrote(entry cyclamendyke.Entry) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if entry.Revision <= v.copy.Revision {
+		return false
+	}
+	before, _ := v.copy.Entry(entry.Key)
+	if before.Revision >= entry.Revision {
+		return false
+	}
+	v.advance(Copy{Revision: v.copy.Revision, Entries: mergeEntry(slices.Clone(v.copy.Entries), entry)})
+	return true
 }
 
 // Refresh lists the store once and takes over what it holds, so that a writer sees its own write.
@@ -187,6 +211,11 @@
 		}
 		entries = append(entries, entry)
 	}
+	for _, held := range v.copy.Entries {
+		if _, found := next.Entry(held.Key); !found && held.Revision > next.Revision {
+			entries = append(entries, held)
+		}
+	}
 	slices.SortFunc(entries, func(a, b cyclamendyke.Entry) int { return cmp.Compare(a.Key, b.Key) })
 	v.advance(Copy{Revision: next.Revision, Entries: entries})
 	return true
--- a/core/keys/freshness.go
+++ b/core/keys/freshness.go
@@ -32,12 +32,12 @@
 // ago, where peers holds every other known member.
 //
 // Without an own confirmation, a peer that holds a higher revision proves the
-// view stale until it is taken over.
+// view stale until it is taken over; one that holds the same or a lower one, and
+// to which the store confirmed it, proves the view fresh.
 func Judge(revision cyclamendyke.Revision, ownAge time.Duration, peers []Peer) Freshness {
 	if ownAge < MaxAge {
 		return FreshnessOwn
 	}
-	freshness := FreshnessStale
 	reaching, silent := 0, 0
 	for _, peer := range peers {
 		switch {
@@ -47,13 +47,14 @@
 			return FreshnessStale
 		case peer.StoreAge < MaxAge:
 			reaching++
-			if peer.Revision == revision {
-				freshness = FreshnessPeer
-			}
 		}
 	}
-	if len(peers) > 0 && reaching == 0 && silent == 0 {
+	switch {
+	case reaching > 0:
+		return FreshnessPeer
+	case len(peers) > 0 && silent == 0:
 		return FreshnessNoneReaches
+	default:
+		return FreshnessStale
 	}
-	return freshness
 }
--- a/core/keys/registry.go
+++ b/core/keys/registry.go
@@ -26,6 +26,8 @@
 	Writer *cas.Writer
 	Random io.Reader        // Source of secrets; crypto/rand if nil.
 	Now    func() time.Time // time.Now if nil.
+	// Written is called with the entry after each write, so that the writer's own view has it whatever becomes of the store.
+	Written func(cyclamendyke.Entry)
 }
 
 // Registry grants and withdraws keys in the store; it is safe for concurrent use.
@@ -129,6 +131,9 @@
 	var own *Error
 	switch {
 	case err == nil:
+		if r.config.Written != nil {
+			r.config.Written(entry)
+		}
 		return entry.Revision, nil
 	case errors.As(err, &own):
 		return 0, own
