Run scripts against cells of separate processes

submit, tables, keys, drain, killed-daemon, planned-stop and store-away start the stand-in, daemons and the client as processes on free ports and wait for states by polling; up to four cells run at once.

--- a/client/status.go
+++ b/client/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -91,12 +92,12 @@
 func (c *Client) printStatus(status cyclamendyke.JobStatus) error {
 	c.exit = exitCodeOfOutcome(status.Outcome)
 	return c.print(status, func() [][]string {
-		rows := [][]string{
+		job := [][]string{
 			{"team", formatText(status.Job.Team)},
 			{"route", formatText(status.Job.Route)},
 			{"tasks", fmt.Sprintf("%d: %d waiting, %d running, %d done, %d failed", status.Job.Tasks, status.Waiting, status.Running, status.Done, status.Failed)},
 			{"accepted", formatTime(status.Job.Accepted)},
 		}
-		return append(rows, outcomeRows(status.Outcome)...)
+		return slices.Concat(job, outcomeRows(status.Outcome))
 	})
 }
--- /dev/null
+++ b/e2e/script_test.go
@@ -0,0 +1,192 @@
+package e2e_test
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"text/template"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"cyclamendyke/client"
+	"cyclamendyke/daemon"
+	"cyclamendyke/platform/server"
+)
+
+const (
+	operatorKey  = "operator"
+	cellsAtOnce  = 4
+	stateTimeout = 60 * time.Second // Bounds a wait for a state; nothing asserts on how long it took.
+	pollInterval = 100 * time.Millisecond
+	// scriptsTimeout ends processes that hang, so that the script that waits for them fails.
+	scriptsTimeout = 4 * time.Minute
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"cyclamendyke":          func() { os.Exit(int(client.Main())) },
+		"cyclamendyked":         func() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) },
+		"cyclamendyke-platform": func() { os.Exit(server.Main(os.Args[1:], os.Stderr)) },
+	})
+}
+
+// Each script starts the processes that it needs from settings files that setUp writes.
+func TestScripts(t *testing.T) {
+	cells := make(chan struct{}, cellsAtOnce)
+	testscript.Run(t, testscript.Params{
+		Dir:                 "testdata/scripts",
+		RequireUniqueNames:  true,
+		RequireExplicitExec: true,
+		Deadline:            time.Now().Add(scriptsTimeout),
+		Setup: func(env *testscript.Env) error {
+			cells <- struct{}{}
+			env.Defer(func() { <-cells })
+			return setUp(env)
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"exits":     execWithCode,
+			"until":     pollUntil,
+			"capture":   captureStdout,
+			"post":      postToPlatform,
+			"terminate": terminate,
+		},
+	})
+}
+
+var settingsTemplate = template.Must(template.New("settings").Parse(`[member]
+name = {{.Name}}
+zone = {{.Zone}}
+region = test
+
+[listen]
+peer = {{.Peer}}
+http = {{.HTTP}}
+
+[platform]
+store = {{.Platform}}
+vm-list = {{.Platform}}
+
+[operator]
+key-hash = {{.Hash}}
+
+[scheduler]
+store-lease = 2s
+session = 6s
+task = 15s
+hold = 1s
+`))
+
+// setUp writes the settings of two daemons in each of the zones z1 and z2, and names their addresses in variables.
+func setUp(env *testscript.Env) error {
+	addresses, err := freeAddresses(9)
+	if err != nil {
+		return err
+	}
+	platform, addresses := addresses[0], addresses[1:]
+	for i, name := range []string{"z1-a", "z1-b", "z2-a", "z2-b"} {
+		values := struct{ Name, Zone, Peer, HTTP, Platform, Hash string }{
+			Name:     name,
+			Zone:     name[:2],
+			Peer:     addresses[2*i],
+			HTTP:     addresses[2*i+1],
+			Platform: platform,
+			Hash:     fmt.Sprintf("%x", sha256.Sum256([]byte(operatorKey))),
+		}
+		var text bytes.Buffer
+		if err := settingsTemplate.Execute(&text, values); err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(env.WorkDir, name+".ini"), text.Bytes(), 0o600); err != nil {
+			return err
+		}
+		env.Setenv(fmt.Sprintf("ENTRY%d", i+1), values.HTTP)
+	}
+	env.Setenv("GORACE", "atexit_sleep_ms=0") // Else each process of a race test sleeps for a second before it exits.
+	env.Setenv("PLATFORM", platform)
+	env.Setenv("CYCLAMENDYKE_ENTRY", addresses[1]+","+addresses[3])
+	env.Setenv("CYCLAMENDYKE_OPERATOR_KEY", operatorKey)
+	return nil
+}
+
+// freeAddresses returns addresses on which nothing listens.
+func freeAddresses(count int) ([]string, error) {
+	addresses := make([]string, 0, count)
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// execWithCode runs the client and checks its exit code: exits CODE ARGUMENT...
+func execWithCode(ts *testscript.TestScript, _ bool, args []string) {
+	if code := run(ts, args[1:]); strconv.Itoa(code) != args[0] {
+		ts.Fatalf("got exit code %d, want %s", code, args[0])
+	}
+}
+
+func run(ts *testscript.TestScript, args []string) int {
+	err := ts.Exec("cyclamendyke", args...)
+	var exitErr *exec.ExitError
+	switch {
+	case errors.As(err, &exitErr):
+		return exitErr.ExitCode()
+	case err != nil:
+		ts.Fatalf("%v", err)
+	}
+	return 0
+}
+
+// pollUntil repeats a command of the client until its output matches: until PATTERN ARGUMENT...
+func pollUntil(ts *testscript.TestScript, _ bool, args []string) {
+	pattern := regexp.MustCompile("(?m)" + args[0])
+	for deadline := time.Now().Add(stateTimeout); time.Now().Before(deadline); time.Sleep(pollInterval) {
+		run(ts, args[1:])
+		if pattern.MatchString(ts.ReadFile("stdout")) {
+			return
+		}
+	}
+	ts.Fatalf("the output has not matched %q", args[0])
+}
+
+// captureStdout sets a variable to the first group of a pattern in the last output: capture VARIABLE PATTERN
+func captureStdout(ts *testscript.TestScript, _ bool, args []string) {
+	match := regexp.MustCompile("(?m)" + args[1]).FindStringSubmatch(ts.ReadFile("stdout"))
+	if match == nil {
+		ts.Fatalf("the output does not match %q", args[1])
+	}
+	ts.Setenv(args[0], match[1])
+}
+
+// postToPlatform sends a body to a switch of the stand-in: post PATH BODY
+func postToPlatform(ts *testscript.TestScript, _ bool, args []string) {
+	response, err := http.Post("http://"+ts.Getenv("PLATFORM")+args[0], "application/json", bytes.NewBufferString(args[1]))
+	ts.Check(err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("the stand-in answered %s", response.Status)
+	}
+}
+
+// terminate sends SIGTERM to the process whose identifier a file holds: terminate FILE
+func terminate(ts *testscript.TestScript, _ bool, args []string) {
+	pid, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(args[0])))
+	ts.Check(err)
+	ts.Check(syscall.Kill(pid, syscall.SIGTERM))
+}
