--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -38,13 +38,21 @@
 	}
 }
 
-// The documented settings can be used as they stand.
+// The documented settings can be used as they stand, and the operators' page explains each of their keys.
 func TestLoadExample(t *testing.T) {
 	is := is.New(t)
 	daemon, faults, err := settings.Load("../examples/daemon.ini")
 	is.NoErr(err)
 	is.Equal(len(faults), 0)
 	is.Equal(daemon.Member.Name, cyclamendyke.MemberName("hakata1-a"))
+	example, err := os.ReadFile("../examples/daemon.ini")
+	is.NoErr(err)
+	page, err := os.ReadFile("../docs/OPERATIONS.md")
+	is.NoErr(err)
+	for line := range strings.Lines(string(example)) {
+		key, _, isKey := strings.Cut(line, " = ")
+		is.True(!isKey || strings.HasPrefix(key, "#") || strings.Contains(string(page), "`"+key+"`")) // The page explains the key.
+	}
 }
 
 func describe(daemon *settings.Daemon, faults []cyclamendyke.Fault) string {
