--- a/bench/policy.go
+++ b/bench/policy.go
@@ -15,6 +15,10 @@
 	policyRuns  = 3               // Seeds that follow one another.
 	policyTicks = int(policyTime / cyclamendyke.TickInterval)
 	sampleTicks = int(time.Second / cyclamendyke.TickInterval)
+
+	deathTicks      = int(3 * time.Minute / cyclamendyke.TickInterval)
+	brokenFromTick  = int(8*time.Minute/cyclamendyke.TickInterval) + 1
+	brokenUntilTick = int(13*time.Minute/cyclamendyke.TickInterval) + 1
 )
 
 // policyRun measures one policy on one workload.
@@ -30,6 +34,7 @@
 	packing   map[cyclamendyke.PoolName]*mean
 	distance  mean
 	refused   int
+	faults    bool
 }
 
 // mean is a running average.
@@ -54,10 +59,18 @@
 		unshared := policy.Standard()
 		unshared.FairShare = false
 		for _, choice := range []struct {
-			name string
-			set  policy.Set
-		}{{"standard", policy.Standard()}, {"without shares", unshared}, {"baseline", policy.Baseline()}} {
+			name   string
+			set    policy.Set
+			faults bool
+		}{
+			{"standard", policy.Standard(), false},
+			{"without shares", unshared, false},
+			{"baseline", policy.Baseline(), false},
+			{"standard with faults", policy.Standard(), true},
+			{"baseline with faults", policy.Baseline(), true},
+		} {
 			r := newPolicyRun(work)
+			r.faults = choice.faults
 			for i := range uint64(policyRuns) {
 				r.run(choice.set, seed+i)
 			}
@@ -97,6 +110,9 @@
 			r.submit(arrivals[0].job)
 			arrivals = arrivals[1:]
 		}
+		if r.faults {
+			r.fault(tick)
+		}
 		r.advance()
 		if tick%sampleTicks == 0 && r.warm() {
 			r.sample()
@@ -105,6 +121,21 @@
 	r.countWaiting()
 }
 
+// fault lets one worker in turn die each three minutes for a minute and a half, and one fail everything for five minutes.
+func (r *policyRun) fault(tick int) {
+	names := sortedKeys(r.machines)
+	victim := names[tick/deathTicks%len(names)]
+	broken := names[len(names)-1]
+	switch {
+	case tick == brokenFromTick || tick == brokenUntilTick:
+		r.machines[broken].broken = tick == brokenFromTick
+	case tick%deathTicks == deathTicks/2:
+		r.die(victim)
+	case tick%deathTicks == deathTicks-1:
+		r.revive(victim)
+	}
+}
+
 func (r *policyRun) warm() bool {
 	return r.now.Sub(zoneStart) > policyWarm
 }
--- a/bench/zone.go
+++ b/bench/zone.go
@@ -10,6 +10,9 @@
 	"cyclamendyke/core/scheduler"
 )
 
+// brokenRunTime is how long a task lasts on a broken worker.
+const brokenRunTime = 200 * time.Millisecond
+
 // zoneStart is when the clock of a zone begins.
 var zoneStart = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -41,6 +44,8 @@
 	running  map[cyclamendyke.TaskID]cyclamendyke.RunningTask
 	finished []cyclamendyke.TaskResult
 	sequence uint64
+	dead     bool // Nothing reaches it and it runs nothing.
+	broken   bool // Every task fails soon after its start.
 }
 
 // taskEnd is the end of a task that is due.
@@ -175,6 +180,10 @@
 
 func (z *zone) claim(worker cyclamendyke.WorkerName) {
 	machine := z.machines[worker]
+	if machine.dead {
+		z.call(func() []cyclamendyke.Command { return z.scheduler.Unreachable(z.now, worker) })
+		return
+	}
 	report := cyclamendyke.WorkerReport{Worker: worker, Capacity: machine.vm.Capacity}
 	for _, running := range machine.running {
 		report.Running = append(report.Running, running)
@@ -184,20 +193,53 @@
 }
 
 func (z *zone) start(command cyclamendyke.StartCommand) {
-	z.placed++
 	machine := z.machines[command.Worker]
+	if machine.dead {
+		z.startAnswered(command, &cyclamendyke.Error{Op: "worker.start", Kind: cyclamendyke.KindUnavailable})
+		return
+	}
+	z.placed++
+	runTime := z.runTime(command.Start.Job)
+	if machine.broken {
+		runTime = brokenRunTime
+	}
 	machine.running[command.Start.Task] = cyclamendyke.RunningTask{
 		Task: command.Start.Task, Job: command.Start.Job, Reserved: command.Start.Reserved, Started: z.now,
 	}
-	heap.Push(&z.ends, taskEnd{z.now.Add(z.runTime(command.Start.Job)), command.Worker, command.Start.Task, z.now})
+	heap.Push(&z.ends, taskEnd{z.now.Add(runTime), command.Worker, command.Start.Task, z.now})
 	if z.onStart != nil {
 		z.onStart(command.Start)
 	}
+	z.startAnswered(command, nil)
+}
+
+func (z *zone) startAnswered(command cyclamendyke.StartCommand, err error) {
 	z.call(func() []cyclamendyke.Command {
-		return z.scheduler.StartAnswered(z.now, command.Worker, command.Start.Task, nil)
+		return z.scheduler.StartAnswered(z.now, command.Worker, command.Start.Task, err)
 	})
 }
 
+// die makes a worker lose everything that it runs and answer nothing.
+func (z *zone) die(worker cyclamendyke.WorkerName) {
+	machine := z.machines[worker]
+	machine.dead = true
+	for _, running := range machine.running {
+		if z.onEnd != nil {
+			z.onEnd(running)
+		}
+	}
+	clear(machine.running)
+	machine.finished = nil
+	delete(z.ended, worker)
+	z.call(func() []cyclamendyke.Command { return z.scheduler.Unreachable(z.now, worker) })
+}
+
+// revive brings a dead worker back with nothing running.
+func (z *zone) revive(worker cyclamendyke.WorkerName) {
+	z.machines[worker].dead = false
+	z.claim(worker)
+}
+
 func (z *zone) stop(command cyclamendyke.StopCommand) {
 	if command.Mode != cyclamendyke.StopThrottle {
 		z.end(command.Worker, command.Task, true)
@@ -228,13 +270,21 @@
 	z.ended[worker] = true
 	machine.sequence++
 	machine.finished = append(machine.finished, cyclamendyke.TaskResult{
-		Task: task, Worker: worker, Stopped: stopped, Started: running.Started, Finished: z.now,
+		Task: task, Worker: worker, ExitCode: machine.exitCode(), Stopped: stopped, Started: running.Started, Finished: z.now,
 	})
 	if z.onEnd != nil {
 		z.onEnd(running)
 	}
 }
 
+// exitCode is that of a task that ends now.
+func (m *zoneMachine) exitCode() int {
+	if m.broken {
+		return 1
+	}
+	return 0
+}
+
 // renew reports what ended on a worker.
 func (z *zone) renew(worker cyclamendyke.WorkerName) {
 	machine := z.machines[worker]
