Drive the role ten times a second in place of after every batch

Cause: a profile of a scheduler with 120 workers at 73 starts a second spent 11% in sorting session times and 9% in comparing the roster with the list, since each answer of a worker drove the whole role. It is now driven each 100 ms and at once after every event that can cost authority; in between the authority known can only be too short.

--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -49,13 +49,15 @@
 	inbox  chan func(now time.Time)
 
 	// Owned by the control goroutine.
-	scheduler cyclamendyke.Scheduler
-	epoch     cyclamendyke.Epoch
-	tables    *cyclamendyke.Tables
-	vms       []cyclamendyke.VM
-	links     map[cyclamendyke.WorkerName]*workerLink
-	waiters   map[cyclamendyke.RequestID][]chan<- submitAnswer
-	journaled bool // The journal's records were handed to this term's scheduler.
+	scheduler  cyclamendyke.Scheduler
+	epoch      cyclamendyke.Epoch
+	tables     *cyclamendyke.Tables
+	vms        []cyclamendyke.VM
+	links      map[cyclamendyke.WorkerName]*workerLink
+	waiters    map[cyclamendyke.RequestID][]chan<- submitAnswer
+	roleTicked time.Time
+	roleMoved  bool // The role has changed since it was last driven.
+	journaled  bool // The journal's records were handed to this term's scheduler.
 
 	order      atomic.Pointer[sessionOrder]
 	starts     atomic.Uint64
@@ -148,15 +150,31 @@
 	}
 }
 
-// tick drives the role and the scheduler.
+// tick drives the scheduler after each batch, and the role when its time has come or its state has changed.
 func (c *controller) tick(now time.Time) {
+	if c.roleMoved || now.Sub(c.roleTicked) >= cyclamendyke.TickInterval {
+		c.tickRole(now)
+	}
+	if c.scheduler != nil {
+		c.run(c.scheduler.Tick(now))
+	}
+}
+
+// tickRole drives the role and tells the links and the scheduler what it allows; between two calls the authority known can only be too short.
+func (c *controller) tickRole(now time.Time) {
+	c.roleTicked = now
+	c.roleMoved = false
 	c.runRole(c.cfg.Role.Tick(now))
 	c.publishOrder(now)
-	if c.scheduler == nil {
-		return
+	if c.scheduler != nil {
+		c.run(c.scheduler.SetAuthority(now, c.cfg.Role.Authority(now)))
 	}
-	c.run(c.scheduler.SetAuthority(now, c.cfg.Role.Authority(now)))
-	c.run(c.scheduler.Tick(now))
+}
+
+// withRole carries out what the role asks for after an event that may have cost it the authority.
+func (c *controller) withRole(commands []cyclamendyke.RoleCommand) {
+	c.roleMoved = true
+	c.runRole(commands)
 }
 
 // publishOrder tells the worker links what to send if that has changed.
@@ -206,14 +224,14 @@
 func (c *controller) elect(command cyclamendyke.ElectCommand) {
 	if holder, held := c.cfg.Holder(); held && holder.Member.Name != c.cfg.Member.Name {
 		now := time.Now()
-		c.runRole(c.cfg.Role.StoreElected(now, now, cyclamendyke.ElectionLost, holder))
+		c.withRole(c.cfg.Role.StoreElected(now, now, cyclamendyke.ElectionLost, holder))
 		return
 	}
 	c.done.Go(func() {
 		sent := time.Now()
 		result, found := c.cfg.Election.elect(c.ctx, command)
 		c.post(func(now time.Time) {
-			c.runRole(c.cfg.Role.StoreElected(now, sent, result, found))
+			c.withRole(c.cfg.Role.StoreElected(now, sent, result, found))
 		})
 	})
 }
@@ -224,7 +242,7 @@
 		sent := time.Now()
 		result, found := c.cfg.Election.renew(c.ctx, command)
 		c.post(func(now time.Time) {
-			c.runRole(c.cfg.Role.StoreElected(now, sent, result, found))
+			c.withRole(c.cfg.Role.StoreElected(now, sent, result, found))
 		})
 	})
 }
@@ -421,7 +439,7 @@
 func (c *controller) setVMs(vms []cyclamendyke.VM) {
 	c.post(func(now time.Time) {
 		c.vms = vms
-		c.runRole(c.cfg.Role.SetVMs(now, vms))
+		c.withRole(c.cfg.Role.SetVMs(now, vms))
 		c.followVMs()
 		if c.scheduler != nil {
 			c.run(c.scheduler.SetVMs(now, vms))
@@ -479,7 +497,7 @@
 func (c *controller) setRecord(records []cyclamendyke.ZoneScheduler, zone cyclamendyke.ZoneName) {
 	for _, record := range records {
 		if record.Member.Zone == zone {
-			c.post(func(now time.Time) { c.runRole(c.cfg.Role.SetRecord(now, record)) })
+			c.post(func(now time.Time) { c.withRole(c.cfg.Role.SetRecord(now, record)) })
 		}
 	}
 }
@@ -497,7 +515,7 @@
 
 // resign gives up the role for a planned stop.
 func (c *controller) resign() {
-	c.ask(func(now time.Time) { c.runRole(c.cfg.Role.Resign(now)) })
+	c.ask(func(now time.Time) { c.withRole(c.cfg.Role.Resign(now)) })
 }
 
 // currentEpoch returns the epoch of the term that this process holds.
--- a/daemon/workerevents.go
+++ b/daemon/workerevents.go
@@ -34,7 +34,7 @@
 		return
 	}
 	c.ask(func(now time.Time) {
-		c.runRole(c.cfg.Role.SessionRefused(now, worker, refusal.Kind, refusal.Fence))
+		c.withRole(c.cfg.Role.SessionRefused(now, worker, refusal.Kind, refusal.Fence))
 	})
 }
 
