--- a/core/config/inforce_test.go
+++ b/core/config/inforce_test.go
@@ -31,8 +31,8 @@
 				var views [8]*config.View
 				start := func(i int) {
 					stores[i] = &replaceable{}
-					stores[i].Store(service.As(fmt.Sprint(i)))
-					views[i] = config.New(config.Config{Store: reads{replaceable: stores[i]}})
+					stores[i].current.Store(service.As(fmt.Sprint(i)))
+					views[i] = config.New(config.Config{Store: stores[i]})
 				}
 				for i := range views {
 					start(i)
--- a/core/config/view_test.go
+++ b/core/config/view_test.go
@@ -22,33 +22,20 @@
 
 // replaceable is a store that can be exchanged for another one, as after a restore from a backup.
 type replaceable struct {
-	atomic.Pointer[kv.Store]
-	gap atomic.Bool // The next watch finds its starting point gone.
+	cyclamendyke.Store // Nil; a view only lists and watches.
+	current            atomic.Pointer[kv.Store]
+	gap                atomic.Bool // The next watch finds its starting point gone.
 }
 
 func (r *replaceable) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	return r.Load().List(ctx, prefix)
+	return r.current.Load().List(ctx, prefix)
 }
 
 func (r *replaceable) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, hold time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
 	if r.gap.Swap(false) {
 		return nil, 0, &cyclamendyke.Error{Op: "store.watch", Kind: cyclamendyke.KindNotFound}
 	}
-	return r.Load().Watch(ctx, prefix, after, hold)
-}
-
-// reads is the part of the store that a view uses.
-type reads struct {
-	cyclamendyke.Store
-	*replaceable
-}
-
-func (r reads) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	return r.replaceable.List(ctx, prefix)
-}
-
-func (r reads) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, hold time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	return r.replaceable.Watch(ctx, prefix, after, hold)
+	return r.current.Load().Watch(ctx, prefix, after, hold)
 }
 
 func put(t *testing.T, store cyclamendyke.Store, key, value string) cyclamendyke.Revision {
@@ -141,8 +128,8 @@
 				service := kv.New(kv.Config{})
 				operator := service.As("operator")
 				store := &replaceable{}
-				store.Store(service.As("daemon"))
-				view := config.New(config.Config{Store: reads{replaceable: store}})
+				store.current.Store(service.As("daemon"))
+				view := config.New(config.Config{Store: store})
 				defer func() { view.Close() }()
 				var copies []config.Copy
 				var last config.Copy
@@ -192,12 +179,12 @@
 		put(t, second.As("o"), cyclamendyke.TablesKey, "restored")
 		put(t, first.As("o"), cyclamendyke.TablesKey, "new")
 		store := &replaceable{}
-		store.Store(first.As("daemon"))
-		view := config.New(config.Config{Store: reads{replaceable: store}})
+		store.current.Store(first.As("daemon"))
+		view := config.New(config.Config{Store: store})
 		defer view.Close()
 		synctest.Wait()
 		confirmed := view.Confirmed()
-		store.Store(second.As("daemon"))
+		store.current.Store(second.As("daemon"))
 		time.Sleep(time.Minute)
 		is.Equal(text(view, cyclamendyke.TablesKey), "new")
 		is.Equal(view.Store(), config.StoreBehind)
