Delete the account's segments after 90 days

Nothing called Prune, so the account grew in the store without end. The zone's scheduler now calls it every 6 h. Shown: Prune itself (TestReader); the loop in the daemon is not tested.

--- a/daemon/account.go
+++ b/daemon/account.go
@@ -12,8 +12,31 @@
 	"cyclamendyke/core/account"
 )
 
-// accountSpan is how far back the account is read for a query without a request.
-const accountSpan = 24 * time.Hour
+// The times of the account.
+const (
+	accountSpan     = 24 * time.Hour      // How far back it is read for a query without a request.
+	accountKept     = 90 * 24 * time.Hour // How long it is kept.
+	accountInterval = 6 * time.Hour       // Between two deletions of what is older.
+)
+
+// pruneAccount deletes the zone's old account while this process is its scheduler, until ctx ends.
+func (d *Daemon) pruneAccount(ctx context.Context) {
+	ticker := time.NewTicker(accountInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, here := d.control.currentEpoch(); !here {
+			continue
+		}
+		if deleted, err := d.reader.Prune(ctx, d.member.Zone, time.Now().Add(-accountKept)); err == nil && deleted > 0 {
+			d.log.Info("old account deleted", "segments", deleted)
+		}
+	}
+}
 
 // Account returns the records kept in the store; those of the last seconds may still be on their way to it.
 func (d *Daemon) Account(ctx context.Context, request cyclamendyke.RequestID, team cyclamendyke.TeamName, zone cyclamendyke.ZoneName) ([]cyclamendyke.AccountRecord, bool, error) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -203,6 +203,7 @@
 	d.background.Go(func() { d.followVMs(d.ctx) })
 	d.background.Go(func() { d.keepAllotments(d.ctx) })
 	d.background.Go(func() { d.keepOwnState(d.ctx) })
+	d.background.Go(func() { d.pruneAccount(d.ctx) })
 	d.http = caller.NewServer(caller.Config{
 		Listener: d.httpLine,
 		Service:  d,
