--- a/core/config/view_test.go
+++ b/core/config/view_test.go
@@ -17,6 +17,7 @@
 	"cyclamendyke/core/cas"
 	"cyclamendyke/core/config"
 	"cyclamendyke/core/keys"
+	"cyclamendyke/platform"
 	"cyclamendyke/platform/kv"
 )
 
@@ -24,7 +25,8 @@
 type replaceable struct {
 	cyclamendyke.Store // Nil; a view only lists and watches.
 	current            atomic.Pointer[kv.Store]
-	gap                atomic.Bool // The next watch finds its starting point gone.
+	gap                atomic.Bool   // The next watch finds its starting point gone.
+	late               time.Duration // How long the answer of a watch is under way.
 }
 
 func (r *replaceable) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
@@ -35,6 +37,7 @@
 	if r.gap.Swap(false) {
 		return nil, 0, &cyclamendyke.Error{Op: "store.watch", Kind: cyclamendyke.KindNotFound}
 	}
+	defer time.Sleep(r.late)
 	return r.current.Load().Watch(ctx, prefix, after, hold)
 }
 
@@ -118,6 +121,26 @@
 	}
 }
 
+// TestLateAnswer has the answer with a change under way for a while; it confirms nothing after the call was sent.
+func TestLateAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		store := &replaceable{late: 4 * time.Second}
+		store.current.Store(service.As("daemon"))
+		view := config.New(config.Config{Store: store})
+		defer view.Close()
+		time.Sleep(time.Second)
+		put(t, service.As("operator"), cyclamendyke.KeysKey, "one")
+		synctest.Wait()
+		answered := time.Now()
+		put(t, service.As("operator"), cyclamendyke.KeysKey, "two")
+		time.Sleep(5 * time.Second)
+		is.Equal(text(view, cyclamendyke.KeysKey), "one")
+		is.True(!view.Confirmed().After(answered))
+	})
+}
+
 // TestNeverBack restarts processes, serves stale copies and exchanges the store; no key may go back.
 func TestNeverBack(t *testing.T) {
 	for seed := range uint64(20) {
@@ -221,6 +244,23 @@
 	})
 }
 
+// TestOvertakenEdit has an edit take effect late and another one follow it; the first operator isn't told that it was never in force.
+func TestOvertakenEdit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		service.SetFaults(kv.Faults{LateWrites: 1, LateBy: platform.Duration(time.Millisecond)})
+		time.AfterFunc(2*time.Millisecond, func() { put(t, service.As("b"), cyclamendyke.TablesKey, "other") })
+		editor := config.NewEditor(cas.New(cas.Config{Store: service.As("a")}))
+		_, err := editor.Edit(t.Context(), cyclamendyke.TablesText{Routes: "mine"}, 0)
+		var failure *config.Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Kind, cyclamendyke.KindUnknown)
+		is.Equal(failure.Current, cyclamendyke.Revision(2))
+		is.True(!errors.Is(err, cyclamendyke.KindConflict))
+	})
+}
+
 // TestRacingEdits has operators edit from the same revision; one wins, the others learn the revision in the store.
 func TestRacingEdits(t *testing.T) {
 	const operators = 5
