Record the progress of kept jobs and end those that lost their route

A kept job whose route was removed between two terms waited for ever; it now ends when its term begins. A job of a queue that was dropped and made anew could wait in a second queue of the same shape, which new tables did not reach; and a scheduler without tables could not restore a job.

--- a/core/scheduler/authority.go
+++ b/core/scheduler/authority.go
@@ -149,6 +149,9 @@
 		s.failGang(j)
 		return
 	}
+	if s.endImpossible(j) {
+		return
+	}
 	s.mendGang(j)
 	s.enqueue(j)
 }
--- a/core/scheduler/job.go
+++ b/core/scheduler/job.go
@@ -51,6 +51,7 @@
 	evicting       int
 	preemptTimer   bool
 	outcome        cyclamendyke.Outcome
+	recorded       time.Time            // When the journal was last given its results.
 	ending         cyclamendyke.Outcome // Of a job that is closing.
 	endedAt        time.Time
 	ranOn          []cyclamendyke.WorkerName
--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -195,11 +195,8 @@
 	if j.state != jobActive || j.waiting.count == 0 || j.notBefore.After(s.now) {
 		return
 	}
-	if j.queue == nil {
-		j.queue = s.queueOf(j)
-	}
+	j.queue = s.queueOf(j)
 	q := j.queue
-	q.team.queues[q.key] = q
 	wasEmpty := q.head() == nil
 	q.jobs.ReplaceOrInsert(j)
 	if q.state == queueRunnable || wasEmpty || q.head() == j {
--- a/core/scheduler/record.go
+++ b/core/scheduler/record.go
@@ -1,6 +1,12 @@
 package scheduler
 
-import "cyclamendyke"
+import (
+	"time"
+
+	"cyclamendyke"
+)
+
+const progressInterval = 30 * time.Second // Between two records of a job's results.
 
 // record returns what the journal keeps of the job; of one that must not be repeated it says from the first that it may have started.
 func (j *job) record() cyclamendyke.JournalRecord {
@@ -12,6 +18,15 @@
 	}
 }
 
+// recordProgress has the results of a kept job recorded from time to time, so that a takeover need not repeat them; a gang's count only together.
+func (s *Scheduler) recordProgress(j *job) {
+	if !j.kept || j.state != jobActive || j.policy.AllAtOnce() || s.now.Sub(j.recorded) < progressInterval {
+		return
+	}
+	j.recorded = s.now
+	s.emit(cyclamendyke.PersistCommand{Record: j.record()})
+}
+
 func (s *Scheduler) persisted(request cyclamendyke.RequestID, result cyclamendyke.PersistResult) {
 	j := s.jobs[request]
 	switch {
@@ -36,6 +51,7 @@
 func (s *Scheduler) recorded(j *job, result cyclamendyke.PersistResult) {
 	switch result {
 	case cyclamendyke.PersistKept:
+		j.recorded = s.now
 		if j.spec.Detach {
 			s.emit(cyclamendyke.AnswerCommand{Outcome: j.outcome})
 		}
--- a/core/scheduler/result.go
+++ b/core/scheduler/result.go
@@ -54,7 +54,9 @@
 	}
 	s.settle(t, result)
 	s.reindex(w)
-	s.complete(j)
+	if !s.complete(j) {
+		s.recordProgress(j)
+	}
 }
 
 // settle decides what follows from a result: it is kept, or the task waits again.
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -38,6 +38,7 @@
 			"frozen":   onWorld(func(w *world, _ []string) { w.do(w.s.SetAuthority(w.now, cyclamendyke.Authority{})) }),
 			"baseline": onWorld(func(w *world, _ []string) { w.cfg.Policies = policy.Baseline() }),
 			"tables":   onWorld(changeTables),
+			"missed":   onWorld(func(w *world, args []string) { w.tables = tablesWithout(w, args) }),
 			"summary":  scriptSummary,
 			"want":     scriptWant,
 			"waiting":  scriptWaiting,
@@ -170,8 +171,16 @@
 	}
 }
 
-// changeTables puts a revision in force in which the named route is gone, or the pool's VMs have other cores.
+// changeTables puts a revision of tablesWithout in force, and then the one before, which is too old.
 func changeTables(w *world, args []string) {
+	older := w.tables
+	w.tables = tablesWithout(w, args)
+	w.do(w.s.SetTables(w.now, w.tables))
+	w.do(w.s.SetTables(w.now, older))
+}
+
+// tablesWithout returns a revision in which the named route is gone, or the pool's VMs have other cores.
+func tablesWithout(w *world, args []string) *cyclamendyke.Tables {
 	changed := testTables()
 	changed.Revision = w.tables.Revision + 1
 	for _, arg := range args {
@@ -182,10 +191,7 @@
 			changed.Pools["p"] = row
 		}
 	}
-	older := w.tables
-	w.tables = changed
-	w.do(w.s.SetTables(w.now, changed))
-	w.do(w.s.SetTables(w.now, older))
+	return changed
 }
 
 // scriptSummary compares the cores reserved and the tasks waiting in the pool, a team's demand in cores and the healthy workers.
--- a/core/scheduler/tables.go
+++ b/core/scheduler/tables.go
@@ -74,12 +74,7 @@
 // updateQueues applies new tables to what waits; jobs whose route is gone or whose size no longer fits end.
 func (s *Scheduler) updateQueues() {
 	for _, j := range s.unfinishedJobs() {
-		if j.orphan || j.waiting.count == 0 {
-			continue
-		}
-		if reason, detail := s.impossible(&j.spec); reason != cyclamendyke.ReasonNone {
-			s.end(j, s.interrupted(j, reason, detail))
-		}
+		s.endImpossible(j)
 	}
 	for _, t := range s.teamsInOrder() {
 		for _, q := range t.queuesInOrder() {
@@ -89,8 +84,24 @@
 	}
 }
 
+// endImpossible ends a job whose waiting tasks cannot run under the tables in force, and reports whether it has.
+func (s *Scheduler) endImpossible(j *job) bool {
+	if s.tables == nil || j.orphan || j.waiting.count == 0 {
+		return false
+	}
+	reason, detail := s.impossible(&j.spec)
+	if reason == cyclamendyke.ReasonNone {
+		return false
+	}
+	s.end(j, s.interrupted(j, reason, detail))
+	return true
+}
+
 // poolsOf returns the pools that a route's work of one kind may use in this zone, in order of preference.
 func (s *Scheduler) poolsOf(route cyclamendyke.RouteName, kind cyclamendyke.JobKind) []*pool {
+	if s.tables == nil {
+		return nil
+	}
 	row := s.tables.Routes[route]
 	pools := make([]*pool, 0, len(row.Pools))
 	for _, name := range row.Pools {
