--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -20,6 +23,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"cyclamendyke"
 	"cyclamendyke/client"
 	"cyclamendyke/daemon"
 	"cyclamendyke/platform/server"
@@ -34,6 +38,9 @@
 	scriptsTimeout = 4 * time.Minute
 )
 
+// daemons are the processes for which setUp writes settings.
+var daemons = []string{"z1-a", "z1-b", "z2-a", "z2-b"}
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"cyclamendyke":          func() { os.Exit(int(client.Main())) },
@@ -56,11 +63,13 @@
 			return setUp(env)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"exits":     execWithCode,
-			"until":     pollUntil,
-			"capture":   captureStdout,
-			"post":      postToPlatform,
-			"terminate": terminate,
+			"exits":   execWithCode,
+			"until":   pollUntil,
+			"capture": captureStdout,
+			"post":    postToPlatform,
+			"signal":  signalProcess,
+			"runs":    compareRuns,
+			"sound":   checkSound,
 		},
 	})
 }
@@ -95,7 +104,7 @@
 		return err
 	}
 	platform, addresses := addresses[0], addresses[1:]
-	for i, name := range []string{"z1-a", "z1-b", "z2-a", "z2-b"} {
+	for i, name := range daemons {
 		values := struct{ Name, Zone, Peer, HTTP, Platform, Hash string }{
 			Name:     name,
 			Zone:     name[:2],
@@ -184,9 +193,49 @@
 	}
 }
 
-// terminate sends SIGTERM to the process whose identifier a file holds: terminate FILE
-func terminate(ts *testscript.TestScript, _ bool, args []string) {
-	pid, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(args[0])))
+// signalProcess signals the process whose identifier a file holds: signal NAME FILE
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	signals := map[string]syscall.Signal{"TERM": syscall.SIGTERM, "KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT}
+	pid, err := strconv.Atoi(strings.TrimSpace(ts.ReadFile(args[1])))
+	ts.Check(err)
+	ts.Check(syscall.Kill(pid, signals[args[0]]))
+}
+
+// compareRuns checks how many tasks with a payload were started on any worker: runs COUNT PAYLOAD
+func compareRuns(ts *testscript.TestScript, _ bool, args []string) {
+	var reply struct{ Runs int }
+	getJSON(ts, "/runs?payload="+url.QueryEscape(args[1]), &reply)
+	if strconv.Itoa(reply.Runs) != args[0] {
+		ts.Fatalf("%d tasks were started, want %s", reply.Runs, args[0])
+	}
+}
+
+// checkSound checks that no task ran in two places, and that no daemon that can be reached found an invariant broken: sound
+func checkSound(ts *testscript.TestScript, _ bool, _ []string) {
+	var reply struct{ Doubled []cyclamendyke.TaskID }
+	getJSON(ts, "/counts", &reply)
+	if len(reply.Doubled) > 0 {
+		ts.Fatalf("tasks ran in two places: %v", reply.Doubled)
+	}
+	for i := range daemons {
+		response, err := http.Get("http://" + ts.Getenv(fmt.Sprintf("ENTRY%d", i+1)) + "/metrics")
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		ts.Check(err)
+		if violation := violationPattern.Find(text); violation != nil {
+			ts.Fatalf("%s: %s", daemons[i], violation)
+		}
+	}
+}
+
+var violationPattern = regexp.MustCompile(`(?m)^cyclamendyke_invariant_violations_total\{.*\} [^0].*$`)
+
+func getJSON(ts *testscript.TestScript, path string, reply any) {
+	response, err := http.Get("http://" + ts.Getenv("PLATFORM") + path)
 	ts.Check(err)
-	ts.Check(syscall.Kill(pid, syscall.SIGTERM))
+	defer response.Body.Close()
+	ts.Check(json.NewDecoder(response.Body).Decode(reply))
 }
