--- a/client/tables_edit.go
+++ b/client/tables_edit.go
@@ -35,9 +35,6 @@
 	if o.Expected != nil {
 		expected = cyclamendyke.Revision(*o.Expected)
 	}
-	if expected != current.Revision {
-		return conflictError(op, expected, current.Revision)
-	}
 	text, err := readTables(op, o.Routes, o.Pools, current.TablesText)
 	if err != nil {
 		return err
@@ -45,7 +42,7 @@
 	if _, faults := tables.Parse(text, expected); len(faults) > 0 {
 		return c.reportFaults(op, o.Routes, o.Pools, faults)
 	}
-	revision, err := c.putTables(op, o, expected, text)
+	revision, err := c.swapTables(op, o, expected, current, text)
 	if err != nil {
 		return err
 	}
@@ -57,6 +54,18 @@
 	return c.printRevision(revision)
 }
 
+// swapTables puts the tables in force unless another operator was first; an edit that is repeated finds that it is in force already.
+func (c *Client) swapTables(op string, o *tablesEditOptions, expected cyclamendyke.Revision, current tablesState, text cyclamendyke.TablesText) (cyclamendyke.Revision, error) {
+	switch {
+	case expected == current.Revision:
+		return c.putTables(op, o, expected, text)
+	case text == current.TablesText:
+		return current.Revision, nil
+	default:
+		return 0, conflictError(op, expected, current.Revision)
+	}
+}
+
 // putTables writes the tables over the expected revision, which makes the call safe to repeat.
 func (c *Client) putTables(op string, o *tablesEditOptions, expected cyclamendyke.Revision, text cyclamendyke.TablesText) (cyclamendyke.Revision, error) {
 	body := struct {
