Measure heartbeats after their first, to peers of other zones

The first heartbeat to a peer holds the whole state, later ones only changes; the figures of a short run mixed both. A busy scheduler's load changes between any two heartbeats, a standby's state does not.

--- a/bench/heartbeats.go
+++ b/bench/heartbeats.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,7 +13,10 @@
 	"cyclamendyke/io/peer"
 )
 
-const heartbeatsFor = 12 * time.Second
+const (
+	heartbeatsFirst = daemon.FarHeartbeatInterval / 2
+	heartbeatsFor   = 2 * daemon.FarHeartbeatInterval
+)
 
 // beatHandler answers heartbeats and nothing else.
 type beatHandler struct{ peer.Handler }
@@ -30,48 +31,56 @@
 	return config.Copy{}, nil
 }
 
-// measureHeartbeats measures one process's heartbeats to several numbers of peers.
+// beatKind is how a process's state changes between two heartbeats.
+type beatKind struct {
+	name  string
+	state func() cyclamendyke.MemberState
+}
+
+// beatKinds are a scheduler whose load changes all the time and a standby, whose state stays as it is.
+func beatKinds() []beatKind {
+	var reserved atomic.Int64
+	return []beatKind{
+		{"busy scheduler's heartbeat", func() cyclamendyke.MemberState {
+			state := memberState(0)
+			pool := state.Pools["search"]
+			pool.Reserved = smallTask.Scale(100 + reserved.Add(1)%900)
+			state.Pools["search"] = pool
+			return state
+		}},
+		{"standby's heartbeat", func() cyclamendyke.MemberState {
+			state := memberState(0)
+			state.Pools = nil
+			return state
+		}},
+	}
+}
+
+// measureHeartbeats measures one process's heartbeats to several numbers of peers in other zones.
 func measureHeartbeats(uint64) (*Report, error) {
 	report := &Report{}
 	sizes := []int{5, 11, 17, 35}
-	costs := make([]callCost, len(sizes))
-	for i, n := range sizes {
-		var err error
-		if costs[i], err = beat(n, memberState(0)); err != nil {
-			return nil, err
+	for _, kind := range beatKinds() {
+		var cpu, sent, received []Point
+		for _, n := range sizes {
+			cost, err := beat(n, kind.state)
+			if err != nil {
+				return nil, err
+			}
+			seconds := heartbeatsFor.Seconds()
+			cpu = append(cpu, Point{float64(n), millis(cost.cpu) / seconds})
+			sent = append(sent, Point{float64(n), cost.sent / seconds})
+			received = append(received, Point{float64(n), cost.received / seconds})
 		}
+		report.add(kind.name+" bytes sent", "bytes/s", "peer", sent)
+		report.add(kind.name+" bytes received", "bytes/s", "peer", received)
+		report.add(kind.name+" processor time of both ends", "ms/s", "peer", cpu)
 	}
-	addBeats(report, "scheduler's heartbeat", sizes, costs)
-	var cpu []Point
-	for i, n := range sizes {
-		cpu = append(cpu, Point{float64(n), millis(costs[i].cpu) / heartbeatsFor.Seconds()})
-	}
-	report.add("scheduler's heartbeat processor time of both ends", "ms/s", "peer", cpu)
-	standby := memberState(0)
-	standby.Pools = nil
-	errs := make([]error, len(sizes))
-	var runs sync.WaitGroup
-	for i, n := range sizes {
-		runs.Go(func() { costs[i], errs[i] = beat(n, standby) })
-	}
-	runs.Wait()
-	addBeats(report, "standby's heartbeat", sizes, costs)
-	return report, errors.Join(errs...)
-}
-
-func addBeats(report *Report, name string, sizes []int, costs []callCost) {
-	sent := make([]Point, 0, len(sizes))
-	received := make([]Point, 0, len(sizes))
-	for i, n := range sizes {
-		sent = append(sent, Point{float64(n), costs[i].sent / heartbeatsFor.Seconds()})
-		received = append(received, Point{float64(n), costs[i].received / heartbeatsFor.Seconds()})
-	}
-	report.add(name+" bytes sent", "bytes/s", "peer", sent)
-	report.add(name+" bytes received", "bytes/s", "peer", received)
+	return report, nil
 }
 
-// beat sends heartbeats to n peers, served by this process too, for heartbeatsFor.
-func beat(n int, state cyclamendyke.MemberState) (callCost, error) {
+// beat sends heartbeats to n peers, served by this process too, and measures those after the first.
+func beat(n int, state func() cyclamendyke.MemberState) (callCost, error) {
 	clock := timeline.NewClock(timeline.ClockConfig{})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -81,13 +90,13 @@
 	defer server.Close()
 	counted := &countingDialer{}
 	pool := peer.NewPool(peer.PoolConfig{
-		Self:      "entry-self",
-		Clock:     clock,
-		State:     func() cyclamendyke.MemberState { return state },
-		OnView:    func(cyclamendyke.Member, time.Time, peer.ViewState) {},
-		OnVerdict: func(cyclamendyke.Member, bool) {},
-		Dial:      counted.dial,
-		// The peers count as those of other zones, which get most of the heartbeats.
+		Self:        "entry-self",
+		Zone:        "elsewhere",
+		Clock:       clock,
+		State:       state,
+		OnView:      func(cyclamendyke.Member, time.Time, peer.ViewState) {},
+		OnVerdict:   func(cyclamendyke.Member, bool) {},
+		Dial:        counted.dial,
 		FarInterval: daemon.FarHeartbeatInterval,
 	})
 	defer pool.Close()
@@ -97,11 +106,15 @@
 		member.Peer = listener.Addr().String()
 		members = append(members, member)
 	}
-	cpu := cpuOf(func() {
-		pool.SetMembers(members)
-		time.Sleep(heartbeatsFor)
-	})
-	return callCost{cpu: cpu, sent: float64(counted.sent.Load()), received: float64(counted.received.Load())}, nil
+	pool.SetMembers(members)
+	time.Sleep(heartbeatsFirst)
+	sent, received := counted.sent.Load(), counted.received.Load()
+	cpu := cpuOf(func() { time.Sleep(heartbeatsFor) })
+	return callCost{
+		cpu:      cpu,
+		sent:     float64(counted.sent.Load() - sent),
+		received: float64(counted.received.Load() - received),
+	}, nil
 }
 
 // countingDialer counts the bytes on the connections it makes.
--- a/bench/processes.go
+++ b/bench/processes.go
@@ -15,7 +15,7 @@
 
 const (
 	processDaemons     = largeEntriesPerZone
-	processSettle      = 5 * time.Second
+	processSettle      = 15 * time.Second
 	processMeasure     = 10 * time.Second
 	processTasksPerJob = 10
 	processPayload     = "sleep=2s"
--- a/bench/sizing.go
+++ b/bench/sizing.go
@@ -19,17 +19,17 @@
 
 // What is assumed of the large fleet besides what is named of it.
 const (
-	assumedWaitingJobs  = 1000 // Of one zone.
-	assumedEvents       = 10_000
-	assumedKeys         = 2 * largeTeams
-	assumedTasksPerJob  = 10
-	measuredPeers       = largeEntriesPerZone - 1 // In the measured zones of processes.
-	largeEntries        = largeZones * largeEntriesPerZone
-	largePeers          = largeEntries - 1
-	heartbeatsPerSecond = 0.5
-	startsPerZone       = float64(largeStartsPerSecond) / largeZones
-	runningPerZone      = float64(largeRunning) / largeZones
-	startsPerEntry      = float64(largeStartsPerSecond) / largeEntries
+	assumedWaitingJobs = 1000 // Of one zone.
+	assumedEvents      = 10_000
+	assumedKeys        = 2 * largeTeams
+	assumedTasksPerJob = 10
+	measuredPeers      = largeEntriesPerZone - 1 // In the measured zones of processes.
+	largeEntries       = largeZones * largeEntriesPerZone
+	largePeers         = largeEntries - 1
+	beatsPerSecond     = 2 * (measuredPeers/2.0 + (largePeers-measuredPeers)/4.0)
+	startsPerZone      = float64(largeStartsPerSecond) / largeZones
+	runningPerZone     = float64(largeRunning) / largeZones
+	startsPerEntry     = float64(largeStartsPerSecond) / largeEntries
 )
 
 // sizing works figures out from measured series.
@@ -89,23 +89,19 @@
 	fmt.Fprintf(s.out, "| %s | %s | %.4g %s | %s | %s |\n", role, quantity, value, unit, verdict, from)
 }
 
-// beats returns the bytes a second of a process's heartbeats to and from so many peers, of which so many are schedulers.
-func (s *sizing) beats(own string, peers, schedulers float64) float64 {
-	scheduler := s.fit("heartbeats", "scheduler's heartbeat bytes sent").Slope
+// farBytes returns the bytes a second of heartbeats both ways with the peers beyond those in the measured zones, of which so many are schedulers.
+func (s *sizing) farBytes(own string, schedulers float64) float64 {
+	const peers = largePeers - measuredPeers
+	scheduler := s.fit("heartbeats", "busy scheduler's heartbeat bytes sent").Slope
 	standby := s.fit("heartbeats", "standby's heartbeat bytes sent").Slope
 	answer := s.fit("heartbeats", "standby's heartbeat bytes received").Slope
 	sent := peers * (s.fit("heartbeats", own+" bytes sent").Slope + answer)
 	return sent + schedulers*(scheduler+answer) + (peers-schedulers)*(standby+answer)
 }
 
-// morePeers returns the bytes a second that heartbeats take beyond those in the measured zones.
-func (s *sizing) morePeers(own string, measuredSchedulers, schedulers float64) float64 {
-	return s.beats(own, largePeers, schedulers) - s.beats(own, measuredPeers, measuredSchedulers)
-}
-
-// beatCPU returns the milliseconds a second of the heartbeats beyond those in the measured zones.
-func (s *sizing) beatCPU() float64 {
-	return s.fit("heartbeats", "scheduler's heartbeat processor time of both ends").Slope * (largePeers - measuredPeers)
+// farCPU returns the milliseconds a second of the heartbeats with the same peers.
+func (s *sizing) farCPU() float64 {
+	return s.fit("heartbeats", "busy scheduler's heartbeat processor time of both ends").Slope * (largePeers - measuredPeers)
 }
 
 func (s *sizing) scheduler() {
@@ -120,16 +116,16 @@
 		s.fit("state", "scheduler running tasks").Slope*runningPerZone +
 		s.fit("state", "time line").Slope*assumedEvents
 	s.row(role, "memory", memory, budgetMemory, "bytes", "load: resident at 73 starts/s; state: waiting jobs, running tasks, full time line")
-	idle := s.fit("idle", "idle scheduler processor time").at(largeWorkersPerZone) + s.beatCPU()
+	idle := s.fit("idle", "idle scheduler processor time").at(largeWorkersPerZone) + s.farCPU()
 	s.row(role, "processor time, control", idle, budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
-	loaded := s.fit("load", "loaded scheduler processor time").at(startsPerZone) + s.beatCPU()
+	loaded := s.fit("load", "loaded scheduler processor time").at(startsPerZone) + s.farCPU()
 	s.row(role, "processor time, control and work", loaded, budgetCPU, "ms/s", "load: at 73 starts/s; heartbeats: 15 more peers")
-	control := s.fit("idle", "idle scheduler bytes both ways").at(largeWorkersPerZone) + s.morePeers("scheduler's heartbeat", 0, largeZones-1)
+	control := s.fit("idle", "idle scheduler bytes both ways").at(largeWorkersPerZone) + s.farBytes("busy scheduler's heartbeat", largeZones-1)
 	s.row(role, "bytes, control", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
 	work := s.fit("load", "loaded scheduler bytes both ways").Slope * startsPerZone
 	s.row(role, "bytes, work", work, 0, "bytes/s", "load: slope at 73 starts/s")
-	messages := largeWorkersPerZone/5.0 + 2*largePeers*heartbeatsPerSecond
-	s.row(role, "messages, control", messages, 0, "calls/s", "a renewal a worker each 5 s, a heartbeat a peer each 2 s in both directions")
+	messages := largeWorkersPerZone/5.0 + beatsPerSecond
+	s.row(role, "messages, control", messages, 0, "calls/s", "a renewal a worker each 5 s; heartbeats both ways, each 2 s to 2 peers and each 4 s to 15")
 	s.row(role, "messages, work", 3*startsPerZone, 0, "calls/s", "at most a start, a renewal and a part of a submission a task")
 	s.storeRows(role, "scheduler", s.fit("idle", "idle scheduler store reads").at(largeWorkersPerZone), s.fit("idle", "idle scheduler store writes").at(largeWorkersPerZone))
 }
@@ -144,16 +140,16 @@
 	const role = "standby"
 	memory := s.fit("idle", "idle standby resident memory").at(largeWorkersPerZone) + s.fit("state", "time line").Slope*assumedEvents
 	s.row(role, "memory", memory, budgetMemory, "bytes", "idle: resident at 120 workers; state: full time line")
-	s.row(role, "processor time", s.fit("idle", "idle standby processor time").at(largeWorkersPerZone)+s.beatCPU(), budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
-	control := s.fit("idle", "idle standby bytes both ways").at(largeWorkersPerZone) + s.morePeers("standby's heartbeat", 1, largeZones)
+	s.row(role, "processor time", s.fit("idle", "idle standby processor time").at(largeWorkersPerZone)+s.farCPU(), budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
+	control := s.fit("idle", "idle standby bytes both ways").at(largeWorkersPerZone) + s.farBytes("standby's heartbeat", largeZones-1)
 	s.row(role, "bytes", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
-	s.row(role, "messages", 2*largePeers*heartbeatsPerSecond+0.5, 0, "calls/s", "heartbeats both ways, list of VMs each 2 s")
+	s.row(role, "messages", beatsPerSecond+0.5, 0, "calls/s", "heartbeats both ways, list of VMs each 2 s")
 	s.storeRows(role, "standby", s.fit("idle", "idle standby store reads").at(largeWorkersPerZone), s.fit("idle", "idle standby store writes").at(largeWorkersPerZone))
 }
 
 func (s *sizing) entry() {
 	const role = "entry"
-	cpu := s.fit("load", "loaded entry processor time").at(startsPerEntry) + s.beatCPU()
+	cpu := s.fit("load", "loaded entry processor time").at(startsPerEntry) + s.farCPU()
 	s.row(role, "processor time, control and work", cpu, budgetCPU, "ms/s", "load: at 24.4 starts/s; heartbeats: 15 more peers")
 	s.row(role, "bytes, work", s.fit("load", "loaded entry bytes both ways").Slope*startsPerEntry, 0, "bytes/s", "load: slope at 24.4 starts/s")
 	s.row(role, "messages, work", 2*startsPerEntry/assumedTasksPerJob, 0, "calls/s", "a call in and one out a job of 10 tasks")
--- a/bench/state.go
+++ b/bench/state.go
@@ -135,8 +135,8 @@
 		}
 		return states
 	})
-	allotments, err := json.Marshal(allotmentsOf(largeTeams))
-	report.value("allotments value in the store, 59 teams and 6 zones", float64(len(allotments)), "bytes")
+	allotments, err := json.Marshal(allotmentsOfTeam())
+	report.value("allotments of one team in the store, 6 zones", float64(len(allotments)), "bytes")
 	if failed != nil {
 		return failed
 	}
@@ -168,14 +168,11 @@
 	}
 }
 
-func allotmentsOf(teams int) map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments {
-	all := map[cyclamendyke.TeamName]cyclamendyke.TeamAllotments{}
-	for i := range teams {
-		zones := map[cyclamendyke.ZoneName]cyclamendyke.Allotment{}
-		for _, name := range []cyclamendyke.ZoneName{"a1", "a2", "a3", "b1", "b2", "b3"} {
-			zones[name] = cyclamendyke.Allotment{Held: smallTask.Scale(100), Want: smallTask.Scale(120)}
-		}
-		all[teamName(i)] = cyclamendyke.TeamAllotments{Limit: smallTask.Scale(600), Zones: zones}
+// allotmentsOfTeam is the value of one team's key.
+func allotmentsOfTeam() cyclamendyke.TeamAllotments {
+	zones := map[cyclamendyke.ZoneName]cyclamendyke.Allotment{}
+	for _, name := range []cyclamendyke.ZoneName{"a1", "a2", "a3", "b1", "b2", "b3"} {
+		zones[name] = cyclamendyke.Allotment{Held: smallTask.Scale(100), Want: smallTask.Scale(120)}
 	}
-	return all
+	return cyclamendyke.TeamAllotments{Limit: smallTask.Scale(600), Zones: zones}
 }
