Tell a late copy of a start from a fresh one by the report its sender had seen

Ruled out: the quota ledger (it summed to the limit) and the takeover (one term throughout). Starts carry an order, and claims and renewals a floor above every start sent before; with the floor alone a report whose answer was lost still let a late copy through (focused test: 2 runs of a task). A start now also carries the report sequence that its sender has seen; a result above it marks a repeat.

--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -52,7 +52,7 @@
 
 	epoch    cyclamendyke.Epoch       // Of the claim in force, zero if there is none.
 	mode     cyclamendyke.SessionMode // Of the last renewal.
-	ack      uint64
+	ack      atomic.Uint64
 	failures int
 }
 
@@ -115,7 +115,7 @@
 	if fresh || l.mode != claim.Mode || l.failures > 0 {
 		claim.Hold = 0
 	}
-	claim.Ack = l.ack
+	claim.Ack = l.ack.Load()
 	claim.StartFloor = l.starts.Load() + 1
 	sent := time.Now()
 	report, err := l.send(ctx, claim, fresh)
@@ -125,12 +125,12 @@
 	l.failures = 0
 	l.epoch = claim.Epoch
 	l.mode = claim.Mode
+	l.ack.Store(report.Sequence) // Before the report is taken in, which may start its tasks again.
 	if fresh {
 		l.events.claimed(sent, claim, report)
 	} else {
 		l.events.renewed(sent, claim, report)
 	}
-	l.ack = report.Sequence
 	return nil
 }
 
@@ -209,5 +209,6 @@
 		return &Error{Op: "start", Kind: cyclamendyke.KindUnavailable, Err: errors.New("the authority lapsed before the start was sent")}
 	}
 	order.Start.Order = l.starts.Add(1)
+	order.Start.Ack = l.ack.Load()
 	return l.workers.Start(ctx, l.vm.Name, order.Start)
 }
--- a/worker.go
+++ b/worker.go
@@ -61,6 +61,7 @@
 	Job      Job       `json:"job"`
 	Reserved Resources `json:"reserved"`
 	Order    uint64    `json:"order,omitempty"` // Rises with each start sent under the epoch.
+	Ack      uint64    `json:"ack,omitempty"`   // Highest report sequence seen; a result of the task above it shows a repeat.
 }
 
 // StopMode says how a task is to be ended.
@@ -79,7 +80,7 @@
 	Claim(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
 	// Renew extends the session and every task lease, and waits up to claim.Hold for something to report.
 	Renew(ctx context.Context, worker WorkerName, claim Claim) (WorkerReport, error)
-	// Start runs a task; it is idempotent for the same task under the same epoch until a report of its end is answered, and KindNoSession below the epoch's StartFloor.
+	// Start runs a task; it is idempotent for the same task under the same epoch until its end is acknowledged, and KindNoSession below the epoch's StartFloor.
 	Start(ctx context.Context, worker WorkerName, start TaskStart) error
 	// Stop throttles, checkpoints or kills a task; a task that is not there counts as stopped.
 	Stop(ctx context.Context, worker WorkerName, epoch Epoch, task TaskID, mode StopMode) error
