Keep the scheduler's state while its authority has lapsed

Renewals that were delayed past the session's 22 s cost the authority, which came back in the same instant under the same epoch; the scheduler had been dropped in between, and the results that its workers had reported to it, already acknowledged, were lost with it. Ruled out: the floor and the acknowledgement of starts, which refused the late copy as they should (traced at the worker). A scheduler is now kept while its authority has lapsed, and dropped once the role gives the term up: an epoch that gains a majority again was not followed by a later one. A report counts as acknowledged only if a scheduler took it in.

--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -166,9 +166,14 @@
 	c.roleMoved = false
 	c.runRole(c.cfg.Role.Tick(now))
 	c.publishOrder(now)
-	if c.scheduler != nil {
-		c.run(c.scheduler.SetAuthority(now, c.cfg.Role.Authority(now)))
+	if c.scheduler == nil {
+		return
 	}
+	if order := c.order.Load(); !order.send || order.claim.Epoch != c.epoch {
+		c.endTerm()
+		return
+	}
+	c.run(c.scheduler.SetAuthority(now, c.cfg.Role.Authority(now)))
 }
 
 // withRole carries out what the role asks for after an event that may have cost it the authority.
@@ -271,16 +276,23 @@
 	})
 }
 
-// roleChanged begins or ends a term.
+// roleChanged begins a term, or notes that its authority has lapsed or is back.
+//
+// A scheduler keeps its state while its authority has lapsed: the same epoch
+// can gain a majority again only if no later one has.
 func (c *controller) roleChanged(command cyclamendyke.RoleChangedCommand) {
 	now := time.Now()
 	authority := command.Authority
-	if authority.Valid(now) && authority.Epoch != c.epoch {
-		c.beginTerm(now, authority)
+	switch {
+	case authority.Valid(now):
+		if authority.Epoch != c.epoch {
+			c.beginTerm(now, authority)
+		}
+		c.scheduling.Store(&authority.Epoch)
 		c.roleEvent(cyclamendyke.EventRoleTaken, authority.Epoch, command.Detail)
-	} else if !authority.Valid(now) && c.scheduler != nil {
+	case c.scheduling.Load() != nil:
+		c.scheduling.Store(nil)
 		c.roleEvent(cyclamendyke.EventRoleLost, c.epoch, command.Detail)
-		c.endTerm()
 	}
 	c.cfg.RoleMoved(authority)
 }
@@ -294,7 +306,6 @@
 	c.endTerm()
 	c.epoch = authority.Epoch
 	c.scheduler = c.cfg.Scheduler()
-	c.scheduling.Store(&authority.Epoch)
 	if c.tables != nil {
 		c.run(c.scheduler.SetTables(now, c.tables))
 	}
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -175,7 +175,7 @@
 	answers := make(chan submitAnswer, 1)
 	accepted := false
 	ran := c.ask(func(now time.Time) {
-		if c.scheduler == nil || c.mustAwaitJournal(job) {
+		if c.scheduling.Load() == nil || c.scheduler == nil || c.mustAwaitJournal(job) {
 			return
 		}
 		accepted = true
--- a/daemon/workerevents.go
+++ b/daemon/workerevents.go
@@ -7,24 +7,30 @@
 	"cyclamendyke"
 )
 
-// claimed takes in the complete listing of a worker that has granted its session.
-func (c *controller) claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) {
+// claimed takes in the complete listing of a worker that has granted its session, and reports whether there was a scheduler for it.
+func (c *controller) claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool {
+	taken := false
 	c.ask(func(now time.Time) {
 		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
 		if c.scheduler != nil && c.epoch == claim.Epoch {
+			taken = true
 			c.run(c.scheduler.Claimed(now, report, sent))
 		}
 	})
+	return taken
 }
 
-// renewed takes in the changes of a worker that has extended its session.
-func (c *controller) renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) {
+// renewed takes in the changes of a worker that has extended its session, and reports whether there was a scheduler for them.
+func (c *controller) renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool {
+	taken := false
 	c.ask(func(now time.Time) {
 		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
 		if c.scheduler != nil && c.epoch == claim.Epoch {
+			taken = true
 			c.run(c.scheduler.Renewed(now, report, sent))
 		}
 	})
+	return taken
 }
 
 // refused takes in a worker's refusal of the session.
--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -29,8 +29,8 @@
 
 // workerEvents receives what worker links learn; each call returns after it was taken in.
 type workerEvents interface {
-	claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport)
-	renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport)
+	claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool
+	renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool
 	refused(worker cyclamendyke.WorkerName, err error)
 	unreachable(worker cyclamendyke.WorkerName)
 	startAnswered(worker cyclamendyke.WorkerName, task cyclamendyke.TaskID, err error)
@@ -52,7 +52,8 @@
 
 	epoch    cyclamendyke.Epoch       // Of the claim in force, zero if there is none.
 	mode     cyclamendyke.SessionMode // Of the last renewal.
-	ack      atomic.Uint64
+	seen     atomic.Uint64            // Highest report sequence that was answered.
+	ack      uint64                   // Highest one that a scheduler has taken in.
 	failures int
 }
 
@@ -115,7 +116,7 @@
 	if fresh || l.mode != claim.Mode || l.failures > 0 {
 		claim.Hold = 0
 	}
-	claim.Ack = l.ack.Load()
+	claim.Ack = l.ack
 	claim.StartFloor = l.starts.Load() + 1
 	sent := time.Now()
 	report, err := l.send(ctx, claim, fresh)
@@ -125,11 +126,13 @@
 	l.failures = 0
 	l.epoch = claim.Epoch
 	l.mode = claim.Mode
-	l.ack.Store(report.Sequence) // Before the report is taken in, which may start its tasks again.
+	l.seen.Store(report.Sequence) // Before the report is taken in, which may start its tasks again.
+	takeIn := l.events.renewed
 	if fresh {
-		l.events.claimed(sent, claim, report)
-	} else {
-		l.events.renewed(sent, claim, report)
+		takeIn = l.events.claimed
+	}
+	if takeIn(sent, claim, report) {
+		l.ack = report.Sequence
 	}
 	return nil
 }
@@ -209,6 +212,6 @@
 		return &Error{Op: "start", Kind: cyclamendyke.KindUnavailable, Err: errors.New("the authority lapsed before the start was sent")}
 	}
 	order.Start.Order = l.starts.Add(1)
-	order.Start.Ack = l.ack.Load()
+	order.Start.Ack = l.seen.Load()
 	return l.workers.Start(ctx, l.vm.Name, order.Start)
 }
