Publish a moved role from the goroutine that publishes the own state

Cause: the control goroutine could add to the wait group that Close already waits on (race detector, in-process run). The gates of the memory network are now found under its lock, for the same reason.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -68,6 +68,7 @@
 	http      *khttp.Server
 	httpLine  net.Listener
 
+	moved    chan struct{} // Says that the role has moved.
 	places   chan struct{} // One for each request that may be in progress.
 	stopping atomic.Bool
 	inFlight sync.WaitGroup
@@ -128,6 +129,7 @@
 		directory: newDirectory(),
 		known:     newKnownMembers(member.Name),
 		freshness: newFreshness(),
+		moved:     make(chan struct{}, 1),
 		places:    make(chan struct{}, cfg.Settings.Limits.RequestsInFlight),
 		assembled: make(chan struct{}),
 		ctx:       ctx,
@@ -286,5 +288,8 @@
 func (d *Daemon) roleMoved(authority cyclamendyke.Authority) {
 	d.metrics.roleChanges.Inc()
 	d.log.Info("scheduler role", "epoch", authority.Epoch, "holds", authority.Valid(time.Now()))
-	d.background.Go(d.publishState)
+	select {
+	case d.moved <- struct{}{}:
+	default:
+	}
 }
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -167,6 +167,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-d.moved:
+			d.publishState()
 		case <-ticker.C:
 		}
 	}
--- a/proofs/cell.go
+++ b/proofs/cell.go
@@ -126,26 +126,16 @@
 		},
 		Log:  log.New(&c.log),
 		Seed: c.config.Seed,
-		HTTP: c.network.listen(name),
-		Peer: c.network.listen(node.Member.Peer),
+		HTTP: c.network.listen(name, peers),
+		Peer: c.network.listen(node.Member.Peer, peers),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return c.network.dial(ctx, address, peers, c.peerGate(address))
+			return c.network.dial(ctx, address, peers)
 		},
 	})
 	node.Daemon = started
 	return err
 }
 
-// peerGate returns the gate of the node that listens at a peer address.
-func (c *Cell) peerGate(address string) *Gate {
-	for _, node := range c.Nodes {
-		if node.Member.Peer == address && node.Peers != nil {
-			return node.Peers
-		}
-	}
-	return NewGate()
-}
-
 // kill cuts the node's process off from everything and ends it.
 func (c *Cell) kill(node *Node) {
 	if node.Daemon == nil {
--- a/proofs/cell_test.go
+++ b/proofs/cell_test.go
@@ -193,7 +193,8 @@
 	for i, node := range r.cell.Nodes {
 		text := tables
 		text.Routes = fmt.Sprintf("# %d by %d\n%s", r.sent, i, tables.Routes)
-		go func() { _, _ = node.EditTables(r.t.Context(), text, before) }()
+		daemon := node.Daemon
+		go func() { _, _ = daemon.EditTables(r.t.Context(), text, before) }()
 	}
 }
 
--- a/proofs/network.go
+++ b/proofs/network.go
@@ -16,25 +16,29 @@
 	return &network{listeners: map[string]*listener{}}
 }
 
-// listen returns a listener, which replaces an earlier one at the address.
-func (n *network) listen(address string) *listener {
+// listen returns a listener behind a gate, which replaces an earlier one at the address.
+func (n *network) listen(address string, gate *Gate) *listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l := &listener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
+	l := &listener{address: address, gate: gate, accepted: make(chan net.Conn), closed: make(chan struct{})}
 	n.listeners[address] = l
 	return l
 }
 
-// dial connects to a listener through the gates of both ends.
-func (n *network) dial(ctx context.Context, address string, gates ...*Gate) (net.Conn, error) {
+// dial connects to a listener through the caller's gate and its own.
+func (n *network) dial(ctx context.Context, address string, gate *Gate) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
-	near, far := net.Pipe()
-	if l == nil || blocked(gates) {
+	if l == nil {
+		return nil, errCut
+	}
+	gates := []*Gate{gate, l.gate}
+	if blocked(gates) {
 		<-ctx.Done()
 		return nil, errCut
 	}
+	near, far := net.Pipe()
 	select {
 	case l.accepted <- far:
 	case <-l.closed:
@@ -57,6 +61,7 @@
 // listener hands over the far ends of dialled connections.
 type listener struct {
 	address  string
+	gate     *Gate
 	accepted chan net.Conn
 	closed   chan struct{}
 	once     sync.Once
