Write small moves of allotments rarely, and let no unconfirmed term start above a lowered limit

Cause: with a limit in constant demand each of six zones wrote about every other second (3.87 to 3.98 writes a second for one team). A move below a thirty-second of the limit now waits 8 s; a first lack is told at once. The randomised proof failed with starts that race the plan: a new term not yet confirmed went by what it had ever reserved also while the limit was exceeded. The rule for a lowered limit now comes first; 1,500 checks passed.

--- a/core/quota/planner.go
+++ b/core/quota/planner.go
@@ -12,10 +12,12 @@
 const Unlimited = 1 << 50
 
 const (
-	moveInterval     = time.Second // Least time between two writes of one zone.
-	floorFraction    = 2           // Idle zones together keep one part in so many of the limit.
-	headroomFraction = 4           // A grant adds one part in so many of the want.
-	wantFraction     = 4           // A recorded want is left alone while it is off by less than one part in so many.
+	moveInterval     = time.Second     // Least time between two writes of one zone.
+	minorInterval    = 8 * time.Second // Least time before a write that moves little.
+	minorFraction    = 32              // A move is minor below one part in so many of the limit.
+	floorFraction    = 2               // Idle zones together keep one part in so many of the limit.
+	headroomFraction = 4               // A grant adds one part in so many of the want.
+	wantFraction     = 4               // A recorded want is left alone while it is off by less than one part in so many.
 )
 
 // Config names the zone and the term that a planner works for.
@@ -108,7 +110,10 @@
 		return Proposal{}, false
 	}
 	next, changed := p.plan(alive)
-	if !changed && p.confirmed() && len(p.doubtful) == 0 {
+	if changed == minor && now.Sub(p.lastMove) < minorInterval {
+		changed = none
+	}
+	if changed == none && p.confirmed() && len(p.doubtful) == 0 {
 		p.next = nil
 		return Proposal{}, false
 	}
@@ -191,10 +196,10 @@
 			held[i] = Unlimited
 		case divided[i] == 0:
 			held[i] = reserved[i]
-		case !p.confirmed():
-			held[i] = min(held[i], highest[i])
 		case divided[i] != limit[i] || sum[i] > limit[i]:
 			held[i] = min(held[i], reserved[i])
+		case !p.confirmed():
+			held[i] = min(held[i], highest[i])
 		}
 	}
 	return held
@@ -214,25 +219,28 @@
 }
 
 // plan returns the ledger after this zone's moves, and whether it is worth writing.
-func (p *Planner) plan(alive []cyclamendyke.ZoneName) (Ledger, bool) {
+func (p *Planner) plan(alive []cyclamendyke.ZoneName) (Ledger, weight) {
 	next := p.ledger.clone()
 	next.Tables = max(p.tables, p.ledger.Tables)
 	next.Zones[p.config.Zone] = p.config.Epoch
 	teams := slices.Concat(slices.Collect(maps.Keys(p.limits)), p.ledger.TeamNames())
 	slices.Sort(teams)
-	changed := false
+	changed := none
 	for _, team := range slices.Compact(teams) {
-		changed = p.planTeam(&next, team, alive) || changed
+		changed = max(changed, p.planTeam(&next, team, alive))
 	}
 	return next, changed
 }
 
-func (p *Planner) planTeam(next *Ledger, team cyclamendyke.TeamName, alive []cyclamendyke.ZoneName) bool {
+func (p *Planner) planTeam(next *Ledger, team cyclamendyke.TeamName, alive []cyclamendyke.ZoneName) weight {
 	limit, named := p.limits[team]
 	row := next.Teams[team]
 	if limit.IsZero() && named {
 		delete(next.Teams, team) // Without any limit there is nothing to divide.
-		return len(row.Zones) > 0
+		if len(row.Zones) > 0 {
+			return major
+		}
+		return none
 	}
 	demand := p.demand[team]
 	zones := p.zonesOf(row, alive)
@@ -251,8 +259,12 @@
 			moved[i] += move(limitOf, p.claimants(row, zones, alive, i, wanted[i]), self, reserved[i])
 		}
 	}
-	changed := row.Limit != limit || moved != toVector(own.Held) || wantChanged(toVector(own.Want), wanted, moved)
-	if !changed {
+	changed := weigh(toVector(limit), toVector(own.Held), moved)
+	if row.Limit != limit {
+		changed = major
+	}
+	changed = max(changed, wantChanged(toVector(own.Want), wanted, moved))
+	if changed == none {
 		wanted = toVector(own.Want)
 	}
 	if row.Zones == nil {
@@ -270,6 +282,30 @@
 	return changed
 }
 
+// weight says how soon a change is worth a write.
+type weight int
+
+const (
+	none weight = iota
+	minor
+	major
+)
+
+// weigh compares a zone's allotment before and after a move.
+func weigh(limit, before, after vector) weight {
+	heaviest := none
+	for i := range before {
+		difference := max(after[i]-before[i], before[i]-after[i])
+		switch {
+		case difference*minorFraction >= limit[i] && difference > 0:
+			return major
+		case difference > 0:
+			heaviest = minor
+		}
+	}
+	return heaviest
+}
+
 // zonesOf returns this zone, those that are alive and those with a part in the row, in order.
 func (p *Planner) zonesOf(row cyclamendyke.TeamAllotments, alive []cyclamendyke.ZoneName) []cyclamendyke.ZoneName {
 	zones := slices.Concat(slices.Collect(maps.Keys(row.Zones)), alive, []cyclamendyke.ZoneName{p.config.Zone})
@@ -294,16 +330,20 @@
 	return claimants
 }
 
-// wantChanged reports whether other zones would divide differently if they knew the present want.
-func wantChanged(recorded, wanted, held vector) bool {
+// wantChanged weighs whether other zones would divide differently if they knew the present want; a first lack counts most.
+func wantChanged(recorded, wanted, held vector) weight {
+	heaviest := none
 	for i := range recorded {
 		lacked, lacks := max(recorded[i]-held[i], 0), max(wanted[i]-held[i], 0)
 		difference := max(lacked-lacks, lacks-lacked)
-		if difference*wantFraction > max(lacked, lacks) {
-			return true
+		switch {
+		case lacked == 0 && lacks > 0:
+			return major
+		case difference*wantFraction > max(lacked, lacks):
+			heaviest = minor
 		}
 	}
-	return false
+	return heaviest
 }
 
 // keepReserved raises the zone's next allotment to what has been reserved since it was planned.
