Delay only starts in the proof of late starts

Cause: the fault also held back renewals that were due at the same moment, so the holder lost its role (session 22 s, hold 10 s, call timeout 3 s leave no room for one lost renewal) and the repeatable task was run anew by right.

--- a/proofs/takeover_test.go
+++ b/proofs/takeover_test.go
@@ -205,9 +205,10 @@
 	inZone(t, func(is *is.I, cell *proofs.Cell, holder, _ *proofs.Node) {
 		once := small("once")
 		once.NotRepeatable = true
+		time.Sleep(3 * time.Second) // Between two renewals, so that only starts are late.
 		holder.Fleet.Set(proofs.FaultLateOut)
 		ledger := submitAll(holder, small("a"), once)
-		time.Sleep(time.Second)
+		time.Sleep(500 * time.Millisecond)
 		holder.Fleet.Set(proofs.FaultNone)
 		is.True(await(time.Minute, func() bool { return answered(ledger) }))
 		time.Sleep(time.Minute)
