Hold sessions for 26 s, so that one lost renewal does not cost the role

Cause: with a hold of 10 s a renewal that is lost is given up after 13 s; the last answered one was sent up to 10 s before, so the session of 22 s lapsed first. A scheduler lost its role when the network lost one second of calls to its workers (in-process run, offset 10 s; every other offset kept it). Sessions of 26 s cover two holds, the timeout and the retry; all eleven offsets pass.

--- a/core/role/config.go
+++ b/core/role/config.go
@@ -21,7 +21,7 @@
 // The timing used for fields of Config that are zero.
 const (
 	DefaultStoreLeaseTTL = 4 * time.Second
-	DefaultSessionTTL    = 22 * time.Second
+	DefaultSessionTTL    = 26 * time.Second // Two holds, the timeout of a lost renewal and its retry.
 	DefaultTaskTTL       = 60 * time.Second
 	DefaultHold          = 10 * time.Second
 	DefaultClockMargin   = 250 * time.Millisecond
--- a/proofs/takeover_test.go
+++ b/proofs/takeover_test.go
@@ -218,3 +218,18 @@
 		}
 	})
 }
+
+// TestRoleOutlivesOneLostRenewal loses what the holder sends for a second, at each second of the renewals' hold.
+func TestRoleOutlivesOneLostRenewal(t *testing.T) {
+	for offset := range 11 {
+		t.Run(fmt.Sprintf("after-%ds", offset), func(t *testing.T) {
+			inZone(t, func(is *is.I, cell *proofs.Cell, holder, _ *proofs.Node) {
+				time.Sleep(time.Duration(offset) * time.Second)
+				holder.Fleet.Set(proofs.FaultLateOut)
+				time.Sleep(time.Second)
+				holder.Fleet.Set(proofs.FaultNone)
+				is.True(!await(40*time.Second, func() bool { return cell.Scheduler("z0") != holder }))
+			})
+		})
+	}
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -173,7 +173,7 @@
 	section := p.file.Section(sectionScheduler)
 	scheduler := Scheduler{
 		StoreLease: p.file.Duration(section, "store-lease", 4*time.Second, 100*time.Millisecond, time.Minute),
-		SessionTTL: p.file.Duration(section, "session", 22*time.Second, 200*time.Millisecond, 10*time.Minute),
+		SessionTTL: p.file.Duration(section, "session", 26*time.Second, 200*time.Millisecond, 10*time.Minute),
 		TaskTTL:    p.file.Duration(section, "task", time.Minute, 500*time.Millisecond, time.Hour),
 		Hold:       p.file.Duration(section, "hold", 10*time.Second, 10*time.Millisecond, time.Minute),
 	}
