Never send a start twice to learn what became of the first

A start whose answer was lost was sent again to the same worker. The worker is now asked for a listing instead, after 2 s and then at growing intervals; the task is confirmed by it, or proved absent once the lease and the margin have passed.

The daemon has to answer a ClaimCommand for a linked worker by a listing; it does not yet, so such a task stays held until it ends.

--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -8,9 +8,8 @@
 )
 
 const (
-	doubtRecheck  = 2 * time.Second // Between two tries to learn what became of a start.
-	refusedPause  = time.Second     // Of a worker that refused a start.
-	startsInDoubt = 5               // Times a start is sent again to the same worker.
+	doubtRecheck = 2 * time.Second // Until the first try to learn what became of a start; later ones are further apart.
+	refusedPause = time.Second     // Of a worker that refused a start.
 )
 
 func (s *Scheduler) startAnswered(name cyclamendyke.WorkerName, id cyclamendyke.TaskID, err error) {
@@ -89,30 +88,13 @@
 	})
 }
 
-// recheckStart learns what became of a start whose answer was lost: it sends it again where that is safe, else it waits for a listing.
+// recheckStart learns from listings what became of a start whose answer was lost; it is not sent again, since the first may still arrive.
 func (s *Scheduler) recheckStart(t *task) {
 	w := t.worker
 	if s.workers[w.vm.Name] != w || w.tasks[t.id] != t || t.state != taskDoubtful {
 		return
 	}
-	s.after(doubtRecheck, func() { s.recheckStart(t) })
-	switch {
-	case s.mayResend(t):
-		t.resent++
-		t.sent = s.now
-		s.emitStart(t)
-	case s.now.Sub(t.sent) >= s.proofTime():
-		s.askListing(w)
-	}
-}
-
-func (s *Scheduler) mayResend(t *task) bool {
-	w := t.worker
-	return t.resent < startsInDoubt &&
-		!t.stopping &&
-		!t.job.spec.NotRepeatable &&
-		t.job.state == jobActive &&
-		s.authority.Valid(s.now) &&
-		w.claimed && w.reachable() &&
-		w.vm.State == cyclamendyke.VMLive && w.goneSince.IsZero()
+	s.askListing(w)
+	pause := max(doubtRecheck, s.now.Sub(t.sent))
+	s.after(pause, func() { s.recheckStart(t) })
 }
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -22,7 +22,6 @@
 	worker    *worker
 	reserved  cyclamendyke.Resources
 	state     taskState
-	resent    int
 	stopping  bool
 	throttled bool
 	sent      time.Time // When the latest start was sent.
