Take a listing after a start in doubt as proof

Claims now carry a floor below which the worker refuses starts, so a listing that was asked for after the answer to a start was lost, and does not show the task, proves that it is over or never began; a late copy can no longer arrive. What must not be repeated waits for the lease and the margin before the listing, so that a late copy may still run.

In daemon/controller.go, one line: a ClaimCommand for a worker with a link asks the link for a listing; before, it was answered by a renewal and a task in doubt stayed held.

--- a/core/scheduler/session.go
+++ b/core/scheduler/session.go
@@ -199,7 +199,11 @@
 			return
 		}
 		s.after(doubtRecheck, func() { s.askListing(t.worker) }) // The listing may be older than the start.
-	default:
+	case taskDoubtful:
+		if sent.After(t.doubted) {
+			s.lose(t, "its start had no effect") // The claim's floor keeps a late copy out.
+		}
+	case taskStarting:
 		if sent.Sub(t.sent) >= s.proofTime() {
 			s.lose(t, "its start had no effect in time")
 		}
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -27,6 +27,7 @@
 		s.startRefused(t, err)
 	default:
 		t.state = taskDoubtful
+		t.doubted = s.now
 		s.after(doubtRecheck, func() { s.recheckStart(t) })
 	}
 }
@@ -88,13 +89,15 @@
 	})
 }
 
-// recheckStart learns from listings what became of a start whose answer was lost; it is not sent again, since the first may still arrive.
+// recheckStart learns from listings what became of a start whose answer was lost; it is not sent again, since the first may still arrive. What must not be repeated gets time to arrive, since a listing keeps late starts out.
 func (s *Scheduler) recheckStart(t *task) {
 	w := t.worker
 	if s.workers[w.vm.Name] != w || w.tasks[t.id] != t || t.state != taskDoubtful {
 		return
 	}
-	s.askListing(w)
+	if !t.job.spec.NotRepeatable || s.now.Sub(t.sent) >= s.proofTime() {
+		s.askListing(w)
+	}
 	pause := max(doubtRecheck, s.now.Sub(t.sent))
 	s.after(pause, func() { s.recheckStart(t) })
 }
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -26,6 +26,7 @@
 	throttled bool
 	sent      time.Time // When the latest start was sent.
 	confirmed time.Time // When its start was known to have taken effect.
+	doubted   time.Time // When the answer to its start was found to be lost.
 	since     time.Time // When it was placed or adopted.
 	evicted   *eviction
 }
--- a/daemon/controller.go
+++ b/daemon/controller.go
@@ -377,6 +377,7 @@
 // openLink starts to keep a worker's session.
 func (c *controller) openLink(vm cyclamendyke.VM) {
 	if link, ok := c.links[vm.Name]; ok {
+		link.relist.Store(true)
 		link.kicked()
 		return
 	}
