--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -16,6 +16,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"text/template"
@@ -63,6 +64,7 @@
 			return setUp(env)
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"ready":   waitReady,
 			"exits":   execWithCode,
 			"until":   pollUntil,
 			"capture": captureStdout,
@@ -97,12 +99,9 @@
 hold = 1s
 `))
 
-// setUp writes the settings of two daemons in each of the zones z1 and z2, and names their addresses in variables.
+// setUp writes both tables and the settings of two daemons in each of the zones z1 and z2, and names their addresses in variables.
 func setUp(env *testscript.Env) error {
-	addresses, err := freeAddresses(9)
-	if err != nil {
-		return err
-	}
+	addresses := freeAddresses(9)
 	platform, addresses := addresses[0], addresses[1:]
 	for i, name := range daemons {
 		values := struct{ Name, Zone, Peer, HTTP, Platform, Hash string }{
@@ -122,6 +121,15 @@
 		}
 		env.Setenv(fmt.Sprintf("ENTRY%d", i+1), values.HTTP)
 	}
+	for _, table := range []string{"routes.ini", "pools.ini"} {
+		text, err := os.ReadFile(filepath.Join("testdata", table))
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(env.WorkDir, table), text, 0o600); err != nil {
+			return err
+		}
+	}
 	env.Setenv("GORACE", "atexit_sleep_ms=0") // Else each process of a race test sleeps for a second before it exits.
 	env.Setenv("PLATFORM", platform)
 	env.Setenv("CYCLAMENDYKE_ENTRY", addresses[1]+","+addresses[3])
@@ -129,18 +137,41 @@
 	return nil
 }
 
+// Ports below the range from which the system takes those of outgoing connections.
+const (
+	firstPort = 20_000
+	portCount = 12_000
+)
+
+// portsTaken counts the ports that cells of this process have tried; other test processes begin elsewhere.
+var portsTaken atomic.Uint32
+
 // freeAddresses returns addresses on which nothing listens.
-func freeAddresses(count int) ([]string, error) {
+func freeAddresses(count int) []string {
 	addresses := make([]string, 0, count)
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for len(addresses) < count {
+		offset := os.Getpid()*97 + int(portsTaken.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset%portCount)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		listener.Close()
+		addresses = append(addresses, address)
+	}
+	return addresses
+}
+
+// waitReady puts the tables in force, waits until each zone takes work and grants team a the key of the following commands: ready ZONE...
+func waitReady(ts *testscript.TestScript, _ bool, zones []string) {
+	pollUntil(ts, false, []string{"^revision", "tables", "edit", "--routes", "routes.ini", "--pools", "pools.ini"})
+	for _, zone := range zones {
+		pollUntil(ts, false, []string{zone + " .* scheduler", "nodes", "members"})
+		pollUntil(ts, false, []string{"main-001 .* ready", "nodes", "workers", "--zone", zone})
 	}
-	return addresses, nil
+	execWithCode(ts, false, []string{"0", "keys", "grant", "a"})
+	captureStdout(ts, false, []string{"CYCLAMENDYKE_KEY", `^key +(\S+)$`})
+	pollUntil(ts, false, []string{"ran", "submit", "--route", "work", "--retry-for", "20s"})
 }
 
 // execWithCode runs the client and checks its exit code: exits CODE ARGUMENT...
