--- a/bench/processes.go
+++ b/bench/processes.go
@@ -98,6 +98,7 @@
 		return nil, err
 	}
 	defer c.stop()
+	time.Sleep(processSettle)
 	report := &Report{}
 	holder, standby := &roleSeries{}, &roleSeries{}
 	for _, startsPerSecond := range []int{10, 20, 40, 80} {
--- a/bench/sizing.go
+++ b/bench/sizing.go
@@ -6,6 +6,8 @@
 	"io"
 	"os"
 	"path/filepath"
+
+	"cyclamendyke/core/role"
 )
 
 // The budget of one node and the store.
@@ -78,7 +80,7 @@
 }
 
 // row prints a figure against its budget, which is none if zero.
-func (s *sizing) row(role, quantity string, value, budget float64, unit, from string) {
+func (s *sizing) row(name, quantity string, value, budget float64, unit, from string) {
 	verdict := "none"
 	switch {
 	case budget > 0 && value > budget:
@@ -86,7 +88,7 @@
 	case budget > 0:
 		verdict = fmt.Sprintf("%.4g, %.0f%% used", budget, 100*value/budget)
 	}
-	fmt.Fprintf(s.out, "| %s | %s | %.4g %s | %s | %s |\n", role, quantity, value, unit, verdict, from)
+	fmt.Fprintf(s.out, "| %s | %s | %.4g %s | %s | %s |\n", name, quantity, value, unit, verdict, from)
 }
 
 // farBytes returns the bytes a second of heartbeats both ways with the peers beyond those in the measured zones, of which so many are schedulers.
@@ -105,86 +107,86 @@
 }
 
 func (s *sizing) scheduler() {
-	const role = "zone scheduler"
+	const name = "zone scheduler"
 	state := s.fit("state", "scheduler workers").at(largeWorkersPerZone) +
 		s.fit("state", "scheduler running tasks").Slope*runningPerZone +
 		s.fit("state", "scheduler waiting jobs").Slope*assumedWaitingJobs +
 		s.fit("state", "role").at(largeWorkersPerZone)
-	s.row(role, "state", state, budgetMemory, "bytes", "state: workers at 120, running tasks at 633, waiting jobs at 1,000, role at 120")
+	s.row(name, "state", state, budgetMemory, "bytes", "state: workers at 120, running tasks at 633, waiting jobs at 1,000, role at 120")
 	memory := s.fit("load", "loaded scheduler resident memory").at(startsPerZone) +
 		s.fit("state", "scheduler waiting jobs").Slope*assumedWaitingJobs +
 		s.fit("state", "scheduler running tasks").Slope*runningPerZone +
 		s.fit("state", "time line").Slope*assumedEvents
-	s.row(role, "memory", memory, budgetMemory, "bytes", "load: resident at 73 starts/s; state: waiting jobs, running tasks, full time line")
+	s.row(name, "memory", memory, budgetMemory, "bytes", "load: resident at 73 starts/s; state: waiting jobs, running tasks, full time line")
 	idle := s.fit("idle", "idle scheduler processor time").at(largeWorkersPerZone) + s.farCPU()
-	s.row(role, "processor time, control", idle, budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
+	s.row(name, "processor time, control", idle, budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
 	loaded := s.fit("load", "loaded scheduler processor time").at(startsPerZone) + s.farCPU()
-	s.row(role, "processor time, control and work", loaded, budgetCPU, "ms/s", "load: at 73 starts/s; heartbeats: 15 more peers")
+	s.row(name, "processor time, control and work", loaded, budgetCPU, "ms/s", "load: at 73 starts/s; heartbeats: 15 more peers")
 	control := s.fit("idle", "idle scheduler bytes both ways").at(largeWorkersPerZone) + s.farBytes("busy scheduler's heartbeat", largeZones-1)
-	s.row(role, "bytes, control", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
+	s.row(name, "bytes, control", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
 	work := s.fit("load", "loaded scheduler bytes both ways").Slope * startsPerZone
-	s.row(role, "bytes, work", work, 0, "bytes/s", "load: slope at 73 starts/s")
-	messages := largeWorkersPerZone/5.0 + beatsPerSecond
-	s.row(role, "messages, control", messages, 0, "calls/s", "a renewal a worker each 5 s; heartbeats both ways, each 2 s to 2 peers and each 4 s to 15")
-	s.row(role, "messages, work", 3*startsPerZone, 0, "calls/s", "at most a start, a renewal and a part of a submission a task")
-	s.storeRows(role, "scheduler", s.fit("idle", "idle scheduler store reads").at(largeWorkersPerZone), s.fit("idle", "idle scheduler store writes").at(largeWorkersPerZone))
+	s.row(name, "bytes, work", work, 0, "bytes/s", "load: slope at 73 starts/s")
+	messages := largeWorkersPerZone/role.DefaultHold.Seconds() + beatsPerSecond
+	s.row(name, "messages, control", messages, 0, "calls/s", "a renewal a worker each 10 s; heartbeats both ways, each 2 s to 2 peers and each 4 s to 15")
+	s.row(name, "messages, work", 3*startsPerZone, 0, "calls/s", "at most a start, a renewal and a part of a submission a task")
+	s.storeRows(name, "scheduler", s.fit("idle", "idle scheduler store reads").at(largeWorkersPerZone), s.fit("idle", "idle scheduler store writes").at(largeWorkersPerZone))
 }
 
-func (s *sizing) storeRows(role, name string, reads, writes float64) {
-	from := "idle: " + name + " at 120 workers"
-	s.row(role, "store reads", reads, 0, "calls/s", from)
-	s.row(role, "store writes", writes, 0, "calls/s", from)
+func (s *sizing) storeRows(name, measured string, reads, writes float64) {
+	from := "idle: " + measured + " at 120 workers"
+	s.row(name, "store reads", reads, 0, "calls/s", from)
+	s.row(name, "store writes", writes, 0, "calls/s", from)
 }
 
 func (s *sizing) standby() {
-	const role = "standby"
+	const name = "standby"
 	memory := s.fit("idle", "idle standby resident memory").at(largeWorkersPerZone) + s.fit("state", "time line").Slope*assumedEvents
-	s.row(role, "memory", memory, budgetMemory, "bytes", "idle: resident at 120 workers; state: full time line")
-	s.row(role, "processor time", s.fit("idle", "idle standby processor time").at(largeWorkersPerZone)+s.farCPU(), budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
+	s.row(name, "memory", memory, budgetMemory, "bytes", "idle: resident at 120 workers; state: full time line")
+	s.row(name, "processor time", s.fit("idle", "idle standby processor time").at(largeWorkersPerZone)+s.farCPU(), budgetCPU, "ms/s", "idle: at 120 workers; heartbeats: 15 more peers")
 	control := s.fit("idle", "idle standby bytes both ways").at(largeWorkersPerZone) + s.farBytes("standby's heartbeat", largeZones-1)
-	s.row(role, "bytes", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
-	s.row(role, "messages", beatsPerSecond+0.5, 0, "calls/s", "heartbeats both ways, list of VMs each 2 s")
-	s.storeRows(role, "standby", s.fit("idle", "idle standby store reads").at(largeWorkersPerZone), s.fit("idle", "idle standby store writes").at(largeWorkersPerZone))
+	s.row(name, "bytes", control, budgetTraffic, "bytes/s", "idle: at 120 workers; heartbeats: 15 more peers")
+	s.row(name, "messages", beatsPerSecond+0.5, 0, "calls/s", "heartbeats both ways, list of VMs each 2 s")
+	s.storeRows(name, "standby", s.fit("idle", "idle standby store reads").at(largeWorkersPerZone), s.fit("idle", "idle standby store writes").at(largeWorkersPerZone))
 }
 
 func (s *sizing) entry() {
-	const role = "entry"
+	const name = "entry"
 	cpu := s.fit("load", "loaded entry processor time").at(startsPerEntry) + s.farCPU()
-	s.row(role, "processor time, control and work", cpu, budgetCPU, "ms/s", "load: at 24.4 starts/s; heartbeats: 15 more peers")
-	s.row(role, "bytes, work", s.fit("load", "loaded entry bytes both ways").Slope*startsPerEntry, 0, "bytes/s", "load: slope at 24.4 starts/s")
-	s.row(role, "messages, work", 2*startsPerEntry/assumedTasksPerJob, 0, "calls/s", "a call in and one out a job of 10 tasks")
+	s.row(name, "processor time, control and work", cpu, budgetCPU, "ms/s", "load: at 24.4 starts/s; heartbeats: 15 more peers")
+	s.row(name, "bytes, work", s.fit("load", "loaded entry bytes both ways").Slope*startsPerEntry, 0, "bytes/s", "load: slope at 24.4 starts/s")
+	s.row(name, "messages, work", 2*startsPerEntry/assumedTasksPerJob, 0, "calls/s", "a call in and one out a job of 10 tasks")
 	memory := s.fit("load", "loaded entry resident memory").at(startsPerEntry) + s.fit("state", "time line").Slope*assumedEvents
-	s.row(role, "memory", memory, budgetMemory, "bytes", "load: resident at 24.4 starts/s; state: full time line")
+	s.row(name, "memory", memory, budgetMemory, "bytes", "load: resident at 24.4 starts/s; state: full time line")
 }
 
 func (s *sizing) watcher() {
-	const role, secondsPerDay = "table watcher", 86_400.0
+	const name, secondsPerDay = "table watcher", 86_400.0
 	tables := s.fit("state", "tables value in the store").at(largeTeams)
 	state := s.fit("state", "tables").at(largeTeams) + s.fit("state", "keys").at(assumedKeys) + s.fit("state", "peer states").at(largePeers) + tables
-	s.row(role, "state", state, budgetMemory, "bytes", "state: tables at 59 teams and routes, keys at 118, peer states at 17, the text")
-	s.row(role, "bytes for changes of the tables", tables*4/3*largeChangesPerDay/secondsPerDay, budgetTraffic, "bytes/s", "state: tables value at 59, in base64, 520 times a day")
-	s.row(role, "store reads", s.fit("watch", "configuration watch calls").Slope, 0, "calls/s", "watch: slope a process")
+	s.row(name, "state", state, budgetMemory, "bytes", "state: tables at 59 teams and routes, keys at 118, peer states at 17, the text")
+	s.row(name, "bytes for changes of the tables", tables*4/3*largeChangesPerDay/secondsPerDay, budgetTraffic, "bytes/s", "state: tables value at 59, in base64, 520 times a day")
+	s.row(name, "store reads", s.fit("watch", "configuration watch calls").Slope, 0, "calls/s", "watch: slope a process")
 }
 
 func (s *sizing) accountWriter() {
-	const role = "account writer"
+	const name = "account writer"
 	const flushSeconds = 5
 	records := startsPerZone / assumedTasksPerJob * flushSeconds
 	bytes := s.fit("records", "account bytes a flush, rewriting included").at(records) * 4 / 3 / flushSeconds
-	s.row(role, "bytes", bytes, budgetTraffic, "bytes/s", "records: bytes a flush at 37 records each 5 s, in base64")
-	s.row(role, "store writes", 0.2, 0, "calls/s", "one flush each 5 s while there are records")
+	s.row(name, "bytes", bytes, budgetTraffic, "bytes/s", "records: bytes a flush at 37 records each 5 s, in base64")
+	s.row(name, "store writes", 0.2, 0, "calls/s", "one flush each 5 s while there are records")
 }
 
 // storeTotals sums the store's calls over all processes.
 func (s *sizing) storeTotals() {
-	const role = "store, all processes"
+	const name = "store, all processes"
 	schedulers, others := float64(largeZones), float64(largeEntries-largeZones)
 	reads := schedulers*s.fit("idle", "idle scheduler store reads").at(largeWorkersPerZone) + others*s.fit("idle", "idle standby store reads").at(largeWorkersPerZone)
-	s.row(role, "reads, waiting watches counted", reads, budgetReads, "calls/s", "idle: 6 schedulers and 12 standbys")
+	s.row(name, "reads, waiting watches counted", reads, budgetReads, "calls/s", "idle: 6 schedulers and 12 standbys")
 	writes := schedulers*s.fit("idle", "idle scheduler store writes").at(largeWorkersPerZone) + others*s.fit("idle", "idle standby store writes").at(largeWorkersPerZone)
-	s.row(role, "writes without work", writes, budgetWrites, "calls/s", "idle: 6 schedulers and 12 standbys")
+	s.row(name, "writes without work", writes, budgetWrites, "calls/s", "idle: 6 schedulers and 12 standbys")
 	working := schedulers*s.fit("load", "loaded scheduler store writes").at(startsPerZone) + others*s.fit("load", "loaded entry store writes").at(startsPerZone)
-	s.row(role, "writes with attached work", working, budgetWrites, "calls/s", "load: at 73 starts/s in each zone")
+	s.row(name, "writes with attached work", working, budgetWrites, "calls/s", "load: at 73 starts/s in each zone")
 	const journalWrites, quotaWrites = 20.0, 1.0
-	s.row(role, "writes at their bounds", working+schedulers*(journalWrites+quotaWrites)+others*0.2, budgetWrites, "calls/s", "journal at 20 a zone, quota moves at one a second a zone")
+	s.row(name, "writes at their bounds", working+schedulers*(journalWrites+quotaWrites)+others*0.2, budgetWrites, "calls/s", "journal at 20 a zone, quota moves at one a second a zone")
 }
