--- a/daemon/allotments.go
+++ b/daemon/allotments.go
@@ -73,10 +73,10 @@
 func (k *quotaKeeper) follow(tables *cyclamendyke.Tables, demand map[cyclamendyke.TeamName]cyclamendyke.TeamDemand) {
 	snapshot := k.daemon.view.Snapshot()
 	for team := range tables.Teams {
-		k.planner(team)
+		k.addPlanner(team)
 	}
 	for _, entry := range snapshot.Below(cyclamendyke.AllotmentsPrefix) {
-		k.planner(teamOf(entry))
+		k.addPlanner(teamOf(entry))
 	}
 	for team, planner := range k.planners {
 		planner.SetLimits(tables.Revision, limitOf(tables, team))
@@ -88,12 +88,11 @@
 	}
 }
 
-// planner returns the team's planner of this term.
-func (k *quotaKeeper) planner(team cyclamendyke.TeamName) *quota.Planner {
+// addPlanner gives the team a planner of this term if it has none.
+func (k *quotaKeeper) addPlanner(team cyclamendyke.TeamName) {
 	if _, ok := k.planners[team]; !ok {
 		k.planners[team] = quota.New(quota.Config{Zone: k.daemon.member.Zone, Epoch: k.epoch})
 	}
-	return k.planners[team]
 }
 
 // order returns the teams with waiting work, and then the others, each by name.
