--- a/core/scheduler/random_test.go
+++ b/core/scheduler/random_test.go
@@ -39,7 +39,7 @@
 		for i := range 6 {
 			r.addVM(cyclamendyke.WorkerName(fmt.Sprintf("w%d", i)), fmt.Sprintf("r%d", i/2))
 		}
-		r.takeOver(true)
+		r.takeOver()
 		rt.Repeat(map[string]func(*rapid.T){
 			"submit":  r.submitAny,
 			"submit2": r.submitAny,
@@ -141,7 +141,7 @@
 	if !rapid.Bool().Draw(t, "really") {
 		return
 	}
-	r.takeOver(true)
+	r.takeOver()
 	if rapid.Bool().Draw(t, "late") {
 		r.advance(2 * time.Second)
 	}
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -24,7 +24,7 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"vms":      scriptVMs,
-			"takeover": onWorld(func(w *world, _ []string) { w.takeOver(true) }),
+			"takeover": onWorld(func(w *world, _ []string) { w.takeOver() }),
 			"submit":   onWorld(func(w *world, args []string) { w.submit(parseJob(args)) }),
 			"cancel":   onWorld(func(w *world, args []string) { w.do(w.s.Cancel(w.now, cyclamendyke.RequestID(args[0]))) }),
 			"tick":     onWorld(func(w *world, _ []string) { w.do(w.s.Tick(w.now)) }),
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -113,7 +113,7 @@
 var testShape = cyclamendyke.Resources{Cores: 8000, Memory: 16384, Slots: 8, Connections: 64}
 
 // takeOver starts a scheduler with a new term, as after the death of the one before.
-func (w *world) takeOver(records bool) {
+func (w *world) takeOver() {
 	w.term++
 	w.previous = w.s
 	w.s = New(w.cfg)
@@ -125,10 +125,7 @@
 	w.do(w.s.SetAllotments(w.now, w.held))
 	w.do(w.s.SetAuthority(w.now, cyclamendyke.Authority{Epoch: w.epoch(), Until: w.until}))
 	w.do(w.s.SetVMs(w.now, w.vms))
-	if !records {
-		return
-	}
-	var kept []cyclamendyke.JournalRecord
+	kept := make([]cyclamendyke.JournalRecord, 0, len(w.journal))
 	for _, id := range sortedKeys(w.journal) {
 		kept = append(kept, w.journal[id])
 	}
