--- a/bench/fit.go
+++ b/bench/fit.go
@@ -27,11 +27,15 @@
 		difference := ys[i] - intercept - slope*xs[i]
 		sum += difference * difference
 	}
+	rSquared := stat.RSquared(xs, ys, nil, intercept, slope)
+	if math.IsNaN(rSquared) {
+		rSquared = 1 // All values are the same, and on the line.
+	}
 	return Fit{
 		Slope:     slope,
 		Intercept: intercept,
 		Residual:  math.Sqrt(sum / float64(len(points))),
-		RSquared:  stat.RSquared(xs, ys, nil, intercept, slope),
+		RSquared:  rSquared,
 	}
 }
 
--- a/bench/fit_test.go
+++ b/bench/fit_test.go
@@ -25,6 +25,7 @@
 			is.True(math.Abs(fit.Slope-test.slope) < 1e-9)
 			is.True(math.Abs(fit.at(100)-test.at100) < 1e-9)
 			is.True(math.Abs(fit.Residual-test.residual) < 1e-9)
+			is.True(fit.RSquared >= 0 && fit.RSquared <= 1)
 		})
 	}
 }
