--- a/bench/sizing.go
+++ b/bench/sizing.go
@@ -187,6 +187,6 @@
 	s.row(name, "writes without work", writes, budgetWrites, "calls/s", "idle: 6 schedulers and 12 standbys")
 	working := schedulers*s.fit("load", "loaded scheduler store writes").at(startsPerZone) + others*s.fit("load", "loaded entry store writes").at(startsPerZone)
 	s.row(name, "writes with attached work", working, budgetWrites, "calls/s", "load: at 73 starts/s in each zone")
-	const journalWrites, quotaWrites = 20.0, 1.0
-	s.row(name, "writes at their bounds", working+schedulers*(journalWrites+quotaWrites)+others*0.2, budgetWrites, "calls/s", "journal at 20 a zone, quota moves at one a second a zone")
+	const journalWrites, quotaWrites = 20.0, 8.0
+	s.row(name, "writes at their bounds", working+schedulers*(journalWrites+quotaWrites)+others*0.2, budgetWrites, "calls/s", "journal at 20 a zone, quota moves at 8 a zone")
 }
