--- a/daemon/allotments.go
+++ b/daemon/allotments.go
@@ -26,7 +26,7 @@
 	daemon   *Daemon
 	moves    *rate.Limiter
 	epoch    cyclamendyke.Epoch
-	planners map[cyclamendyke.TeamName]*quota.Planner // Of the present term.
+	planners map[cyclamendyke.TeamName]*quota.Planner        // Of the present term.
 	taken    map[cyclamendyke.TeamName]cyclamendyke.Revision // Of the ledger that the planner was given last.
 	inForce  map[cyclamendyke.TeamName]cyclamendyke.Resources
 }
