--- a/bench/fit_test.go
+++ b/bench/fit_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -29,3 +30,14 @@
 		})
 	}
 }
+
+func TestShort(t *testing.T) {
+	for d, want := range map[time.Duration]string{
+		1_234 * time.Nanosecond:      "1.23µs",
+		61_049 * time.Microsecond:    "61ms",
+		4_018_765 * time.Microsecond: "4.02s",
+		312 * time.Second:            "5m12s",
+	} {
+		is.New(t).Equal(short(d), want)
+	}
+}
--- a/bench/sizing.go
+++ b/bench/sizing.go
@@ -1,11 +1,8 @@
 package bench
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"os"
-	"path/filepath"
 
 	"cyclamendyke/core/role"
 )
@@ -45,14 +42,11 @@
 func printSizing(dir string, out io.Writer) error {
 	s := &sizing{reports: map[string]*Report{}, out: out}
 	for _, name := range []string{"calls", "state", "heartbeats", "idle", "load", "records", "watch"} {
-		text, err := os.ReadFile(filepath.Join(dir, name+".json"))
+		report, err := readReport(dir, name)
 		if err != nil {
 			return err
 		}
-		s.reports[name] = &Report{}
-		if err := json.Unmarshal(text, s.reports[name]); err != nil {
-			return err
-		}
+		s.reports[name] = report
 	}
 	fmt.Fprintln(out, "| role | quantity | at the large size | budget | worked out from |")
 	fmt.Fprintln(out, "|---|---|---|---|---|")
@@ -65,7 +59,7 @@
 	if len(s.missing) > 0 {
 		return fmt.Errorf("no series %q", s.missing)
 	}
-	return nil
+	return printTimes(dir, out)
 }
 
 // fit returns the line of a series, which is noted as missing if it was not measured.
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -17,7 +17,6 @@
 
 // The timing of what is read again and again.
 const (
-	farHeartbeatInterval  = 4 * time.Second // To daemons of other zones; a change of role is told at once.
 	ownStateInterval      = 500 * time.Millisecond
 	holderConfirmedWithin = config.DefaultConfirmWithin
 	vmListInterval        = 2 * time.Second
