Tell operators when an edit may have taken effect

Cause: every fault without a status of its own was answered as store-away, also one whose outcome is unknown, and the client read that as 'nothing was done'.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -105,6 +105,9 @@
 	case errors.Is(err, cyclamendyke.KindInvalid), errors.Is(err, cyclamendyke.KindTooLarge):
 		return http.StatusBadRequest, string(cyclamendyke.ReasonBadRequest)
 	}
+	if errors.Is(err, cyclamendyke.KindUnknown) {
+		return http.StatusServiceUnavailable, string(cyclamendyke.ReasonAnswerLost) // It may have taken effect.
+	}
 	return http.StatusServiceUnavailable, string(cyclamendyke.ReasonStoreAway)
 }
 
