--- a/daemon/directory.go
+++ b/daemon/directory.go
@@ -10,7 +10,7 @@
 )
 
 // stateLifetime is how long a peer's last heartbeat speaks for it.
-const stateLifetime = 12 * time.Second
+const stateLifetime = 14 * time.Second
 
 // directory holds the last state heard from each process, this one included.
 type directory struct {
--- a/daemon/follow.go
+++ b/daemon/follow.go
@@ -13,7 +13,7 @@
 )
 
 // FarHeartbeatInterval is the time between heartbeats to daemons of other zones; a change of role is told at once.
-const FarHeartbeatInterval = 4 * time.Second
+const FarHeartbeatInterval = 6 * time.Second
 
 // The timing of what is read again and again.
 const (
