Refuse jobs of more than a million tasks

The test harness looked at each index of a refused job, which would not have ended; it now looks at what ran.

--- a/core/scheduler/submit.go
+++ b/core/scheduler/submit.go
@@ -9,7 +9,10 @@
 	"cyclamendyke/core/policy"
 )
 
-const retryBase = time.Second
+const (
+	retryBase = time.Second
+	maxTasks  = 1_000_000 // Of one job, so that its sums don't overflow.
+)
 
 func (s *Scheduler) submit(spec cyclamendyke.Job) {
 	if j := s.jobs[spec.Request]; j != nil {
@@ -103,6 +106,8 @@
 		return cyclamendyke.ReasonUnknownRoute, fmt.Sprintf("There is no route %q.", spec.Route)
 	case spec.Request == "" || spec.Tasks <= 0 || spec.PerTask.IsZero() || spec.PerTask.IsNegative():
 		return cyclamendyke.ReasonBadRequest, "A job needs a request identifier, tasks and a size for each."
+	case spec.Tasks > maxTasks:
+		return cyclamendyke.ReasonBadRequest, fmt.Sprintf("A job may have at most %d tasks.", maxTasks)
 	case s.cfg.Policies.Kinds[spec.Kind] == nil:
 		return cyclamendyke.ReasonBadRequest, fmt.Sprintf("There is no kind of job %q.", spec.Kind)
 	case spec.Urgent && !route.Urgent:
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -310,9 +310,9 @@
 }
 
 func (w *world) checkNotRun(request cyclamendyke.RequestID) {
-	for index := range w.jobs[request].Tasks {
-		if w.everRan[cyclamendyke.TaskID{Request: request, Index: index}] > 0 {
-			w.violate("%s/%d ran and is called not-run", request, index)
+	for task := range w.everRan {
+		if task.Request == request {
+			w.violate("%s ran and is called not-run", task)
 		}
 	}
 }
