--- a/bench/sizing.go
+++ b/bench/sizing.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"time"
 
 	"cyclamendyke/core/role"
+	"cyclamendyke/daemon"
 )
 
 // The budget of one node and the store.
@@ -25,7 +27,7 @@
 	measuredPeers      = largeEntriesPerZone - 1 // In the measured zones of processes.
 	largeEntries       = largeZones * largeEntriesPerZone
 	largePeers         = largeEntries - 1
-	beatsPerSecond     = 2 * (measuredPeers/2.0 + (largePeers-measuredPeers)/4.0)
+	beatsPerSecond     = 2 * (measuredPeers/2.0 + (largePeers-measuredPeers)/(float64(daemon.FarHeartbeatInterval)/float64(time.Second)))
 	startsPerZone      = float64(largeStartsPerSecond) / largeZones
 	runningPerZone     = float64(largeRunning) / largeZones
 	startsPerEntry     = float64(largeStartsPerSecond) / largeEntries
@@ -121,7 +123,7 @@
 	work := s.fit("load", "loaded scheduler bytes both ways").Slope * startsPerZone
 	s.row(name, "bytes, work", work, 0, "bytes/s", "load: slope at 73 starts/s")
 	messages := largeWorkersPerZone/role.DefaultHold.Seconds() + beatsPerSecond
-	s.row(name, "messages, control", messages, 0, "calls/s", "a renewal a worker each 10 s; heartbeats both ways, each 2 s to 2 peers and each 4 s to 15")
+	s.row(name, "messages, control", messages, 0, "calls/s", "a renewal a worker each 10 s; heartbeats both ways, each 2 s to 2 peers and each 6 s to 15")
 	s.row(name, "messages, work", 3*startsPerZone, 0, "calls/s", "at most a start, a renewal and a part of a submission a task")
 	s.storeRows(name, "scheduler", s.fit("idle", "idle scheduler store reads").at(largeWorkersPerZone), s.fit("idle", "idle scheduler store writes").at(largeWorkersPerZone))
 }
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -20,6 +20,7 @@
 
 	turn  chan struct{} // Holds a token while a call is carried out.
 	lease cyclamendyke.LeaseID
+	epoch cyclamendyke.Epoch // Of the record under the lease.
 }
 
 func newElection(store cyclamendyke.Store, member cyclamendyke.Member) *election {
@@ -66,6 +67,7 @@
 		return e.lost(ctx, err, before)
 	}
 	e.lease = lease
+	e.epoch = record.Epoch
 	return cyclamendyke.ElectionWon, record
 }
 
@@ -138,10 +140,10 @@
 }
 
 // release ends the lease, so that a successor need not wait for it to lapse.
-func (e *election) release() {
+func (e *election) release(epoch cyclamendyke.Epoch) {
 	e.await()
 	defer e.end()
-	if e.lease != 0 {
+	if e.lease != 0 && e.epoch == epoch {
 		e.revoke(e.lease)
 		e.lease = 0
 	}
