Build the daemon's, the peers' and the callers' errors on the root's

The same operation, kind, cause and comparison stood in each package; they now embed the root's error as the store-side packages do. Behaviour is unchanged but for the operation, which names the package in its text as before.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -198,7 +198,7 @@
 	}
 	holder, ok := d.directory.scheduler(zone, time.Now())
 	if !ok || holder.Member.Name == d.member.Name {
-		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: peer.KindNotScheduler, Err: fmt.Errorf("zone %s has no scheduler at present", zone)}
+		return cyclamendyke.Outcome{}, peer.NewError("submit", peer.KindNotScheduler, fmt.Errorf("zone %s has no scheduler at present", zone))
 	}
 	return d.peers.Submit(ctx, holder.Member.Name, job)
 }
@@ -226,7 +226,7 @@
 func (d *Daemon) ofTeam(ctx context.Context, key string, request cyclamendyke.RequestID, local localCall, remote remoteCall) (cyclamendyke.JobStatus, error) {
 	team, err := d.keyRing.Load().Check(key)
 	if err != nil && key != "" {
-		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: caller.KindDenied, Err: errors.New("the key is wrong or was withdrawn")}
+		return cyclamendyke.JobStatus{}, caller.NewError("status", caller.KindDenied, errors.New("the key is wrong or was withdrawn"))
 	}
 	if key == "" {
 		team = cyclamendyke.OpenTeam
@@ -236,7 +236,7 @@
 		return cyclamendyke.JobStatus{}, err
 	}
 	if status.Job.Team != team {
-		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: cyclamendyke.KindNotFound, Err: errors.New("the team has no such request")}
+		return cyclamendyke.JobStatus{}, caller.NewError("status", cyclamendyke.KindNotFound, errors.New("the team has no such request"))
 	}
 	return status, nil
 }
@@ -251,7 +251,7 @@
 	}
 	holder, ok := d.directory.scheduler(zone, time.Now())
 	if !ok {
-		return cyclamendyke.JobStatus{}, &caller.Error{Op: "status", Kind: cyclamendyke.KindUnavailable, Err: fmt.Errorf("zone %q has no scheduler at present", zone)}
+		return cyclamendyke.JobStatus{}, caller.NewError("status", cyclamendyke.KindUnavailable, fmt.Errorf("zone %q has no scheduler at present", zone))
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.Limits.PeerTimeout)
 	defer cancel()
--- a/daemon/commands.go
+++ b/daemon/commands.go
@@ -42,7 +42,7 @@
 		default:
 		}
 	}
-	notSent := &Error{Op: "order", Kind: cyclamendyke.KindUnavailable}
+	notSent := newError("order", cyclamendyke.KindUnavailable, nil)
 	switch order := order.(type) {
 	case cyclamendyke.StartCommand:
 		c.run(c.scheduler.StartAnswered(time.Now(), worker, order.Start.Task, notSent))
--- a/daemon/countedstore.go
+++ b/daemon/countedstore.go
@@ -70,7 +70,7 @@
 // CompareAndSwap counts and makes one write.
 func (s *countedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected cyclamendyke.Revision, lease cyclamendyke.LeaseID) (cyclamendyke.Revision, error) {
 	if err := s.writes.Wait(ctx); err != nil {
-		err = &Error{Op: "cas", Kind: cyclamendyke.KindLimited, Err: err}
+		err = newError("cas", cyclamendyke.KindLimited, err)
 		s.count("cas", err)
 		return 0, err
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,12 +84,12 @@
 func New(cfg Config) (*Daemon, error) {
 	httpLine, err := listen(cfg.HTTP, cfg.Settings.Member.HTTP)
 	if err != nil {
-		return nil, &Error{Op: "listen http", Kind: cyclamendyke.KindInvalid, Err: err}
+		return nil, newError("listen http", cyclamendyke.KindInvalid, err)
 	}
 	peerLine, err := listen(cfg.Peer, cfg.Settings.Member.Peer)
 	if err != nil {
 		_ = httpLine.Close()
-		return nil, &Error{Op: "listen peer", Kind: cyclamendyke.KindInvalid, Err: err}
+		return nil, newError("listen peer", cyclamendyke.KindInvalid, err)
 	}
 	klog.SetLogger(kratosLogger{cfg.Log})
 	listening := *cfg.Settings
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -86,7 +86,7 @@
 func (e *election) take(ctx context.Context, lease cyclamendyke.LeaseID, record cyclamendyke.ZoneScheduler, revision cyclamendyke.Revision) (bool, error) {
 	value, err := json.Marshal(record)
 	if err != nil {
-		return false, &Error{Op: "elect", Kind: cyclamendyke.KindInvalid, Err: err}
+		return false, newError("elect", cyclamendyke.KindInvalid, err)
 	}
 	key := cyclamendyke.SchedulerPrefix + string(e.member.Zone)
 	if _, err := e.store.CompareAndSwap(ctx, key, value, 0, lease); err != nil {
@@ -166,7 +166,7 @@
 	}
 	var record cyclamendyke.ZoneScheduler
 	if err := json.Unmarshal(entry.Value, &record); err != nil {
-		return record, 0, &Error{Op: "read epoch", Kind: cyclamendyke.KindInvalid, Err: err}
+		return record, 0, newError("read epoch", cyclamendyke.KindInvalid, err)
 	}
 	return record, entry.Revision, nil
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -190,9 +190,9 @@
 		return answer.outcome, answer.err
 	case <-ctx.Done():
 		c.post(func(time.Time) { c.dropWaiter(job.Request, answers) })
-		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: ctx.Err()}
+		return cyclamendyke.Outcome{}, peer.NewError("submit", cyclamendyke.KindUnknown, ctx.Err())
 	case <-c.ctx.Done():
-		return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: c.ctx.Err()}
+		return cyclamendyke.Outcome{}, peer.NewError("submit", cyclamendyke.KindUnknown, c.ctx.Err())
 	}
 }
 
--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -54,7 +54,7 @@
 		"unavailable":   cyclamendyke.KindUnavailable,
 		"unknown":       cyclamendyke.KindUnknown,
 	}
-	return cyclamendyke.Outcome{}, &peer.Error{Op: "submit", Kind: kinds[detail]}
+	return cyclamendyke.Outcome{}, peer.NewError("submit", kinds[detail], nil)
 }
 
 func TestEntryAnswers(t *testing.T) {
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -30,7 +30,7 @@
 func (d *Daemon) Tables(context.Context) (cyclamendyke.TablesText, cyclamendyke.Revision, error) {
 	text, revision, err := d.view.Snapshot().Tables()
 	if err != nil {
-		return text, revision, &Error{Op: "tables", Kind: cyclamendyke.KindInvalid, Err: err}
+		return text, revision, newError("tables", cyclamendyke.KindInvalid, err)
 	}
 	return text, revision, nil
 }
@@ -85,10 +85,10 @@
 func (d *Daemon) GrantKey(ctx context.Context, team cyclamendyke.TeamName) (caller.GrantedKey, error) {
 	inForce := d.tables.Load()
 	if inForce == nil {
-		return caller.GrantedKey{}, &Error{Op: "grant key", Kind: cyclamendyke.KindUnavailable, Err: errors.New("no tables are in force here yet")}
+		return caller.GrantedKey{}, newError("grant key", cyclamendyke.KindUnavailable, errors.New("no tables are in force here yet"))
 	}
 	if _, ok := inForce.Teams[team]; !ok {
-		return caller.GrantedKey{}, &Error{Op: "grant key", Kind: cyclamendyke.KindInvalid, Err: fmt.Errorf("the table of routes has no team %q", team)}
+		return caller.GrantedKey{}, newError("grant key", cyclamendyke.KindInvalid, fmt.Errorf("the table of routes has no team %q", team))
 	}
 	granted, err := d.registry.Grant(ctx, team)
 	if err != nil {
@@ -125,7 +125,7 @@
 	}
 	holder, ok := d.directory.scheduler(zone, time.Now())
 	if !ok {
-		return zone, nil, &Error{Op: "workers", Kind: cyclamendyke.KindUnavailable, Err: fmt.Errorf("zone %q has no scheduler at present", zone)}
+		return zone, nil, newError("workers", cyclamendyke.KindUnavailable, fmt.Errorf("zone %q has no scheduler at present", zone))
 	}
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.Settings.Limits.PeerTimeout)
 	defer cancel()
--- a/daemon/peercalls.go
+++ b/daemon/peercalls.go
@@ -44,7 +44,7 @@
 }
 
 func notScheduler(op string) error {
-	return &peer.Error{Op: op, Kind: peer.KindNotScheduler, Err: errors.New("the role is held elsewhere")}
+	return peer.NewError(op, peer.KindNotScheduler, errors.New("the role is held elsewhere"))
 }
 
 // status returns what the scheduler knows of a request.
@@ -60,7 +60,7 @@
 			err = nil
 			return
 		}
-		err = &Error{Op: "status", Kind: cyclamendyke.KindNotFound, Err: errors.New("the zone's scheduler knows no such request")}
+		err = newError("status", cyclamendyke.KindNotFound, errors.New("the zone's scheduler knows no such request"))
 	})
 	return status, err
 }
--- a/daemon/term.go
+++ b/daemon/term.go
@@ -192,7 +192,7 @@
 	c.journaled = false
 	c.scheduling.Store(nil)
 	c.epoch = cyclamendyke.Epoch{}
-	moved := &peer.Error{Op: "submit", Kind: cyclamendyke.KindUnknown, Err: errors.New("the scheduler role has moved")}
+	moved := peer.NewError("submit", cyclamendyke.KindUnknown, errors.New("the scheduler role has moved"))
 	for request, waiting := range c.waiters {
 		for _, waiter := range waiting {
 			waiter <- submitAnswer{err: moved}
--- a/daemon/workerlink.go
+++ b/daemon/workerlink.go
@@ -209,7 +209,7 @@
 // start sends a start unless the right to send it has lapsed while it waited here.
 func (l *workerLink) start(ctx context.Context, order cyclamendyke.StartCommand) error {
 	if !time.Now().Before(order.NotAfter) {
-		return &Error{Op: "start", Kind: cyclamendyke.KindUnavailable, Err: errors.New("the authority lapsed before the start was sent")}
+		return newError("start", cyclamendyke.KindUnavailable, errors.New("the authority lapsed before the start was sent"))
 	}
 	order.Start.Order = l.starts.Add(1)
 	order.Start.Ack = l.seen.Load()
--- a/io/caller/operators.go
+++ b/io/caller/operators.go
@@ -15,7 +15,7 @@
 		if a.service.Operator(bearer(ctx.Request())) {
 			return next(ctx)
 		}
-		return fault(ctx, &Error{Op: "operator", Kind: KindDenied, Err: errors.New("send the operators' key in the header Authorization")})
+		return answerFault(ctx, NewError("operator", KindDenied, errors.New("send the operators' key in the header Authorization")))
 	}
 }
 
@@ -23,7 +23,7 @@
 func (a *api) tables(ctx khttp.Context) error {
 	text, revision, err := a.service.Tables(ctx)
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
 		Revision cyclamendyke.Revision `json:"revision"`
@@ -36,7 +36,7 @@
 func (a *api) checkTables(ctx khttp.Context) error {
 	var text cyclamendyke.TablesText
 	if err := decode(ctx, maxTablesBytes, &text); err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return faults(ctx, http.StatusOK, a.service.CheckTables(text))
 }
@@ -58,13 +58,13 @@
 		Pools    string                `json:"pools"`
 	}
 	if err := decode(ctx, maxTablesBytes, &edit); err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	text := cyclamendyke.TablesText{Routes: edit.Routes, Pools: edit.Pools}
 	result, err := a.service.EditTables(ctx, text, edit.Expected)
 	switch {
 	case err != nil:
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	case len(result.Faults) > 0:
 		return faults(ctx, http.StatusBadRequest, result.Faults)
 	case result.Conflict:
@@ -97,11 +97,11 @@
 		Team cyclamendyke.TeamName `json:"team"`
 	}
 	if err := decode(ctx, maxSubmissionBytes, &grant); err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	granted, err := a.service.GrantKey(ctx, grant.Team)
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
 		ID  string `json:"id"`
@@ -113,7 +113,7 @@
 func (a *api) keys(ctx khttp.Context) error {
 	records, err := a.service.Keys(ctx)
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
 		Keys []cyclamendyke.KeyRecord `json:"keys"`
@@ -124,7 +124,7 @@
 func (a *api) withdrawKey(ctx khttp.Context) error {
 	reached, err := a.service.WithdrawKey(ctx, ctx.Vars().Get("id"))
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return revision(ctx, reached)
 }
@@ -134,7 +134,7 @@
 	asked := cyclamendyke.ZoneName(ctx.Query().Get("zone"))
 	zone, workers, err := a.service.Workers(ctx, asked)
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
 		Zone    cyclamendyke.ZoneName      `json:"zone"`
@@ -175,7 +175,7 @@
 		cyclamendyke.ZoneName(query.Get("zone")),
 	)
 	if err != nil {
-		return fault(ctx, err)
+		return answerFault(ctx, err)
 	}
 	return ctx.JSON(http.StatusOK, struct {
 		Records   []cyclamendyke.AccountRecord `json:"records"`
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -77,16 +77,16 @@
 	decoder := json.NewDecoder(body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(into); err != nil {
-		return &Error{Op: "decode", Kind: cyclamendyke.KindInvalid, Err: err}
+		return NewError("decode", cyclamendyke.KindInvalid, err)
 	}
 	if decoder.More() {
-		return &Error{Op: "decode", Kind: cyclamendyke.KindInvalid, Err: errors.New("more than one value in the body")}
+		return NewError("decode", cyclamendyke.KindInvalid, errors.New("more than one value in the body"))
 	}
 	return nil
 }
 
-// fault answers an operator's call with a typed reason.
-func fault(ctx khttp.Context, err error) error {
+// answerFault answers an operator's call with a typed reason.
+func answerFault(ctx khttp.Context, err error) error {
 	code, reason := faultStatus(err)
 	return ctx.JSON(code, struct {
 		Reason string `json:"reason"`
--- a/io/caller/service.go
+++ b/io/caller/service.go
@@ -2,32 +2,21 @@
 
 import (
 	"context"
-	"fmt"
 
 	"cyclamendyke"
 )
 
-// Error is the error type of this package; it matches its Kind with errors.Is.
-type Error struct {
-	Op   string
-	Kind cyclamendyke.Kind
-	Err  error
-}
+// fault carries operation, kind and cause, and compares by kind.
+type fault = cyclamendyke.Error
 
-// Error returns operation, kind and cause.
-func (e *Error) Error() string {
-	return fmt.Sprintf("caller.%s: %s: %v", e.Op, e.Kind, e.Err)
-}
-
-// Is reports whether target is this error's kind.
-func (e *Error) Is(target error) bool {
-	kind, ok := target.(cyclamendyke.Kind)
-	return ok && kind == e.Kind
+// Error is the error type of this package; it matches its kind with errors.Is.
+type Error struct {
+	fault
 }
 
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
+// NewError returns an error of the named operation; err is the cause and may be nil.
+func NewError(op string, kind cyclamendyke.Kind, err error) *Error {
+	return &Error{fault{Op: "caller." + op, Kind: kind, Err: err}}
 }
 
 // KindDenied says that the key is wrong or was withdrawn.
--- a/io/peer/error.go
+++ b/io/peer/error.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 
 	"github.com/creachadair/jrpc2"
 
@@ -13,27 +12,17 @@
 // KindNotScheduler says that the peer does not hold its zone's scheduler role and has accepted nothing.
 const KindNotScheduler cyclamendyke.Kind = "not the zone's scheduler"
 
-// Error is the error type of this package; it matches its Kind with errors.Is.
-type Error struct {
-	Op   string
-	Kind cyclamendyke.Kind
-	Err  error
-}
+// fault carries operation, kind and cause, and compares by kind.
+type fault = cyclamendyke.Error
 
-// Error returns operation, kind and cause.
-func (e *Error) Error() string {
-	return fmt.Sprintf("peer.%s: %s: %v", e.Op, e.Kind, e.Err)
-}
-
-// Is reports whether target is this error's kind.
-func (e *Error) Is(target error) bool {
-	kind, ok := target.(cyclamendyke.Kind)
-	return ok && kind == e.Kind
+// Error is the error type of this package; it matches its kind with errors.Is.
+type Error struct {
+	fault
 }
 
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error {
-	return e.Err
+// NewError returns an error of the named operation; err is the cause and may be nil.
+func NewError(op string, kind cyclamendyke.Kind, err error) *Error {
+	return &Error{fault{Op: "peer." + op, Kind: kind, Err: err}}
 }
 
 // The application codes of the inner protocol.
@@ -81,11 +70,11 @@
 	var answered *jrpc2.Error
 	if errors.As(err, &answered) {
 		if kind, ok := kindOfCode(answered.Code); ok {
-			return &Error{Op: op, Kind: kind, Err: err}
+			return NewError(op, kind, err)
 		}
 	}
 	if errors.Is(err, context.Canceled) {
-		return &Error{Op: op, Kind: cyclamendyke.KindUnknown, Err: context.Canceled}
+		return NewError(op, cyclamendyke.KindUnknown, context.Canceled)
 	}
-	return &Error{Op: op, Kind: cyclamendyke.KindUnknown, Err: err}
+	return NewError(op, cyclamendyke.KindUnknown, err)
 }
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -43,7 +43,7 @@
 	defer cancel()
 	conn, err := l.dial(ctx, l.member.Peer)
 	if err != nil {
-		return nil, &Error{Op: "dial", Kind: cyclamendyke.KindUnavailable, Err: err}
+		return nil, NewError("dial", cyclamendyke.KindUnavailable, err)
 	}
 	return l.install(jrpc2.NewClient(channel.Line(conn, conn), nil)), nil
 }
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -192,7 +192,7 @@
 	l, ok := p.link(to)
 	if !ok {
 		var none R
-		return none, &Error{Op: method, Kind: cyclamendyke.KindUnavailable, Err: errors.New("no such peer: " + string(to))}
+		return none, NewError(method, cyclamendyke.KindUnavailable, errors.New("no such peer: "+string(to)))
 	}
 	return call[P, R](ctx, l, method, params)
 }
--- a/io/peer/silence_test.go
+++ b/io/peer/silence_test.go
@@ -76,11 +76,11 @@
 }
 
 func (blockingHandler) Status(context.Context, cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
-	return cyclamendyke.JobStatus{}, &Error{Op: "status", Kind: cyclamendyke.KindNotFound}
+	return cyclamendyke.JobStatus{}, NewError("status", cyclamendyke.KindNotFound, nil)
 }
 
 func (blockingHandler) Cancel(context.Context, cyclamendyke.RequestID) (cyclamendyke.JobStatus, error) {
-	return cyclamendyke.JobStatus{}, &Error{Op: "cancel", Kind: KindNotScheduler}
+	return cyclamendyke.JobStatus{}, NewError("cancel", KindNotScheduler, nil)
 }
 
 func (blockingHandler) Watched(context.Context) (config.Copy, error) {
