Put requests that an entry VM gives up in the account

Cause (found in the read-through): an answer that the entry gave by itself, such as no-scheduler or deadline after the request had been checked, was counted but noted in no account, so that an auditor found nothing under its identifier. It is noted like a refusal now; the table test of the entry checks that exactly the answers no scheduler gave are noted. Failed before the change by construction: the entry had no way to note anything.

--- a/daemon/callers.go
+++ b/daemon/callers.go
@@ -67,23 +67,29 @@
 	return outcome
 }
 
-// refuse refuses work at the entry and notes it in the account and on the time line.
+// refuse refuses work at the entry and notes it.
 func (d *Daemon) refuse(job cyclamendyke.Job, reason cyclamendyke.Reason, detail string, retryAfter time.Duration) cyclamendyke.Outcome {
 	if job.Request == "" {
 		job.Request = newRequest(d.member.Zone)
 	}
-	d.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventRefused, Request: job.Request, Team: job.Team, Detail: string(reason)})
+	outcome := refusal(job.Request, reason, detail, retryAfter)
+	d.note(job, outcome)
+	return outcome
+}
+
+// note puts an answer that this process gave by itself in the account and on the time line.
+func (d *Daemon) note(job cyclamendyke.Job, outcome cyclamendyke.Outcome) {
+	d.event(cyclamendyke.TimelineEvent{Kind: cyclamendyke.EventRefused, Request: job.Request, Team: job.Team, Detail: string(outcome.Reason)})
 	d.records.account(cyclamendyke.AccountRecord{
 		At:      time.Now(),
 		Request: job.Request,
 		Team:    job.Team,
 		Route:   job.Route,
-		Verdict: cyclamendyke.VerdictNotRun,
-		Reason:  reason,
+		Verdict: outcome.Verdict,
+		Reason:  outcome.Reason,
 		Tasks:   job.Tasks,
 		Count:   1,
 	})
-	return refusal(job.Request, reason, detail, retryAfter)
 }
 
 // Refused refuses a request that could not be read.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -159,7 +159,7 @@
 	})
 	d.records = newRecords(member, platform.Store, d.storeAway)
 	d.control = newController(d.controllerConfig())
-	d.entry = newEntry(member.Zone, d, counters)
+	d.entry = newEntry(member.Zone, d, counters, d.note)
 	close(d.assembled)
 	return d
 }
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -37,16 +37,18 @@
 	submitter submitter
 	budget    *rate.Limiter
 	metrics   *metrics
-	wait      time.Duration // How long to wait for a scheduler.
+	wait      time.Duration                                            // How long to wait for a scheduler.
+	givenUp   func(job cyclamendyke.Job, outcome cyclamendyke.Outcome) // Notes an answer that no scheduler gave.
 }
 
-func newEntry(zone cyclamendyke.ZoneName, submitter submitter, metrics *metrics) *entry {
+func newEntry(zone cyclamendyke.ZoneName, submitter submitter, metrics *metrics, givenUp func(cyclamendyke.Job, cyclamendyke.Outcome)) *entry {
 	return &entry{
 		zone:      zone,
 		submitter: submitter,
 		budget:    rate.NewLimiter(retryBudgetRate, retryBudgetBurst),
 		metrics:   metrics,
 		wait:      schedulerWait,
+		givenUp:   givenUp,
 	}
 }
 
@@ -125,7 +127,9 @@
 			giveUp = time.Now().Add(e.wait)
 		}
 		if reason, over := e.isOver(ctx, giveUp, err); over {
-			return settled(refusal(job.Request, reason, err.Error(), forwardPauseMax), doubt)
+			outcome := settled(refusal(job.Request, reason, err.Error(), forwardPauseMax), doubt)
+			e.givenUp(job, outcome)
+			return outcome
 		}
 		e.metrics.resubmits.Inc()
 		pause(ctx, jitter(min(forwardPause<<min(attempt, 6), forwardPauseMax)))
--- a/daemon/entry_test.go
+++ b/daemon/entry_test.go
@@ -35,8 +35,9 @@
 
 // scriptedScheduler gives its answers in turn and repeats the last one.
 type scriptedScheduler struct {
-	answers []string
-	last    cyclamendyke.Job
+	answers      []string
+	last         cyclamendyke.Job
+	lastAnswered bool // The last call had an outcome.
 }
 
 func (s *scriptedScheduler) submit(_ context.Context, _ cyclamendyke.ZoneName, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
@@ -46,6 +47,7 @@
 		s.answers = s.answers[1:]
 	}
 	verdict, detail, _ := strings.Cut(answer, ":")
+	s.lastAnswered = verdict != "error"
 	if verdict != "error" {
 		return cyclamendyke.Outcome{Request: job.Request, Verdict: cyclamendyke.Verdict(verdict), Reason: cyclamendyke.Reason(detail)}, nil
 	}
@@ -63,15 +65,26 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				script := &scriptedScheduler{answers: strings.Fields(row[0])}
-				outcome := newEntry("z", script, newMetrics()).run(t.Context(), cyclamendyke.Job{Request: "z-1"})
+				var noted []cyclamendyke.Outcome
+				outcome := newEntry("z", script, newMetrics(), noteIn(&noted)).run(t.Context(), cyclamendyke.Job{Request: "z-1"})
 				got := strings.Join(strings.Fields(fmt.Sprintf("%s %s resubmitted=%t", outcome.Verdict, outcome.Reason, script.last.Resubmitted)), " ")
 				is.Equal(got, row[1])
 				is.Equal(outcome.Request, cyclamendyke.RequestID("z-1"))
+				if script.lastAnswered {
+					is.Equal(len(noted), 0) // the scheduler has accounted for it
+					return
+				}
+				is.Equal(noted, []cyclamendyke.Outcome{outcome})
 			})
 		})
 	}
 }
 
+// noteIn gathers what an entry gives up.
+func noteIn(noted *[]cyclamendyke.Outcome) func(cyclamendyke.Job, cyclamendyke.Outcome) {
+	return func(_ cyclamendyke.Job, outcome cyclamendyke.Outcome) { *noted = append(*noted, outcome) }
+}
+
 // TestEntryCallerGone answers at once when the caller's time is over, and calls the work not run only if nothing was sent.
 func TestEntryCallerGone(t *testing.T) {
 	for answer, verdict := range map[string]cyclamendyke.Verdict{
@@ -83,7 +96,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			begun := time.Now()
-			outcome := newEntry("z", &scriptedScheduler{answers: []string{answer}}, newMetrics()).run(ctx, cyclamendyke.Job{Request: "z-1"})
+			outcome := newEntry("z", &scriptedScheduler{answers: []string{answer}}, newMetrics(), noteIn(new([]cyclamendyke.Outcome))).run(ctx, cyclamendyke.Job{Request: "z-1"})
 			is.Equal(outcome.Verdict, verdict)
 			is.Equal(outcome.Reason, cyclamendyke.ReasonDeadline)
 			is.Equal(time.Since(begun), time.Second) // neither later nor held back
@@ -95,7 +108,7 @@
 func TestRetryBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		e := newEntry("z", &scriptedScheduler{answers: []string{"error:unavailable"}}, newMetrics())
+		e := newEntry("z", &scriptedScheduler{answers: []string{"error:unavailable"}}, newMetrics(), noteIn(new([]cyclamendyke.Outcome)))
 		overloaded := 0
 		for range 2 * retryBudgetBurst {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
