Take in granted sessions in one place, and build two more errors on the root's

Found in the read-through: claimed and renewed were the same but for the method of the scheduler that they called, and core/quota and settings still held the error type that the other packages embed.

--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -36,7 +36,7 @@
 	}
 	var wire wireLedger
 	if err := json.Unmarshal(value, &wire); err != nil {
-		return Ledger{}, &Error{Op: "decode", Kind: cyclamendyke.KindInvalid, Err: err}
+		return Ledger{}, newError("decode", cyclamendyke.KindInvalid, err)
 	}
 	ledger.Tables = wire.Tables
 	maps.Copy(ledger.Zones, wire.Zones)
@@ -54,7 +54,7 @@
 	}
 	value, err := json.Marshal(wire)
 	if err != nil {
-		return nil, &Error{Op: "encode", Kind: cyclamendyke.KindInvalid, Err: err}
+		return nil, newError("encode", cyclamendyke.KindInvalid, err)
 	}
 	return value, nil
 }
--- a/daemon/workerevents.go
+++ b/daemon/workerevents.go
@@ -9,25 +9,25 @@
 
 // claimed takes in the complete listing of a worker that has granted its session, and reports whether there was a scheduler for it.
 func (c *controller) claimed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool {
-	taken := false
-	c.ask(func(now time.Time) {
-		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
-		if c.scheduler != nil && c.epoch == claim.Epoch {
-			taken = true
-			c.run(c.scheduler.Claimed(now, report, sent))
-		}
-	})
-	return taken
+	return c.granted(sent, claim, report, cyclamendyke.Scheduler.Claimed)
 }
 
 // renewed takes in the changes of a worker that has extended its session, and reports whether there was a scheduler for them.
 func (c *controller) renewed(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport) bool {
+	return c.granted(sent, claim, report, cyclamendyke.Scheduler.Renewed)
+}
+
+// takeIn is the scheduler's method for one kind of report.
+type takeIn func(s cyclamendyke.Scheduler, now time.Time, report cyclamendyke.WorkerReport, sent time.Time) []cyclamendyke.Command
+
+// granted counts a granted session and hands the report to the scheduler of the claim's term, if there is one.
+func (c *controller) granted(sent time.Time, claim cyclamendyke.Claim, report cyclamendyke.WorkerReport, take takeIn) bool {
 	taken := false
 	c.ask(func(now time.Time) {
 		c.runRole(c.cfg.Role.SessionGranted(now, sent, report.Worker, claim))
 		if c.scheduler != nil && c.epoch == claim.Epoch {
 			taken = true
-			c.run(c.scheduler.Renewed(now, report, sent))
+			c.run(take(c.scheduler, now, report, sent))
 		}
 	})
 	return taken
--- a/settings/load.go
+++ b/settings/load.go
@@ -33,7 +33,7 @@
 func Load(path string) (*Daemon, []cyclamendyke.Fault, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, nil, &Error{Op: "settings.load", Kind: cyclamendyke.KindNotFound, Err: err}
+		return nil, nil, newError("load", cyclamendyke.KindNotFound, err)
 	}
 	daemon, faults := Parse(filepath.Base(path), string(text))
 	return daemon, faults, nil
