--- a/core/scheduler/place.go
+++ b/core/scheduler/place.go
@@ -131,6 +131,7 @@
 	j.startsSent++
 	t.state = taskStarting
 	t.sent = s.now
+	t.sentTo = t.worker.incarnation
 	s.taskEvent(cyclamendyke.EventPlaced, t, "")
 	s.emitStart(t)
 }
--- a/core/scheduler/random_test.go
+++ b/core/scheduler/random_test.go
@@ -105,13 +105,12 @@
 
 func (r *randomRun) faultAny(t *rapid.T) {
 	f := r.anyWorker(t)
-	f.set(rapid.SampledFrom([]string{"deaf", "mute", "lose-starts", "refuses", "fails", "well", "well"}).Draw(t, "fault"))
+	f.set(rapid.SampledFrom([]string{"deaf", "mute", "lose-starts", "drop-starts", "refuses", "fails", "well", "well"}).Draw(t, "fault"))
 }
 
 func (r *randomRun) restartAny(t *rapid.T) {
 	f := r.anyWorker(t)
-	clear(f.running)
-	f.epoch = cyclamendyke.Epoch{}
+	f.restart()
 }
 
 func (r *randomRun) listAny(t *rapid.T) {
@@ -119,8 +118,7 @@
 	f.vm.State = rapid.SampledFrom([]cyclamendyke.VMState{cyclamendyke.VMLive, cyclamendyke.VMLive, cyclamendyke.VMLeaving}).Draw(t, "state")
 	f.removed = rapid.IntRange(0, 3).Draw(t, "removed") == 0
 	if f.removed {
-		clear(f.running)
-		f.epoch = cyclamendyke.Epoch{}
+		f.restart()
 		f.deaf = true
 	}
 	r.list()
--- a/core/scheduler/script_test.go
+++ b/core/scheduler/script_test.go
@@ -95,14 +95,13 @@
 	checkWorld(ts, w)
 }
 
-// scriptWorker sets a worker's fault: deaf, mute, lose-starts, refuses, fails, restart or well.
+// scriptWorker sets a worker's fault: deaf, mute, lose-starts, drop-starts, refuses, fails, restart or well.
 func scriptWorker(ts *testscript.TestScript, _ bool, args []string) {
 	w := ts.Value(worldKey{}).(*world)
 	f := w.workers[cyclamendyke.WorkerName(args[0])]
 	f.set(args[1])
 	if args[1] == "restart" {
-		clear(f.running)
-		f.epoch = cyclamendyke.Epoch{}
+		f.restart()
 	}
 }
 
--- a/core/scheduler/session.go
+++ b/core/scheduler/session.go
@@ -18,6 +18,7 @@
 		return
 	}
 	w.claimed = true
+	w.incarnation = report.Incarnation
 	w.sequence = report.Sequence
 	s.setCapacity(w, report.Capacity)
 	s.workerAnswered(w, sent)
@@ -201,7 +202,7 @@
 		s.after(doubtRecheck, func() { s.askListing(t.worker) }) // The listing may be older than the start.
 	case taskDoubtful:
 		if sent.After(t.doubted) {
-			s.lose(t, "its start had no effect") // The claim's floor keeps a late copy out.
+			s.neverListed(t)
 		}
 	case taskStarting:
 		if sent.Sub(t.sent) >= s.proofTime() {
@@ -210,6 +211,17 @@
 	}
 }
 
+// neverListed ends a start in doubt: the claim's floor keeps a late copy out, and a worker that has not restarted would list the task or its result.
+func (s *Scheduler) neverListed(t *task) {
+	sameProcess := t.sentTo != 0 && t.sentTo == t.worker.incarnation
+	if !sameProcess || t.job.gangBroken {
+		s.lose(t, "its start had no effect")
+		return
+	}
+	s.taskEvent(cyclamendyke.EventStopped, t, "its start never arrived")
+	s.takeBackStart(t)
+}
+
 // askListing has a worker claimed once more, because something about its tasks is in doubt.
 func (s *Scheduler) askListing(w *worker) {
 	if s.now.Sub(w.listingAsked) < doubtRecheck || !w.reachable() || !w.goneSince.IsZero() {
--- a/core/scheduler/start.go
+++ b/core/scheduler/start.go
@@ -53,14 +53,20 @@
 
 func (s *Scheduler) startRefused(t *task, err error) {
 	j, w := t.job, t.worker
-	j.startsSent--
-	j.sentOnce.remove(t.id.Index)
 	s.pause(w)
 	s.askListing(w)
-	s.release(t)
 	if errors.Is(err, cyclamendyke.KindInvalid) {
 		s.failedStart(j, w)
 	}
+	s.takeBackStart(t)
+}
+
+// takeBackStart lets a task wait again whose start certainly had no effect and never will.
+func (s *Scheduler) takeBackStart(t *task) {
+	j := t.job
+	j.startsSent--
+	j.sentOnce.remove(t.id.Index)
+	s.release(t)
 	if j.state == jobEnded {
 		return
 	}
@@ -89,15 +95,13 @@
 	})
 }
 
-// recheckStart learns from listings what became of a start whose answer was lost; it is not sent again, since the first may still arrive. What must not be repeated gets time to arrive, since a listing keeps late starts out.
+// recheckStart learns from listings what became of a start whose answer was lost; it is not sent again, since the first may still arrive.
 func (s *Scheduler) recheckStart(t *task) {
 	w := t.worker
 	if s.workers[w.vm.Name] != w || w.tasks[t.id] != t || t.state != taskDoubtful {
 		return
 	}
-	if !t.job.spec.NotRepeatable || s.now.Sub(t.sent) >= s.proofTime() {
-		s.askListing(w)
-	}
+	s.askListing(w)
 	pause := max(doubtRecheck, s.now.Sub(t.sent))
 	s.after(pause, func() { s.recheckStart(t) })
 }
--- a/core/scheduler/task.go
+++ b/core/scheduler/task.go
@@ -22,6 +22,7 @@
 	worker    *worker
 	reserved  cyclamendyke.Resources
 	state     taskState
+	sentTo    uint64 // The worker's incarnation that was known when the start was sent.
 	stopping  bool
 	throttled bool
 	sent      time.Time // When the latest start was sent.
--- a/core/scheduler/worker.go
+++ b/core/scheduler/worker.go
@@ -18,6 +18,7 @@
 	candidate    *policy.Candidate
 	indexed      bool
 	claimed      bool
+	incarnation  uint64 // As in the latest listing.
 	sequence     uint64
 	answered     time.Time // When the latest answered call was sent.
 	silentSince  time.Time // Zero while it answers.
--- a/core/scheduler/world_test.go
+++ b/core/scheduler/world_test.go
@@ -60,9 +60,11 @@
 	running    map[cyclamendyke.TaskID]cyclamendyke.RunningTask
 	finished   []cyclamendyke.TaskResult
 	sequence   uint64
+	restarts   uint64
 	deaf       bool // Nothing reaches it.
 	mute       bool // Nothing comes back.
 	loseStarts bool // Start answers are lost.
+	dropStarts bool // Starts are lost on their way.
 	refuses    bool // Starts are refused for want of room.
 	fails      bool // Every task ends at once with an error.
 	removed    bool // The platform no longer lists it, and it is off.
@@ -224,7 +226,13 @@
 }
 
 func (f *fakeWorker) report() cyclamendyke.WorkerReport {
-	report := cyclamendyke.WorkerReport{Worker: f.vm.Name, Capacity: f.vm.Capacity, Sequence: f.sequence, Finished: f.finished}
+	report := cyclamendyke.WorkerReport{
+		Worker:      f.vm.Name,
+		Incarnation: f.restarts + 1,
+		Capacity:    f.vm.Capacity,
+		Sequence:    f.sequence,
+		Finished:    f.finished,
+	}
 	f.finished = nil
 	return report
 }
@@ -235,7 +243,7 @@
 	if f.deaf {
 		w.delayed = append(w.delayed, delayedStart{c, w.now, w.now.Add(testStartDelay)})
 	}
-	if f.deaf || f.epoch != c.Start.Epoch || w.now.After(f.leaseUntil) {
+	if f.deaf || f.dropStarts || f.epoch != c.Start.Epoch || w.now.After(f.leaseUntil) {
 		w.do(w.s.StartAnswered(w.now, c.Worker, task, cyclamendyke.KindUnknown))
 		return
 	}
@@ -410,10 +418,18 @@
 }
 
 // set gives the worker one fault, or none if it is called well.
+// restart loses what runs.
+func (f *fakeWorker) restart() {
+	clear(f.running)
+	f.epoch = cyclamendyke.Epoch{}
+	f.restarts++
+}
+
 func (f *fakeWorker) set(fault string) {
 	f.deaf = fault == "deaf"
 	f.mute = fault == "mute"
 	f.loseStarts = fault == "lose-starts"
+	f.dropStarts = fault == "drop-starts"
 	f.refuses = fault == "refuses"
 	f.fails = fault == "fails"
 }
--- a/standin/worker/machine.go
+++ b/standin/worker/machine.go
@@ -23,9 +23,10 @@
 	changed chan struct{}
 	closed  bool
 
-	sequence uint64
-	reported uint64 // Highest sequence that was put into an answer.
-	results  []result
+	incarnation uint64
+	sequence    uint64
+	reported    uint64 // Highest sequence that was put into an answer.
+	results     []result
 }
 
 type session struct {
@@ -50,13 +51,19 @@
 
 func newMachine(fleet *Fleet, vm cyclamendyke.VM) *machine {
 	return &machine{
-		fleet:   fleet,
-		vm:      vm,
-		tasks:   map[cyclamendyke.TaskID]*task{},
-		changed: make(chan struct{}),
+		fleet:       fleet,
+		vm:          vm,
+		tasks:       map[cyclamendyke.TaskID]*task{},
+		changed:     make(chan struct{}),
+		incarnation: newIncarnation(),
 	}
 }
 
+// newIncarnation returns a number that no earlier process of a worker has had.
+func newIncarnation() uint64 {
+	return uint64(time.Now().UnixNano())
+}
+
 func (m *machine) wake() {
 	close(m.changed)
 	m.changed = make(chan struct{})
@@ -150,6 +157,7 @@
 
 // lose drops every task without a result, as when the VM dies.
 func (m *machine) lose() {
+	m.incarnation = max(m.incarnation+1, newIncarnation())
 	for id, running := range m.tasks {
 		running.timer.Stop()
 		delete(m.tasks, id)
@@ -297,10 +305,11 @@
 // report returns the results past ack and the changes of use.
 func (m *machine) report(now time.Time, ack uint64) cyclamendyke.WorkerReport {
 	report := cyclamendyke.WorkerReport{
-		Worker:   m.vm.Name,
-		Capacity: m.vm.Capacity,
-		Sequence: max(ack, m.reported),
-		Usage:    m.usage(now),
+		Worker:      m.vm.Name,
+		Incarnation: m.incarnation,
+		Capacity:    m.vm.Capacity,
+		Sequence:    max(ack, m.reported),
+		Usage:       m.usage(now),
 	}
 	for _, kept := range m.results {
 		if kept.sequence > ack {
--- a/worker.go
+++ b/worker.go
@@ -46,7 +46,10 @@
 
 // WorkerReport is a worker's answer to a claim or renewal.
 type WorkerReport struct {
-	Worker   WorkerName    `json:"worker"`
+	Worker WorkerName `json:"worker"`
+	// Incarnation is another number after each restart, which loses tasks and results; zero if it is not known.
+	Incarnation uint64 `json:"incarnation,omitempty"`
+
 	Capacity Resources     `json:"capacity"`
 	Sequence uint64        `json:"sequence"`
 	Running  []RunningTask `json:"running,omitempty"`  // Complete in the answer to a claim, empty in that to a renewal.
