Keep a pass over a long backlog short: look at tickets, not at targets

Cause: a pass over 1,200 waiting steps on 350 targets took 15.8 ms, half of it looking at every target of a pool for each step, though a step can only start on the targets that it has tickets for; and it sorted all steps anew from a map. Ruled out: sorting by rank alone (8%), the room that is soon free (1%). Change: candidates come from a step's tickets; what steps leave of a target is a field of it in place of a map; active steps stay sorted from pass to pass; chains of estimates are worked out once; options are sorted by keys read beforehand. Before, after (BenchmarkPassUnderBacklog, same 1,012 starts and 136 questions): 15.8 ms, 2.6 ms a pass.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -36,6 +36,7 @@
 // advice is what is known of the targets for a step; whether a target is good does not change while it lives.
 type advice struct {
 	verdicts map[cyclamendyke.TargetID]verdict
+	until    time.Duration // When the last ticket expires.
 	asking   bool
 	notTill  time.Duration
 }
@@ -124,9 +125,10 @@
 	for _, id := range command.Targets {
 		step.advice.verdicts[id] = verdict{}
 	}
+	expires := s.now + answer.Valid - ticketMargin
 	for _, ticket := range answer.Tickets {
-		// The answer was on its way back for at most the time since it was asked for.
-		step.advice.verdicts[ticket.Target] = verdict{good: true, ticket: ticket.Text, expires: s.now + answer.Valid - ticketMargin}
+		step.advice.verdicts[ticket.Target] = verdict{good: true, ticket: ticket.Text, expires: expires}
+		step.advice.until = max(step.advice.until, expires)
 	}
 }
 
@@ -169,11 +171,11 @@
 // It answers loads with more waiting work than room: the advice service takes
 // far longer for a question than a target for a task, so that questions about
 // work that finds no room would keep those waiting that could start.
-func (s *Scheduler) askAgain(step *stepRun, queue *cyclamendyke.Queue, waiting int, room roomLeft) {
-	if queue.Advice == nil || step.claims == 0 && room.full.has(queue.Service, step.spec.Reserved()) {
+func (s *Scheduler) askAgain(step *stepRun, queue *cyclamendyke.Queue, waiting int, full exhausted) {
+	if queue.Advice == nil || step.claims == 0 && full.has(queue.Service, step.spec.Reserved()) {
 		return
 	}
-	targets := s.useRoom(step, queue, waiting, room)
+	targets := s.useRoom(step, queue, waiting, full)
 	if step.advice.asking || s.now < step.advice.notTill || s.freeAdviser(queue.Priority == 0) == "" {
 		return
 	}
@@ -194,18 +196,11 @@
 	return false
 }
 
-// roomLeft is what the steps before leave of each target.
-type roomLeft struct {
-	of   map[*target]cyclamendyke.Resources
-	full exhausted
-}
-
 // soonFree is how far ahead the end of a run counts as room, since an answer takes about as long.
 const soonFree = 400 * time.Millisecond
 
-// room returns what is free on each usable target, or soon will be.
-func (s *Scheduler) room() roomLeft {
-	room := roomLeft{of: map[*target]cyclamendyke.Resources{}, full: exhausted{}}
+// countRoom works out what is free on each usable target, or soon will be.
+func (s *Scheduler) countRoom() {
 	for _, t := range s.targets {
 		if !s.usable(t) {
 			continue
@@ -216,59 +211,75 @@
 				free = free.Add(r.step.spec.Reserved())
 			}
 		}
-		room.of[t] = free
+		t.left = free
 	}
-	return room
 }
 
 // unknownHope is the part of the targets that are not known yet which are expected to be good.
 const unknownHope = 0.4
 
 // useRoom takes room for the waiting tasks of a step and returns the targets for which it lacks a ticket.
-func (s *Scheduler) useRoom(step *stepRun, queue *cyclamendyke.Queue, waiting int, room roomLeft) []cyclamendyke.TargetID {
+func (s *Scheduler) useRoom(step *stepRun, queue *cyclamendyke.Queue, waiting int, full exhausted) []cyclamendyke.TargetID {
 	need := step.spec.Reserved()
-	var candidates []*target
-	roomy := false
-	for _, t := range s.ready[queue.Service] {
-		free := room.of[t]
-		roomy = roomy || need.FitsIn(free)
-		v, asked := step.advice.verdicts[t.info.ID]
-		if s.eligible(step, queue, t) && !t.full(step) && (need.FitsIn(free) || t.claimedBy(step)) && (v.good || !asked) {
-			candidates = append(candidates, t)
-		}
-	}
-	if !roomy {
-		room.full.add(queue.Service, need)
-	}
-	slices.SortFunc(candidates, func(a, b *target) int {
-		return cmp.Or(
-			-cmp.Compare(boolRank(a.claimedBy(step)), boolRank(b.claimedBy(step))),
-			-cmp.Compare(boolRank(step.advice.verdicts[a.info.ID].good), boolRank(step.advice.verdicts[b.info.ID].good)),
-			cmp.Compare(room.of[b].Cores, room.of[a].Cores),
-			cmp.Compare(a.info.ID, b.info.ID),
-		)
-	})
 	var lacking []cyclamendyke.TargetID
 	expected := 0.0
-	for _, t := range candidates {
+	for _, o := range s.roomFor(step, queue, full) {
 		if expected >= float64(waiting) {
 			break
 		}
-		fits := step.fitting(room.of[t], waiting)
-		room.of[t] = room.of[t].Sub(need.Scale(int64(fits)))
-		v := step.advice.verdicts[t.info.ID]
-		if v.good {
+		t := o.target
+		fits := step.fitting(t.left, waiting)
+		t.left = t.left.Sub(need.Scale(int64(fits)))
+		if o.verdict.good {
 			expected += float64(fits)
 		} else {
 			expected += unknownHope * float64(fits)
 		}
-		if !v.good || s.now >= v.expires {
+		if !o.verdict.good || s.now >= o.verdict.expires {
 			lacking = append(lacking, t.info.ID)
 		}
 	}
 	return lacking[:min(len(lacking), adviceMost)]
 }
 
+// roomOption is a target that a step may ask about or has a ticket for.
+type roomOption struct {
+	target  *target
+	verdict verdict
+	claimed bool
+}
+
+// roomFor returns the targets whose room a step can use: those that it claims, then those that are known to be good, then the roomiest.
+func (s *Scheduler) roomFor(step *stepRun, queue *cyclamendyke.Queue, full exhausted) []roomOption {
+	need := step.spec.Reserved()
+	var options []roomOption
+	roomy := false
+	for _, t := range s.ready[queue.Service] {
+		fits := need.FitsIn(t.left)
+		roomy = roomy || fits
+		claimed := step.claims > 0 && t.claimedBy(step)
+		if !fits && !claimed || t.full(step) || !s.eligible(step, queue, t) {
+			continue
+		}
+		v, asked := step.advice.verdicts[t.info.ID]
+		if v.good || !asked {
+			options = append(options, roomOption{t, v, claimed})
+		}
+	}
+	if !roomy {
+		full.add(queue.Service, need)
+	}
+	slices.SortFunc(options, func(a, b roomOption) int {
+		return cmp.Or(
+			-cmp.Compare(boolRank(a.claimed), boolRank(b.claimed)),
+			-cmp.Compare(boolRank(a.verdict.good), boolRank(b.verdict.good)),
+			cmp.Compare(b.target.left.Cores, a.target.left.Cores),
+			cmp.Compare(a.target.info.ID, b.target.info.ID),
+		)
+	})
+	return options
+}
+
 // fitting returns how many of the step's tasks fit in free, at least one and at most waiting.
 func (step *stepRun) fitting(free cyclamendyke.Resources, waiting int) int {
 	most := waiting
--- a/core/dispatch/copies.go
+++ b/core/dispatch/copies.go
@@ -27,9 +27,9 @@
 		if !s.team(step.job.spec.Team).admits(step.spec.Reserved()) {
 			return
 		}
-		t := s.best(step, queue, slow.target.info.ID, nil)
+		t := s.best(step, s.candidates(step, queue), slow.target.info.ID, nil)
 		if t == nil || t == slow.target {
-			s.askAgain(step, queue, 1, s.room())
+			s.askAgain(step, queue, 1, exhausted{})
 			continue
 		}
 		s.start(step, i, t, s.nextRun())
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -87,7 +87,7 @@
 		s.failed(r)
 	}
 	if !task.done && !j.state.IsFinal() && step.released {
-		s.active[step] = struct{}{}
+		s.active.add(step)
 	}
 }
 
@@ -127,7 +127,7 @@
 }
 
 func (s *Scheduler) stepDone(step *stepRun) {
-	delete(s.active, step)
+	s.active.remove(step)
 	s.dropClaims(step)
 	occ, j := step.occ, step.job
 	occ.done++
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -28,6 +28,7 @@
 type occurrence struct {
 	number int
 	steps  []*stepRun
+	chain  time.Duration // The longest chain of estimated work.
 	done   int
 }
 
@@ -39,7 +40,10 @@
 	spec     *cyclamendyke.Step
 	tasks    []task
 	done     int
+	chain    time.Duration // The longest chain of estimated work from it on.
 	released bool
+	active   bool          // Released, with tasks that are not done;
+	listed   bool          // it is in the list of active steps.
 	since    time.Duration // When it was released.
 	fails    []int64       // Runs of a gang that failed.
 	advice   advice
@@ -117,11 +121,11 @@
 const maxBacklogAge = 2 * time.Minute
 
 func newOccurrence(j *job, number int) *occurrence {
-	occ := &occurrence{number: number}
+	occ := &occurrence{number: number, chain: wholeChain(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		spec := &j.spec.Steps[i]
 		occ.steps = append(occ.steps, &stepRun{
-			job: j, occ: occ, index: i, spec: spec, tasks: make([]task, spec.Count),
+			job: j, occ: occ, index: i, spec: spec, tasks: make([]task, spec.Count), chain: chain(j.spec.Steps, i),
 		})
 	}
 	return occ
@@ -156,7 +160,7 @@
 		step.released = true
 		step.since = s.now
 		if step.done < len(step.tasks) {
-			s.active[step] = struct{}{}
+			s.active.add(step)
 		}
 	}
 }
@@ -196,7 +200,7 @@
 	s.cfg.Decision(Decision{Event: EventFinal, Workflow: j.spec.ID, Reason: string(state), Age: s.now - j.seen})
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
-			delete(s.active, step)
+			s.active.remove(step)
 			for i := range step.tasks {
 				for _, r := range step.tasks[i].runs {
 					s.stop(r, string(state))
--- a/core/dispatch/leaving.go
+++ b/core/dispatch/leaving.go
@@ -33,8 +33,9 @@
 		return
 	}
 	if r.step.spec.Lasting {
-		if !s.leaveSoon(t) && s.best(r.step, queue, t.info.ID, nil) == nil {
-			s.askAgain(r.step, queue, 1, s.room())
+		if !s.leaveSoon(t) && s.best(r.step, s.candidates(r.step, queue), t.info.ID, nil) == nil {
+			s.countRoom()
+			s.askAgain(r.step, queue, 1, exhausted{})
 			return
 		}
 		s.stop(r, "its target is leaving")
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -79,34 +79,15 @@
 		step.order = orderKey{over: j.over, priority: queue.Priority, deadline: step.since + objective}
 		return
 	}
-	objective += time.Duration(queue.Stretch * float64(wholeChain(j.spec.Steps)))
+	objective += time.Duration(queue.Stretch * float64(step.occ.chain))
 	if queue.Advice != nil {
 		objective += queue.Advice.Base + time.Duration(len(s.targets))*queue.Advice.PerTarget
 	}
-	remaining := chain(j.spec.Steps, step.index)
 	step.order = orderKey{
-		hopeless: s.now+remaining > begin+hopelessFactor*objective,
+		hopeless: s.now+step.chain > begin+hopelessFactor*objective,
 		over:     j.over,
 		priority: queue.Priority,
-		late:     s.now+remaining > begin+objective,
+		late:     s.now+step.chain > begin+objective,
 		deadline: begin + objective,
 	}
 }
-
-// activeSteps returns the released steps in order.
-func (s *Scheduler) activeSteps() []*stepRun {
-	steps := make([]*stepRun, 0, len(s.active))
-	for step := range s.active {
-		s.rank(step)
-		steps = append(steps, step)
-	}
-	slices.SortFunc(steps, func(a, b *stepRun) int {
-		return cmp.Or(
-			a.order.compare(b.order),
-			cmp.Compare(a.job.spec.ID, b.job.spec.ID),
-			cmp.Compare(a.occ.number, b.occ.number),
-			cmp.Compare(a.index, b.index),
-		)
-	})
-	return steps
-}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -35,8 +35,9 @@
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
 	gangClaims := 0
-	room, full := s.room(), exhausted{}
-	for _, step := range s.activeSteps() {
+	s.countRoom()
+	full, taken := exhausted{}, exhausted{}
+	for _, step := range s.active.inOrder(s.rank) {
 		queue := step.job.queue(s)
 		if queue == nil || s.service(queue.Service) == nil {
 			continue
@@ -53,7 +54,7 @@
 		}
 		left := len(waiting)
 		switch {
-		case full.has(queue.Service, step.spec.Reserved()):
+		case queue.Advice == nil && full.has(queue.Service, step.spec.Reserved()):
 			s.unplaced(step, "no room")
 		case step.spec.Gang:
 			left = s.placeGang(step, queue)
@@ -65,11 +66,11 @@
 			s.askAhead(step)
 			continue
 		}
-		if step.claims == 0 && !s.fitsAnywhere(step, queue) {
+		if queue.Advice == nil && step.claims == 0 && !s.fitsAnywhere(step, queue) {
 			full.add(queue.Service, step.spec.Reserved())
 		}
 		s.makeRoom(step, queue, left, &gangClaims)
-		s.askAgain(step, queue, left, room)
+		s.askAgain(step, queue, left, taken)
 	}
 }
 
@@ -108,12 +109,13 @@
 // placeTasks starts tasks one by one and returns how many are left.
 func (s *Scheduler) placeTasks(step *stepRun, queue *cyclamendyke.Queue, waiting []int) int {
 	need := step.spec.Reserved()
+	among := s.candidates(step, queue)
 	for n, index := range waiting {
 		if !s.team(step.job.spec.Team).admits(need) {
 			s.unplaced(step, "the team's limit")
 			return len(waiting) - n
 		}
-		best := s.best(step, queue, step.tasks[index].avoid, nil)
+		best := s.best(step, among, step.tasks[index].avoid, nil)
 		if best == nil {
 			s.unplaced(step, "no room with a ticket")
 			return len(waiting) - n
@@ -140,12 +142,35 @@
 // plan is a tentative placement of a gang's members.
 type plan map[*target]int
 
-// best returns the target for one more task of the step, on top of a plan, or nil.
-func (s *Scheduler) best(step *stepRun, queue *cyclamendyke.Queue, avoid cyclamendyke.TargetID, planned plan) *target {
+// candidates returns the targets on which the step's tasks may start now, if they fit; where tickets are needed, they are few.
+func (s *Scheduler) candidates(step *stepRun, queue *cyclamendyke.Queue) []*target {
+	var out []*target
+	if queue.Advice == nil {
+		for _, t := range s.ready[queue.Service] {
+			if s.eligible(step, queue, t) {
+				out = append(out, t)
+			}
+		}
+		return out
+	}
+	if s.now >= step.advice.until {
+		return nil
+	}
+	for id, v := range step.advice.verdicts {
+		t := s.targets[id]
+		if v.good && s.now < v.expires && t != nil && s.usable(t) && s.eligible(step, queue, t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// best returns the target among candidates for one more task of the step, on top of a plan, or nil.
+func (s *Scheduler) best(step *stepRun, among []*target, avoid cyclamendyke.TargetID, planned plan) *target {
 	var best, avoided *target
 	var bestScore float64
-	for _, t := range s.ready[queue.Service] {
-		if !s.fitsNow(step, queue, t, planned[t]) {
+	for _, t := range among {
+		if !s.fitsNow(step, t, planned[t]) {
 			continue
 		}
 		if t.info.ID == avoid {
@@ -163,14 +188,8 @@
 	return best
 }
 
-// fitsNow reports whether one more task of the step can start on a target beside planned others.
-func (s *Scheduler) fitsNow(step *stepRun, queue *cyclamendyke.Queue, t *target, planned int) bool {
-	if !s.eligible(step, queue, t) || !s.usable(t) {
-		return false
-	}
-	if _, ok := step.ticket(queue, t, s.now); !ok {
-		return false
-	}
+// fitsNow reports whether one more task of the step fits on a target beside planned others.
+func (s *Scheduler) fitsNow(step *stepRun, t *target, planned int) bool {
 	if most := step.spec.MaxPerTarget; most > 0 && t.tasksOf(step)+planned >= most {
 		return false
 	}
@@ -259,8 +278,9 @@
 		return count
 	}
 	planned, chosen := plan{}, make([]*target, 0, count)
+	among := s.candidates(step, queue)
 	for range count {
-		t := s.best(step, queue, "", planned)
+		t := s.best(step, among, "", planned)
 		if t == nil {
 			s.unplaced(step, "no room with tickets for the whole gang")
 			return count
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -156,13 +156,7 @@
 	var chosen []*run
 	var on *target
 	cheapest := 0.0
-	for _, t := range s.targets {
-		if !s.eligible(step, queue, t) || !s.usable(t) {
-			continue
-		}
-		if _, ok := step.ticket(queue, t, s.now); !ok {
-			continue
-		}
+	for _, t := range s.candidates(step, queue) {
 		if t.full(step) {
 			continue
 		}
--- /dev/null
+++ b/core/dispatch/scale_test.go
@@ -0,0 +1,91 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cyclamendyke"
+)
+
+// The size of the fleet that BenchmarkPassUnderBacklog plays.
+const (
+	scaleTargets = 350
+	scaleMembers = 44
+	scaleTeams   = 20
+)
+
+// bigFleet returns a world with a pool of CPU targets and a smaller one with accelerators, and queues of three kinds of work.
+func bigFleet(b *testing.B) *world {
+	w := newWorld(b, 1)
+	w.members = scaleMembers
+	for i := range scaleTargets {
+		info := cyclamendyke.Target{ID: cyclamendyke.TargetID(fmt.Sprintf("t%03d", i)), Service: "cpu", Capacity: cyclamendyke.Resources{Cores: 64000, Memory: 128000}}
+		if i%4 == 3 {
+			info.Service = "gpu"
+			info.Capacity = cyclamendyke.Resources{Cores: 128000, Memory: 256000, Accelerators: 8}
+		}
+		w.addVM(info)
+	}
+	w.fleet.Services = []cyclamendyke.Service{{Name: "cpu"}, {Name: "gpu"}}
+	advice := func(base time.Duration) *cyclamendyke.AdviceTerms {
+		return &cyclamendyke.AdviceTerms{Base: base, PerTarget: time.Millisecond, Valid: 2 * time.Second}
+	}
+	w.fleet.Queues = []cyclamendyke.Queue{
+		{Name: "urgent", Service: "cpu", Objective: 250 * time.Millisecond, Stretch: 1.5, MaxAttempts: 3, Advice: advice(15 * time.Millisecond)},
+		{Name: "batch", Service: "cpu", Priority: 2, Objective: 3 * time.Second, Stretch: 2, MaxAttempts: 3, Advice: advice(100 * time.Millisecond)},
+		{Name: "gang", Service: "gpu", Priority: 2, Objective: time.Second, Stretch: 2, MaxAttempts: 3, Advice: advice(200 * time.Millisecond)},
+	}
+	for i := range scaleTeams {
+		w.fleet.Teams = append(w.fleet.Teams, cyclamendyke.Tenancy{Team: cyclamendyke.TeamName(fmt.Sprint("team-", i)), Weight: 2})
+	}
+	seen := 0
+	w.adviseOK = func(cyclamendyke.StepName, cyclamendyke.TargetID) bool {
+		seen++
+		return seen%9 < 4
+	}
+	return w
+}
+
+// backlog hands in work that the fleet needs long for.
+func (w *world) backlog(count int) {
+	for i := range count {
+		spec := &cyclamendyke.Workflow{
+			ID:   cyclamendyke.WorkflowID(fmt.Sprintf("%04d", len(w.work))),
+			Team: cyclamendyke.TeamName(fmt.Sprint("team-", i%scaleTeams)),
+		}
+		need := func(cores int) cyclamendyke.Resources {
+			return cyclamendyke.Resources{Cores: cyclamendyke.MilliCores(1000*cores + i%7*100), Memory: cyclamendyke.MiB(1000 * cores)}
+		}
+		switch i % 10 {
+		case 0:
+			spec.Queue = "gang"
+			spec.Steps = []cyclamendyke.Step{{Count: 5, Gang: true, Need: cyclamendyke.Resources{Cores: 62000, Memory: 1000, Accelerators: int64(2 + i%6)}, Estimate: 3600 * time.Millisecond}}
+		case 1, 2:
+			spec.Queue = "batch"
+			spec.Steps = []cyclamendyke.Step{
+				{Count: 28, Need: need(18), Estimate: 3600 * time.Millisecond, Checkpoints: true},
+				{Count: 28, Need: need(18), Estimate: 3600 * time.Millisecond, Checkpoints: true, After: []int{0}},
+			}
+		default:
+			spec.Queue = "urgent"
+			spec.Steps = []cyclamendyke.Step{{Count: 15, Need: need(11), Estimate: 700 * time.Millisecond}}
+		}
+		w.submit(spec)
+	}
+}
+
+// BenchmarkPassUnderBacklog measures a pass of the scheduler on a large fleet on which over a thousand steps wait.
+func BenchmarkPassUnderBacklog(b *testing.B) {
+	for b.Loop() {
+		w := bigFleet(b)
+		w.elect()
+		w.run(time.Second)
+		w.passes, w.passTook = 0, 0
+		w.backlog(1200)
+		w.run(400 * time.Millisecond)
+		b.ReportMetric(float64(w.passTook.Microseconds())/1000/float64(w.passes), "ms/pass")
+		b.ReportMetric(float64(w.starts), "starts")
+		b.ReportMetric(float64(w.advices), "questions")
+	}
+}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -25,8 +25,8 @@
 	teams     map[cyclamendyke.TeamName]*team
 	jobs      map[cyclamendyke.WorkflowID]*job
 	targets   map[cyclamendyke.TargetID]*target
-	active    map[*stepRun]struct{} // Released steps with tasks that are not done.
-	timed     map[*job]struct{}     // Workflows with occurrences to come.
+	active    activeSteps
+	timed     map[*job]struct{} // Workflows with occurrences to come.
 	advisers  map[cyclamendyke.MemberName]*adviser
 	dirty     []*job
 	lastRun   int64
@@ -49,7 +49,6 @@
 		teams:    map[cyclamendyke.TeamName]*team{},
 		jobs:     map[cyclamendyke.WorkflowID]*job{},
 		targets:  map[cyclamendyke.TargetID]*target{},
-		active:   map[*stepRun]struct{}{},
 		timed:    map[*job]struct{}{},
 		advisers: map[cyclamendyke.MemberName]*adviser{},
 		lastRun:  int64(cfg.Epoch) * runsPerEpoch,
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -22,7 +22,8 @@
 
 	runs    map[runKey]*run
 	used    cyclamendyke.Resources
-	foreign map[runKey]bool // Runs there that belong to no workflow; while there are any, nothing is placed.
+	left    cyclamendyke.Resources // What the steps before leave of it in a pass, with what is soon free.
+	foreign map[runKey]bool        // Runs there that belong to no workflow; while there are any, nothing is placed.
 
 	renewing  bool
 	looking   bool
@@ -144,7 +145,7 @@
 	t.seen, t.lastSeen, t.unkept = 0, 0, nil
 	t.foreign = map[runKey]bool{}
 	t.failures, t.paced, t.leaves = 0, fullPace, 0
-	for _, step := range s.activeSteps() {
+	for _, step := range s.active.listed {
 		delete(step.advice.verdicts, t.info.ID)
 	}
 }
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -47,7 +47,10 @@
 	stops    int
 	advices  int
 	violated []string
+	passes   int
+	passTook time.Duration // By all passes together, of real time.
 
+	members  int                                       // That ask for advice.
 	advising map[cyclamendyke.MemberName]time.Duration // Until when the advice service works on each member's questions.
 	keeping  bool
 	known    []KnownTarget // The list of targets that the store holds,
@@ -126,6 +129,7 @@
 		vms: map[cyclamendyke.TargetID]*vm{}, tasks: map[cyclamendyke.TaskName]*truth{},
 		running: map[cyclamendyke.TeamName]cyclamendyke.Resources{},
 		fleet:   &cyclamendyke.FleetConfig{Version: 1},
+		members: 4,
 
 		advising: map[cyclamendyke.MemberName]time.Duration{},
 		adviseOK: func(cyclamendyke.StepName, cyclamendyke.TargetID) bool { return true },
@@ -176,10 +180,18 @@
 	for _, known := range w.known {
 		sched.Expect(known)
 	}
-	sched.SetAdvisers([]cyclamendyke.MemberName{"a", "b", "c", "d"})
+	sched.SetAdvisers(memberNames(w.members))
 	w.schedule(sched)
 }
 
+func memberNames(count int) []cyclamendyke.MemberName {
+	names := make([]cyclamendyke.MemberName, count)
+	for i := range names {
+		names[i] = cyclamendyke.MemberName(fmt.Sprintf("m%02d", i))
+	}
+	return names
+}
+
 func (w *world) wall() time.Time {
 	return time.Unix(1_000_000, 0).Add(w.now)
 }
@@ -198,7 +210,11 @@
 		return
 	}
 	sched.Advance(w.now, w.wall())
-	for _, command := range sched.Run() {
+	began := time.Now()
+	commands := sched.Run()
+	w.passTook += time.Since(began)
+	w.passes++
+	for _, command := range commands {
 		w.carryOut(sched, command)
 	}
 	w.keep(sched)
