Hand the calls to targets over to the members of the scheduler's zone

Change: from 100 targets on, starts and renewals go to the other members of the scheduler's zone, several in one message, and outcomes come back several in one. Decisions stay where they were. An order whose member is lost, silent or late counts as one without an answer; a member that cannot be reached is left alone for 2 s. Fences, run numbers and absolute lease ends bound what a late member can do, as they bound a late network. Sites of 48 targets are as before. Test: TestMembersCarryOrders, which also loses the member.

--- a/core/dispatch/known.go
+++ b/core/dispatch/known.go
@@ -63,6 +63,11 @@
 	return out
 }
 
+// Targets returns how many targets are known.
+func (s *Scheduler) Targets() int {
+	return len(s.targets)
+}
+
 // TargetIDs returns the targets that are known.
 func (s *Scheduler) TargetIDs() []cyclamendyke.TargetID {
 	ids := make([]cyclamendyke.TargetID, 0, len(s.targets))
--- a/io/member/client.go
+++ b/io/member/client.go
@@ -23,6 +23,7 @@
 const (
 	laneCalls  lane = "calls"
 	laneAdvice lane = "advice"
+	laneOrders lane = "orders"
 )
 
 type linkKey struct {
@@ -125,6 +126,26 @@
 	return call[Question, cyclamendyke.Advice](ctx, c, linkKey{address, laneAdvice}, methodAdvise, question)
 }
 
+// Carry hands orders to the member at an address.
+func (c *Client) Carry(ctx context.Context, address string, orders Orders) error {
+	_, err := call[Orders, none](ctx, c, linkKey{address, laneOrders}, methodCarry, orders)
+	return err
+}
+
+// Carries reports whether the connection on which the member at an address was handed orders still stands.
+func (c *Client) Carries(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	link := c.links[linkKey{address, laneOrders}]
+	return link != nil && !link.IsStopped()
+}
+
+// Carried reports outcomes to the scheduler at an address.
+func (c *Client) Carried(ctx context.Context, address string, outcomes Outcomes) error {
+	_, err := call[Outcomes, none](ctx, c, linkKey{address, laneOrders}, methodCarried, outcomes)
+	return err
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -20,6 +20,8 @@
 	methodCancel    = "cancel"
 	methodPending   = "pending"
 	methodAdvise    = "advise"
+	methodCarry     = "carry"
+	methodCarried   = "carried"
 )
 
 // concurrentCalls is the number of calls of one connection that are answered at once.
@@ -57,6 +59,10 @@
 	Pending(ctx context.Context, queue cyclamendyke.QueueName) (int, error)
 	// Advise asks for advice in the scheduler's place.
 	Advise(ctx context.Context, question Question) (cyclamendyke.Advice, error)
+	// Carry takes in orders to targets and returns at once.
+	Carry(ctx context.Context, orders Orders) error
+	// Carried takes in the outcomes of orders, or KindNotScheduler.
+	Carried(ctx context.Context, outcomes Outcomes) error
 }
 
 // none is the result of calls that say no more than that they were made.
@@ -102,6 +108,8 @@
 		methodCancel:    act(h.Cancel),
 		methodPending:   serve(h.Pending),
 		methodAdvise:    serve(h.Advise),
+		methodCarry:     act(h.Carry),
+		methodCarried:   act(h.Carried),
 	}
 	go func() {
 		for {
--- a/node/cell_test.go
+++ b/node/cell_test.go
@@ -117,13 +117,18 @@
 
 // start runs a node until the test ends.
 func (c *cell) start(name cyclamendyke.MemberName) *Node {
+	return c.startWith(name, c.target)
+}
+
+// startWith runs a node that reaches the targets in a way of its own.
+func (c *cell) startWith(name cyclamendyke.MemberName, targets cyclamendyke.Targets) *Node {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	n := New(Config{
 		Settings: cyclamendyke.FleetSettings{Node: name, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
-		Address:  listener.Addr().String(), Store: c.service.As(string(name)), Targets: c.target, Codec: plainCodec{},
+		Address:  listener.Addr().String(), Store: c.service.As(string(name)), Targets: targets, Codec: plainCodec{},
 		Log: log.New(io.Discard), Requests: log.New(io.Discard),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -38,7 +38,8 @@
 	dir     directory
 	fleet   atomic.Pointer[cyclamendyke.FleetConfig]
 	term    atomic.Pointer[term]
-	leaving atomic.Bool // Callers are sent elsewhere.
+	carrier atomic.Pointer[carrier] // For the scheduler whose orders came last.
+	leaving atomic.Bool             // Callers are sent elsewhere.
 }
 
 // New returns a node that follows the store and takes part in elections until it is closed.
--- a/node/term.go
+++ b/node/term.go
@@ -32,6 +32,7 @@
 
 	// The rest belongs to the control goroutine alone.
 	sched      *dispatch.Scheduler
+	relay      *relay
 	keeping    bool // A batch of records is on its way.
 	keepNext   time.Duration
 	known      int // The set of targets that is kept.
@@ -59,6 +60,7 @@
 		Settled:  won.at + grace + bounds.MaxLease + bounds.MaxLease/40 + settleMargin,
 		Decision: t.logDecision,
 	})
+	t.relay = newRelay(t)
 	n.term.Store(t)
 	n.cfg.Metrics.Terms.Inc()
 	n.done.Go(t.control)
@@ -132,9 +134,13 @@
 	}
 	t.sched.Advance(bootTime(), time.Now())
 	t.sched.SetAdvisers(t.advisers())
+	t.relay.refresh(bootTime())
 	for _, command := range t.sched.Run() {
-		t.carryOut(command)
+		if !t.relay.take(command) {
+			t.carryOut(command)
+		}
 	}
+	t.relay.flush()
 	if t.sched.Deposed() {
 		t.end("a target knows a later epoch")
 		return
--- a/target.go
+++ b/target.go
@@ -39,49 +39,49 @@
 
 // RunReport is one running task in a target's listing.
 type RunReport struct {
-	Task       TaskName
-	Run        int64
-	Checkpoint string
-	Percent    int
-	Load       float64 // Tail latency in milliseconds of a serving task, cores in use in thousandths of any other.
+	Task       TaskName `json:"task"`
+	Run        int64    `json:"run"`
+	Checkpoint string   `json:"checkpoint,omitempty"`
+	Percent    int      `json:"percent,omitempty"`
+	Load       float64  `json:"load,omitempty"` // Tail latency in milliseconds of a serving task, cores in use in thousandths of any other.
 }
 
 // EndReport is one ended run in a target's listing.
 type EndReport struct {
-	Sequence   int64
-	Task       TaskName
-	Run        int64
-	How        EndKind
-	Checkpoint string
+	Sequence   int64    `json:"sequence"`
+	Task       TaskName `json:"task"`
+	Run        int64    `json:"run"`
+	How        EndKind  `json:"how"`
+	Checkpoint string   `json:"checkpoint,omitempty"`
 }
 
 // Listing is what a target answers to a renewal.
 type Listing struct {
-	Clock     time.Duration // The target's clock when it answered.
-	Born      int64
-	Running   []RunReport
-	Ended     []EndReport
-	Draining  bool
-	Remaining time.Duration
+	Clock     time.Duration `json:"clock-ns"` // The target's clock when it answered.
+	Born      int64         `json:"born-ms"`
+	Running   []RunReport   `json:"running,omitempty"`
+	Ended     []EndReport   `json:"ended,omitempty"`
+	Draining  bool          `json:"draining,omitempty"`
+	Remaining time.Duration `json:"remaining-ns,omitempty"`
 }
 
 // Renewal extends the lease of all that runs on a target and asks for its listing.
 type Renewal struct {
-	Until    time.Duration // On the target's clock; zero leaves the lease as it is.
-	Fence    uint64
-	LastSeen int64         // Ends up to this sequence are recorded and may be forgotten.
-	Wait     time.Duration // How long the target may wait for an end before it answers.
+	Until    time.Duration `json:"until-ns,omitempty"` // On the target's clock; zero leaves the lease as it is.
+	Fence    uint64        `json:"fence"`
+	LastSeen int64         `json:"last-seen"`         // Ends up to this sequence are recorded and may be forgotten.
+	Wait     time.Duration `json:"wait-ns,omitempty"` // How long the target may wait for an end before it answers.
 }
 
 // StartOrder starts one run of a task.
 type StartOrder struct {
-	Task       TaskName
-	Run        int64
-	Spec       string
-	Until      time.Duration // On the target's clock.
-	Fence      uint64
-	Checkpoint string
-	Ticket     string
+	Task       TaskName      `json:"task"`
+	Run        int64         `json:"run"`
+	Spec       string        `json:"spec"`
+	Until      time.Duration `json:"until-ns"` // On the target's clock.
+	Fence      uint64        `json:"fence"`
+	Checkpoint string        `json:"checkpoint,omitempty"`
+	Ticket     string        `json:"ticket,omitempty"`
 }
 
 // The kinds of error with which targets refuse an order; nothing was started.
--- a/workflow.go
+++ b/workflow.go
@@ -70,7 +70,24 @@
 
 // String returns the name with dots between its parts.
 func (t TaskName) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Workflow, t.Occurrence, t.Step, t.Index)
+	text, _ := t.MarshalText() // It never fails.
+	return string(text)
+}
+
+// MarshalText writes the name as String does.
+func (t TaskName) MarshalText() ([]byte, error) {
+	text := []byte(t.Workflow)
+	for _, number := range [...]int{t.Occurrence, t.Step, t.Index} {
+		text = strconv.AppendInt(append(text, '.'), int64(number), 10)
+	}
+	return text, nil
+}
+
+// UnmarshalText reads what MarshalText writes.
+func (t *TaskName) UnmarshalText(text []byte) error {
+	name, err := ParseTaskName(string(text))
+	*t = name
+	return err
 }
 
 // ParseTaskName reads what String writes.
