--- a/io/member/server.go
+++ b/io/member/server.go
@@ -72,7 +72,7 @@
 func serve[P, R any](method func(context.Context, P) (R, error)) jrpc2.Handler {
 	return handler.New(func(ctx context.Context, params [1]P) (R, error) {
 		result, err := method(ctx, params[0])
-		return result, wireError(err)
+		return result, codes.Encode(err)
 	})
 }
 
--- a/io/peer/handler.go
+++ b/io/peer/handler.go
@@ -74,7 +74,7 @@
 	return handler.New(func(ctx context.Context, call message[P]) (message[R], error) {
 		clock.Observe(call.At)
 		result, err := serve(ctx, call.Body)
-		return message[R]{At: clock.Now(), Body: result}, wireError(err)
+		return message[R]{At: clock.Now(), Body: result}, codes.Encode(err)
 	})
 }
 
--- a/node/directory.go
+++ b/node/directory.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"cyclamendyke"
 )
 
@@ -25,6 +27,7 @@
 
 // directory is the copy of what the members wrote about themselves.
 type directory struct {
+	log       *log.Logger
 	mu        sync.Mutex
 	loaded    bool
 	members   map[cyclamendyke.MemberName]memberRecord
@@ -143,23 +146,23 @@
 	case schedulerKey:
 		d.scheduler, d.holderRev = nil, 0
 		var record schedulerRecord
-		if !entry.Deleted && json.Unmarshal(entry.Value, &record) == nil {
+		if d.read(entry, &record) {
 			d.scheduler, d.holderRev = &record, entry.Revision
 		}
 	case epochKey:
 		var epoch uint64
-		if !entry.Deleted && json.Unmarshal(entry.Value, &epoch) == nil && epoch >= d.epoch {
+		if d.read(entry, &epoch) && epoch >= d.epoch {
 			d.epoch, d.epochRev = epoch, entry.Revision
 		}
 	case resignedKey:
 		var epoch uint64
-		if !entry.Deleted && json.Unmarshal(entry.Value, &epoch) == nil && entry.Revision > d.resigned.revision {
+		if d.read(entry, &epoch) && entry.Revision > d.resigned.revision {
 			d.resigned = epochRecord{epoch, entry.Revision}
 		}
 	default:
 		name := cyclamendyke.MemberName(entry.Key[len(membersPrefix):])
 		var record memberRecord
-		if entry.Deleted || json.Unmarshal(entry.Value, &record) != nil {
+		if !d.read(entry, &record) {
 			delete(d.members, name)
 			return
 		}
@@ -167,6 +170,18 @@
 	}
 }
 
+// read decodes a record; it returns false if there is none, and says so if it cannot be read.
+func (d *directory) read(entry cyclamendyke.Entry, record any) bool {
+	if entry.Deleted {
+		return false
+	}
+	if err := json.Unmarshal(entry.Value, record); err != nil {
+		d.log.Warn("a record of the members cannot be read", "key", entry.Key, "revision", entry.Revision, "err", err)
+		return false
+	}
+	return true
+}
+
 // followSystem keeps the directory up to date.
 func (n *Node) followSystem() {
 	n.follow(systemPrefix, 0, n.dir.replace, n.dir.apply)
--- a/node/intake_test.go
+++ b/node/intake_test.go
@@ -34,6 +34,7 @@
 		},
 		peers: member.NewClient(), ctx: ctx, cancel: cancel,
 	}
+	n.dir.log = n.cfg.Log
 	n.dir.changed = make(chan struct{}, 1)
 	n.fleet.Store(testFleet())
 	return Callers{n}
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,7 @@
 func New(cfg Config) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel}
+	n.dir.log = cfg.Log
 	n.dir.changed = make(chan struct{}, 1)
 	n.done.Go(n.keepSession)
 	n.done.Go(n.followSystem)
