--- a/node/cell_test.go
+++ b/node/cell_test.go
@@ -122,12 +122,17 @@
 
 // startWith runs a node that reaches the targets in a way of its own.
 func (c *cell) startWith(name cyclamendyke.MemberName, targets cyclamendyke.Targets) *Node {
+	return c.startOn(name, targets, 0)
+}
+
+// startOn runs a node on a VM of so many cores.
+func (c *cell) startOn(name cyclamendyke.MemberName, targets cyclamendyke.Targets, cores float64) *Node {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
 		Address:  listener.Addr().String(), Store: c.service.As(string(name)), Targets: targets, Codec: plainCodec{},
 		Log: log.New(io.Discard), Requests: log.New(io.Discard),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
@@ -205,3 +210,24 @@
 	submit(t, n, "00000000000000a1")
 	eventually(t, "completion", func() bool { return completed(n, "00000000000000a1") })
 }
+
+// TestStrongerTakesOver lets a weak member be elected alone; once a stronger one is there, the role goes to it, and stays.
+func TestStrongerTakesOver(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t)
+	weak := c.startOn("weak", c.target, 0.2)
+	eventually(t, "the weak member's term", func() bool { return epochOf(weak) == 1 })
+	submit(t, weak, "00000000000000a1")
+	strong := c.startOn("strong", c.target, 0.8)
+	eventually(t, "the strong member's term", func() bool { return epochOf(strong) == 2 })
+	is.Equal(epochOf(weak), uint64(0))
+	submit(t, weak, "00000000000000a2")
+	eventually(t, "completion", func() bool {
+		return completed(strong, "00000000000000a1") && completed(strong, "00000000000000a2")
+	})
+	is.Equal(epochOf(strong), uint64(2))
+	is.Equal(len(c.target.starts), 2)
+	for _, starts := range c.target.starts {
+		is.Equal(starts, 1)
+	}
+}
--- a/node/election.go
+++ b/node/election.go
@@ -13,6 +13,7 @@
 
 // runElections makes this process the scheduler whenever there is none.
 func (n *Node) runElections() {
+	var relief relief
 	for n.ctx.Err() == nil {
 		select {
 		case <-n.dir.changed:
@@ -22,6 +23,7 @@
 		}
 		if n.leaving.Load() || n.term.Load() != nil {
 			n.checkTerm()
+			n.handOver(&relief)
 			continue
 		}
 		won, ok := n.elect()
@@ -121,17 +123,3 @@
 	over := v.scheduler != nil || v.resigned.epoch == v.epoch // An earlier term of this process, or one that stepped down.
 	return mandate{epoch: record.Epoch, revision: revision, at: at, over: over}, nil
 }
-
-// resign tells the next scheduler that it need not wait until this one has surely stopped.
-func (n *Node) resign(epoch uint64) {
-	value, err := json.Marshal(epoch)
-	if err != nil {
-		n.cfg.Log.Error("the step down cannot be written", "epoch", epoch, "err", err)
-		return
-	}
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	if _, err := n.cfg.Store.CompareAndSwap(ctx, resignedKey, value, n.dir.view().resigned.revision, 0); err != nil {
-		n.cfg.Log.Warn("the step down was not written", "epoch", epoch, "err", err)
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -78,7 +78,7 @@
 	}
 	if t := n.term.Load(); t != nil {
 		t.end("leaving")
-		n.resign(t.epoch)
+		n.stepDown(t.epoch)
 	}
 	n.session.release(n)
 }
