--- a/node/cell_test.go
+++ b/node/cell_test.go
@@ -134,7 +134,7 @@
 	n := New(Config{
 		Settings: cyclamendyke.FleetSettings{Node: name, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
 		Address:  listener.Addr().String(), Store: c.service.As(string(name)), Targets: targets, Codec: plainCodec{},
-		Log: log.New(io.Discard), Requests: log.New(io.Discard),
+		Log: log.New(io.Discard), Requests: quietRequests(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
 	})
 	server := member.NewServer(member.ServerConfig{Listener: listener, Handler: n})
--- a/node/intake_test.go
+++ b/node/intake_test.go
@@ -29,7 +29,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		cfg: Config{
-			Settings: cyclamendyke.FleetSettings{Node: "self"}, Store: store, Log: log.New(io.Discard), Requests: log.New(io.Discard),
+			Settings: cyclamendyke.FleetSettings{Node: "self"}, Store: store, Log: log.New(io.Discard), Requests: quietRequests(),
 			Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
 		},
 		peers: member.NewClient(), ctx: ctx, cancel: cancel,
--- a/node/journal.go
+++ b/node/journal.go
@@ -53,7 +53,7 @@
 	w.done.Wait()
 }
 
-// budget passes on at most so many lines a second, and then says how many it left out.
+// budget admits at most so many lines a second, and says later how many it left out.
 type budget struct {
 	to      *writer
 	clock   func() time.Time
@@ -68,8 +68,8 @@
 	return &budget{to: to, clock: clock, tokens: lineBurst, filled: clock()}
 }
 
-// Write passes one line on, or leaves it out.
-func (b *budget) Write(line []byte) (int, error) {
+// admits reports whether one more line may be written, and counts it.
+func (b *budget) admits() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock()
@@ -78,7 +78,7 @@
 	if b.tokens < 1 {
 		b.leftOut++
 		b.to.dropped.Add(1)
-		return len(line), nil
+		return false
 	}
 	b.tokens--
 	if b.leftOut > 0 && now.Sub(b.told) >= reportInterval {
@@ -86,7 +86,31 @@
 		b.leftOut = 0
 		b.told = now
 	}
-	return b.to.Write(line)
+	return true
+}
+
+// RequestLog writes lines on single requests within a budget; a line beyond it is counted and not composed at all.
+type RequestLog struct {
+	log    *log.Logger
+	budget *budget
+}
+
+func newRequestLog(to *writer, name string, clock func() time.Time) *RequestLog {
+	return &RequestLog{log: newLogger(to, name), budget: newBudget(to, clock)}
+}
+
+// Info writes a line on what was decided.
+func (r *RequestLog) Info(message string, fields ...any) {
+	if r.budget.admits() {
+		r.log.Info(message, fields...)
+	}
+}
+
+// Warn writes a line on what did not go as it should.
+func (r *RequestLog) Warn(message string, fields ...any) {
+	if r.budget.admits() {
+		r.log.Warn(message, fields...)
+	}
 }
 
 // lineTime is the form of the time of a line.
--- a/node/journal_test.go
+++ b/node/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -38,22 +39,36 @@
 	is.Equal(strings.Count(reader.String(), "\n")+int(dropped), lineBuffer+1+extra)
 }
 
+// countedText counts how often it is written.
+type countedText struct{ count *int }
+
+// String returns a text.
+func (c countedText) String() string {
+	*c.count++
+	return "me"
+}
+
 // TestLogBudget writes more lines than the budget has, and counts what was left out.
 func TestLogBudget(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
 	w := newWriter(&out)
 	now := time.Unix(1000, 0)
-	b := newBudget(w, func() time.Time { return now })
+	requests := newRequestLog(w, "a", func() time.Time { return now })
+	composed := 0
 	for range lineBurst + 7 {
-		_, err := b.Write([]byte("line\n"))
-		is.NoErr(err)
+		requests.Info("decided", "by", countedText{&composed})
 	}
 	now = now.Add(time.Second)
-	_, err := b.Write([]byte("line\n"))
-	is.NoErr(err)
+	requests.Warn("decided")
 	w.close()
-	is.Equal(strings.Count(out.String(), "line\n"), lineBurst+1)
+	is.Equal(strings.Count(out.String(), "msg=decided"), lineBurst+1)
+	is.Equal(composed, lineBurst) // What is left out costs next to nothing.
 	is.True(strings.Contains(out.String(), `msg="lines left out" count=7`))
 	is.Equal(w.dropped.Load(), int64(7))
 }
+
+// quietRequests returns a log that nobody reads.
+func quietRequests() *RequestLog {
+	return newRequestLog(newWriter(io.Discard), "quiet", time.Now)
+}
--- a/node/main.go
+++ b/node/main.go
@@ -101,7 +101,7 @@
 	registry := prometheus.NewRegistry()
 	cfg := Config{
 		Settings: settings, Address: all.member.Addr().String(), Log: logger,
-		Requests: newLogger(newBudget(lines, time.Now), string(settings.Node)),
+		Requests: newRequestLog(lines, string(settings.Node), time.Now),
 		Metrics:  NewMetrics(registry, func() float64 { return float64(lines.dropped.Load()) }),
 	}
 	platform.Connect(settings, &cfg)
--- a/node/node.go
+++ b/node/node.go
@@ -22,7 +22,7 @@
 	Adviser  cyclamendyke.Adviser // Nil if there is none.
 	Codec    cyclamendyke.FleetCodec
 	Log      *log.Logger // For what changes the process's state.
-	Requests *log.Logger // For what touches one request; its volume is bounded.
+	Requests *RequestLog // For what touches one request; its volume is bounded.
 	Metrics  *Metrics
 }
 
