Leave alone members that reach too few targets

Cause (thought through, then tested): a member whose own connections are cut keeps its share of the targets, since orders go by the target's name; each renewal and start there would fail until the cut ends, and leases lapse. Change: outcomes are counted by member over a second; who fails at least half, and three, is left alone for 4 s. The address is the one that was chosen. Test: TestCutMemberIsLeftAlone.

--- a/node/relay.go
+++ b/node/relay.go
@@ -18,7 +18,9 @@
 	relayTargets = 100                    // On smaller fleets the scheduler calls all targets itself.
 	relaySlack   = 300 * time.Millisecond // For the way to the member and back.
 	carryTimeout = 300 * time.Millisecond
-	relayRest    = 2 * time.Second // How long a member is left alone after it could not be reached.
+	relayRest    = 4 * time.Second // How long a member is left alone that could not be reached or reaches too few targets.
+	tallyWindow  = time.Second     // Over which a member's outcomes are counted.
+	tallyLeast   = 3               // Failures in it that count, if they are at least half of all outcomes.
 )
 
 // relay has the members of the scheduler's zone call the targets of a large fleet in its place.
@@ -32,13 +34,27 @@
 	members []memberRecord
 	next    uint64
 	pending map[uint64]relayed
-	outbox  map[cyclamendyke.MemberName][]member.Order
+	outbox  map[cyclamendyke.MemberName]*handful
 	resting map[cyclamendyke.MemberName]time.Duration // Until when each is left alone.
+	tallies map[cyclamendyke.MemberName]*tally
+	tallied time.Duration // When the tallies began.
 	checked time.Duration
 }
 
+// tally counts a member's outcomes: one whose own connections are cut fails most of its orders, while a cut target fails a little with each member.
+type tally struct {
+	failed, all int
+}
+
+// handful is what one member is to do after a pass.
+type handful struct {
+	address string // The member's.
+	orders  []member.Order
+}
+
 // relayed is an order that a member has.
 type relayed struct {
+	member  cyclamendyke.MemberName
 	address string // The member's.
 	command dispatch.Command
 	sent    time.Duration
@@ -47,8 +63,8 @@
 
 func newRelay(t *term) *relay {
 	return &relay{
-		term: t, pending: map[uint64]relayed{}, outbox: map[cyclamendyke.MemberName][]member.Order{},
-		resting: map[cyclamendyke.MemberName]time.Duration{},
+		term: t, pending: map[uint64]relayed{}, outbox: map[cyclamendyke.MemberName]*handful{},
+		resting: map[cyclamendyke.MemberName]time.Duration{}, tallies: map[cyclamendyke.MemberName]*tally{},
 	}
 }
 
@@ -58,6 +74,7 @@
 		return
 	}
 	r.checked = now
+	r.judge(now)
 	r.choose(now)
 	for number, order := range r.pending {
 		lost := now >= order.sent+carryTimeout && !r.term.node.peers.Carries(order.address)
@@ -67,6 +84,34 @@
 	}
 }
 
+// judge leaves members alone that failed most of what they were given.
+func (r *relay) judge(now time.Duration) {
+	if now-r.tallied < tallyWindow {
+		return
+	}
+	for name, t := range r.tallies {
+		if t.failed >= tallyLeast && 2*t.failed >= t.all {
+			r.term.node.cfg.Log.Warn("a member reaches too few targets", "member", name, "failed", t.failed, "of", t.all, "rest", relayRest)
+			r.resting[name] = now + relayRest
+		}
+	}
+	clear(r.tallies)
+	r.tallied = now
+}
+
+// count adds an outcome to its member's tally.
+func (r *relay) count(name cyclamendyke.MemberName, kind cyclamendyke.Kind) {
+	t := r.tallies[name]
+	if t == nil {
+		t = &tally{}
+		r.tallies[name] = t
+	}
+	t.all++
+	if kind == cyclamendyke.KindUnknown || kind == cyclamendyke.KindUnavailable {
+		t.failed++
+	}
+}
+
 // choose takes the members of the zone that are not left alone.
 func (r *relay) choose(now time.Duration) {
 	r.members = slices.DeleteFunc(r.term.node.dir.neighbours(r.term.node.cfg.Settings), func(m memberRecord) bool {
@@ -102,8 +147,11 @@
 	order.Number = r.next
 	to := r.member(order.Target)
 	now := bootTime()
-	r.pending[order.Number] = relayed{to.Address, command, now, now + patience}
-	r.outbox[to.Name] = append(r.outbox[to.Name], order)
+	r.pending[order.Number] = relayed{to.Name, to.Address, command, now, now + patience}
+	if r.outbox[to.Name] == nil {
+		r.outbox[to.Name] = &handful{address: to.Address}
+	}
+	r.outbox[to.Name].orders = append(r.outbox[to.Name].orders, order)
 	return true
 }
 
@@ -116,31 +164,31 @@
 
 // flush sends what the members are to do.
 func (r *relay) flush() {
-	for name, orders := range r.outbox {
+	for name, given := range r.outbox {
 		delete(r.outbox, name)
 		t := r.term
-		t.work.Go(func() { t.carry(name, orders) })
+		t.work.Go(func() { t.carry(name, given) })
 	}
 }
 
 // carry sends orders to a member; those that it certainly did not get are taken back.
-func (t *term) carry(name cyclamendyke.MemberName, orders []member.Order) {
+func (t *term) carry(name cyclamendyke.MemberName, given *handful) {
 	kind := cyclamendyke.KindUnavailable
 	if t.authorized() {
 		ctx, cancel := context.WithTimeout(t.ctx, carryTimeout)
 		defer cancel()
-		err := t.node.peers.Carry(ctx, t.node.dir.address(name), member.Orders{Epoch: t.epoch, ReplyTo: t.node.cfg.Address, Orders: orders})
+		err := t.node.peers.Carry(ctx, given.address, member.Orders{Epoch: t.epoch, ReplyTo: t.node.cfg.Address, Orders: given.orders})
 		if err == nil {
 			return
 		}
-		t.node.cfg.Requests.Warn("orders not handed over", "member", name, "count", len(orders), "err", err)
+		t.node.cfg.Requests.Warn("orders not handed over", "member", name, "count", len(given.orders), "err", err)
 		if !errors.Is(err, cyclamendyke.KindUnavailable) {
 			kind = cyclamendyke.KindUnknown
 		}
 	}
 	t.post(func() {
 		t.relay.rest(name)
-		for _, order := range orders {
+		for _, order := range given.orders {
 			t.relay.finish(member.Outcome{Number: order.Number, Kind: kind})
 		}
 	})
@@ -153,6 +201,7 @@
 		return
 	}
 	delete(r.pending, outcome.Number)
+	r.count(order.member, outcome.Kind)
 	sched := r.term.sched
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
--- a/node/relay_test.go
+++ b/node/relay_test.go
@@ -68,3 +68,37 @@
 		is.Equal(starts, 1)
 	}
 }
+
+// unreachable fails every call as if no target could be reached.
+type unreachable struct {
+	*oneTarget
+}
+
+// Renew fails.
+func (unreachable) Renew(context.Context, cyclamendyke.Target, cyclamendyke.Renewal) (cyclamendyke.Listing, error) {
+	return cyclamendyke.Listing{}, cyclamendyke.KindUnavailable
+}
+
+// Start fails.
+func (unreachable) Start(context.Context, cyclamendyke.Target, cyclamendyke.StartOrder) (time.Duration, error) {
+	return 0, cyclamendyke.KindUnavailable
+}
+
+// TestCutMemberIsLeftAlone hands orders to a member that reaches no target; work must go on without it.
+func TestCutMemberIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	c := largeCell(t)
+	first := c.start("first")
+	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
+	c.startWith("second", unreachable{c.target})
+	eventually(t, "the second left alone", func() bool {
+		term := first.term.Load()
+		resting, err := ask(context.Background(), term, func(answer func(bool)) { answer(len(term.relay.resting) == 1) })
+		return err == nil && resting
+	})
+	submit(t, first, "00000000000000b1")
+	eventually(t, "completion", func() bool { return completed(first, "00000000000000b1") })
+	for _, starts := range c.target.starts {
+		is.Equal(starts, 1)
+	}
+}
