--- a/node/carrier.go
+++ b/node/carrier.go
@@ -56,6 +56,9 @@
 		defer cancel()
 		_, err := targets.Start(ctx, target, *order.Start)
 		outcome.Kind = cyclamendyke.KindOf(err)
+		if err != nil {
+			c.node.cfg.Requests.Info("start failed", "task", order.Start.Task, "target", order.Target, "run", order.Start.Run, "epoch", c.epoch, "err", err)
+		}
 	case order.Renewal != nil:
 		ctx, cancel := context.WithTimeout(c.node.ctx, order.Renewal.Wait+renewPatience)
 		defer cancel()
--- a/node/relay.go
+++ b/node/relay.go
@@ -107,6 +107,7 @@
 		r.tallies[name] = t
 	}
 	t.all++
+	r.term.node.cfg.Metrics.Handed.WithLabelValues(cmp.Or(string(kind), "answered")).Inc()
 	if kind == cyclamendyke.KindUnknown || kind == cyclamendyke.KindUnavailable {
 		t.failed++
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -100,6 +100,7 @@
 			began := bootTime()
 			t.pass()
 			t.passTook = bootTime() - began
+			t.node.cfg.Metrics.Passes.Observe(t.passTook.Seconds())
 		}
 	}
 }
