--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -53,8 +53,10 @@
 	members  int                                       // That ask for advice.
 	advising map[cyclamendyke.MemberName]time.Duration // Until when the advice service works on each member's questions.
 	keeping  bool
-	known    []KnownTarget // The list of targets that the store holds,
-	knownSet int           // and its version.
+	known    []KnownTarget                   // The list of targets that the store holds,
+	knownSet int                             // and its version.
+	paces    map[cyclamendyke.WorkflowID]int // The last pace ordered for a workflow's tasks.
+	tail     float64                         // Of all serving tasks' response times, in milliseconds.
 	adviseOK func(cyclamendyke.StepName, cyclamendyke.TargetID) bool
 }
 
@@ -132,6 +134,7 @@
 		members: 4,
 
 		advising: map[cyclamendyke.MemberName]time.Duration{},
+		paces:    map[cyclamendyke.WorkflowID]int{},
 		adviseOK: func(cyclamendyke.StepName, cyclamendyke.TargetID) bool { return true },
 	}
 	return w
--- a/core/dispatch/worldcalls_test.go
+++ b/core/dispatch/worldcalls_test.go
@@ -31,6 +31,8 @@
 		w.order(sched, c.Target, func(v *vm) error { return w.stop(v, c, sched.cfg.Epoch) }, func(kind cyclamendyke.Kind) {
 			sched.Stopped(c.Target, c.Task, c.Run, kind)
 		})
+	case PaceCommand:
+		w.paces[c.Task.Workflow] = c.Percent
 	case AdviseCommand:
 		w.advices++
 		sent := w.now
@@ -258,7 +260,7 @@
 		if r.lasts > 0 {
 			percent = int(100 * (w.now - r.started) / r.lasts)
 		}
-		listing.Running = append(listing.Running, cyclamendyke.RunReport{Task: name, Run: r.number, Percent: percent})
+		listing.Running = append(listing.Running, cyclamendyke.RunReport{Task: name, Run: r.number, Percent: percent, Load: w.tail})
 	}
 	listing.Ended = append(listing.Ended, v.ends...)
 	return listing
