--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,8 +1,6 @@
 package dispatch
 
-import (
-	"cyclamendyke"
-)
+import "cyclamendyke"
 
 // placeAll starts what can start, in order.
 func (s *Scheduler) placeAll() {
