Never take a target with an overdue run for free when a gang claims room

A run beyond its estimate counted as ending now, so that its target tied with free ones and won by its name, for as long as it went on; tickets for others ran out. Ruled out: lost orders of members (the step was asked about all the time), the team's limit (not logged). Change: a run that is late is expected to take as long again as it is late. Test: TestGangPassesOverdueRun; before the change the gang does not start in 10 s.

--- a/core/dispatch/kinds_test.go
+++ b/core/dispatch/kinds_test.go
@@ -155,3 +155,29 @@
 	is.Equal(w.paces["filling"], fullPace)
 	is.Equal(len(w.violated), 0)
 }
+
+// TestGangPassesOverdueRun lets a run go on for far longer than estimated on the first of four VMs; a gang that needs three whole ones must take the others, also where tickets last little longer than a question takes.
+func TestGangPassesOverdueRun(t *testing.T) {
+	is := is.New(t)
+	w := kindFleet(t)
+	w.fleet.Queues[0].Advice = &cyclamendyke.AdviceTerms{Base: 570 * time.Millisecond, Valid: 1500 * time.Millisecond}
+	w.valid = 1500 * time.Millisecond
+	w.elect()
+	w.submit(workflow("overdue", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 500 * time.Millisecond}))
+	w.run(time.Second)
+	is.Equal(w.starts, 1)
+	for _, v := range w.vms {
+		for _, r := range v.runs {
+			r.ending = true // It goes on, and stops do not end it.
+		}
+	}
+	for i := range 3 { // Until the gang's first tickets have expired.
+		w.submit(workflow(fmt.Sprint("fill-", i), cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: 4 * time.Second}))
+	}
+	w.run(time.Second)
+	is.Equal(w.starts, 4)
+	w.submit(workflow("gang", cyclamendyke.Step{Count: 3, Gang: true, Need: cores(16), Estimate: time.Second, MaxPerTarget: 1}))
+	w.run(10 * time.Second)
+	is.Equal(w.starts, 7)
+	is.Equal(len(w.violated), 0)
+}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -140,17 +140,29 @@
 		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
-		return cmp.Or(cmp.Compare(a.remaining(s.now), b.remaining(s.now)), cmp.Compare(a.number, b.number))
+		return cmp.Or(cmp.Compare(a.expected(s.now), b.expected(s.now)), cmp.Compare(a.number, b.number))
 	})
 	for _, r := range runs {
 		free = free.Add(r.step.spec.Reserved())
 		if need.FitsIn(free) {
-			return s.now + r.remaining(s.now), true
+			return s.now + r.expected(s.now), true
 		}
 	}
 	return 0, false
 }
 
+// overdueLeast is the least time that a run beyond its estimate is expected to go on, so that its target never counts as free.
+const overdueLeast = 100 * time.Millisecond
+
+// expected estimates how long the run goes on; one that is beyond its estimate is expected to take as long again as it is late.
+func (r *run) expected(now time.Duration) time.Duration {
+	late := now - r.started - r.step.spec.Estimate
+	if late < 0 {
+		return -late
+	}
+	return max(overdueLeast, late)
+}
+
 // preempt stops the cheapest set of less urgent runs that makes room for one task of the step.
 func (s *Scheduler) preempt(step *stepRun, queue *cyclamendyke.Queue) bool {
 	var chosen []*run
--- a/core/dispatch/world_test.go
+++ b/core/dispatch/world_test.go
@@ -51,6 +51,7 @@
 	passTook time.Duration // By all passes together, of real time.
 
 	members  int                                       // That ask for advice.
+	valid    time.Duration                             // How long tickets last.
 	advising map[cyclamendyke.MemberName]time.Duration // Until when the advice service works on each member's questions.
 	keeping  bool
 	known    []KnownTarget                   // The list of targets that the store holds,
@@ -132,6 +133,7 @@
 		running: map[cyclamendyke.TeamName]cyclamendyke.Resources{},
 		fleet:   &cyclamendyke.FleetConfig{Version: 1},
 		members: 4,
+		valid:   2 * time.Second,
 
 		advising: map[cyclamendyke.MemberName]time.Duration{},
 		paces:    map[cyclamendyke.WorkflowID]int{},
--- a/core/dispatch/worldcalls_test.go
+++ b/core/dispatch/worldcalls_test.go
@@ -38,7 +38,7 @@
 		sent := w.now
 		w.advising[c.Member] = max(w.now, w.advising[c.Member]) + c.Cost
 		w.after(w.advising[c.Member]-w.now+2*worldLatency, func() {
-			advice := cyclamendyke.Advice{Valid: 2 * time.Second}
+			advice := cyclamendyke.Advice{Valid: w.valid}
 			for _, id := range c.Targets {
 				if w.adviseOK(c.Step, id) {
 					advice.Tickets = append(advice.Tickets, cyclamendyke.Ticket{Target: id, Text: "t"})
