--- a/node/relay.go
+++ b/node/relay.go
@@ -34,7 +34,7 @@
 	members []memberRecord
 	next    uint64
 	pending map[uint64]relayed
-	outbox  map[cyclamendyke.MemberName]*handful
+	outbox  map[cyclamendyke.MemberName]*orderBatch
 	resting map[cyclamendyke.MemberName]time.Duration // Until when each is left alone.
 	tallies map[cyclamendyke.MemberName]*tally
 	tallied time.Duration // When the tallies began.
@@ -46,8 +46,8 @@
 	failed, all int
 }
 
-// handful is what one member is to do after a pass.
-type handful struct {
+// orderBatch is what one member is to do after a pass.
+type orderBatch struct {
 	address string // The member's.
 	orders  []member.Order
 }
@@ -63,7 +63,7 @@
 
 func newRelay(t *term) *relay {
 	return &relay{
-		term: t, pending: map[uint64]relayed{}, outbox: map[cyclamendyke.MemberName]*handful{},
+		term: t, pending: map[uint64]relayed{}, outbox: map[cyclamendyke.MemberName]*orderBatch{},
 		resting: map[cyclamendyke.MemberName]time.Duration{}, tallies: map[cyclamendyke.MemberName]*tally{},
 	}
 }
@@ -150,7 +150,7 @@
 	now := bootTime()
 	r.pending[order.Number] = relayed{to.Name, to.Address, command, now, now + patience}
 	if r.outbox[to.Name] == nil {
-		r.outbox[to.Name] = &handful{address: to.Address}
+		r.outbox[to.Name] = &orderBatch{address: to.Address}
 	}
 	r.outbox[to.Name].orders = append(r.outbox[to.Name].orders, order)
 	return true
@@ -165,31 +165,31 @@
 
 // flush sends what the members are to do.
 func (r *relay) flush() {
-	for name, given := range r.outbox {
+	for name, batch := range r.outbox {
 		delete(r.outbox, name)
 		t := r.term
-		t.work.Go(func() { t.carry(name, given) })
+		t.work.Go(func() { t.carry(name, batch) })
 	}
 }
 
 // carry sends orders to a member; those that it certainly did not get are taken back.
-func (t *term) carry(name cyclamendyke.MemberName, given *handful) {
+func (t *term) carry(name cyclamendyke.MemberName, batch *orderBatch) {
 	kind := cyclamendyke.KindUnavailable
 	if t.authorized() {
 		ctx, cancel := context.WithTimeout(t.ctx, carryTimeout)
 		defer cancel()
-		err := t.node.peers.Carry(ctx, given.address, member.Orders{Epoch: t.epoch, ReplyTo: t.node.cfg.Address, Orders: given.orders})
+		err := t.node.peers.Carry(ctx, batch.address, member.Orders{Epoch: t.epoch, ReplyTo: t.node.cfg.Address, Orders: batch.orders})
 		if err == nil {
 			return
 		}
-		t.node.cfg.Requests.Warn("orders not handed over", "member", name, "count", len(given.orders), "err", err)
+		t.node.cfg.Requests.Warn("orders not handed over", "member", name, "count", len(batch.orders), "err", err)
 		if !errors.Is(err, cyclamendyke.KindUnavailable) {
 			kind = cyclamendyke.KindUnknown
 		}
 	}
 	t.post(func() {
 		t.relay.rest(name)
-		for _, order := range given.orders {
+		for _, order := range batch.orders {
 			t.relay.finish(member.Outcome{Number: order.Number, Kind: kind})
 		}
 	})
