Call what stands in place of writing it again, and look up less in a pass

From reading the whole change once more; behaviour stays. - What claims leave of a target was summed in fitsAt and victims beside available, which serves both (claims that have lapsed are gone by then). - The relay and the direct calls each turned a renewal's answer into the scheduler's calls: term.renewed does it for both. Started and Stopped began alike: answered. - An urgent step's candidates were worked out anew for each of its tasks that preempts, and the advisers' names sorted for each waiting step: once each now. - A caller's deadline was cut in three places: untilAnswer. Whether a stronger member is there was worked out in two: outranked.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -42,13 +41,15 @@
 
 // SetAdvisers names the members that can ask for advice.
 func (s *Scheduler) SetAdvisers(members []cyclamendyke.MemberName) {
-	for name := range s.advisers {
-		if !slices.Contains(members, name) {
-			delete(s.advisers, name)
-		}
+	names := slices.Sorted(slices.Values(members))
+	if slices.Equal(names, s.adviserNames) {
+		return
 	}
-	for _, name := range members {
-		if s.advisers[name] == nil {
+	kept := s.advisers
+	s.adviserNames, s.advisers = names, map[cyclamendyke.MemberName]*adviser{}
+	for _, name := range names {
+		s.advisers[name] = kept[name]
+		if kept[name] == nil {
 			s.advisers[name] = &adviser{}
 		}
 	}
@@ -59,7 +60,7 @@
 // It answers bursts of urgent work, whose questions take a few milliseconds,
 // among others that take half a second: some members are kept for the former.
 func (s *Scheduler) freeAdviser(urgent bool) cyclamendyke.MemberName {
-	names := slices.Sorted(maps.Keys(s.advisers))
+	names := s.adviserNames
 	limit := urgentInFlight
 	if !urgent {
 		names = names[len(names)/urgentPart:]
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -206,14 +206,10 @@
 
 // Stopped takes in the answer to a stop; kind is empty if the target accepted it.
 func (s *Scheduler) Stopped(info cyclamendyke.Target, name cyclamendyke.TaskName, number int64, kind cyclamendyke.Kind) {
-	t := s.targets[info.ID]
+	t := s.answered(info.ID, kind)
 	if t == nil {
 		return
 	}
-	if kind == cyclamendyke.KindFenced {
-		s.deposed = true
-		return
-	}
 	r := t.runs[runKey{name, number}]
 	if r == nil || r.state != runStopping {
 		return
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -66,8 +66,9 @@
 		return
 	}
 	if queue.Priority == 0 && !step.spec.Gang && !step.job.over {
+		among := s.candidates(step, queue)
 		for range left - step.claims {
-			if !s.preempt(step, queue) {
+			if !s.preempt(step, queue, among) {
 				break
 			}
 		}
@@ -125,10 +126,7 @@
 
 // fitsAt estimates when one more task of the step fits on a target, beside all claims.
 func (s *Scheduler) fitsAt(step *stepRun, t *target) (time.Duration, bool) {
-	free := t.free()
-	for _, c := range t.claims {
-		free = free.Sub(c.need)
-	}
+	free := s.available(nil, t)
 	need := step.spec.Reserved()
 	if need.FitsIn(free) {
 		return s.now, true
@@ -163,12 +161,12 @@
 	return max(overdueLeast, late)
 }
 
-// preempt stops the cheapest set of less urgent runs that makes room for one task of the step.
-func (s *Scheduler) preempt(step *stepRun, queue *cyclamendyke.Queue) bool {
+// preempt stops the cheapest set of less urgent runs on one of the candidates that makes room for one task of the step.
+func (s *Scheduler) preempt(step *stepRun, queue *cyclamendyke.Queue, among []*target) bool {
 	var chosen []*run
 	var on *target
 	cheapest := 0.0
-	for _, t := range s.candidates(step, queue) {
+	for _, t := range among {
 		if t.full(step) {
 			continue
 		}
@@ -194,10 +192,7 @@
 // victims returns the runs to be stopped on a target, and what is lost with them in core-seconds.
 func (s *Scheduler) victims(step *stepRun, queue *cyclamendyke.Queue, t *target) ([]*run, float64, bool) {
 	var candidates []*run
-	free := t.free()
-	for _, c := range t.claims {
-		free = free.Sub(c.need)
-	}
+	free := s.available(nil, t)
 	for _, r := range t.runs {
 		if r.state == runStopping {
 			free = free.Add(r.step.spec.Reserved()) // On its way out.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -17,25 +17,26 @@
 
 // Scheduler holds the state of all workflows and targets.
 type Scheduler struct {
-	cfg       Config
-	now       time.Duration
-	wall      time.Time
-	fleet     *cyclamendyke.FleetConfig
-	queues    map[cyclamendyke.QueueName]*cyclamendyke.Queue
-	teams     map[cyclamendyke.TeamName]*team
-	jobs      map[cyclamendyke.WorkflowID]*job
-	targets   map[cyclamendyke.TargetID]*target
-	active    activeSteps
-	timed     map[*job]struct{} // Workflows with occurrences to come.
-	advisers  map[cyclamendyke.MemberName]*adviser
-	dirty     []*job
-	lastRun   int64
-	deposed   bool
-	commands  []Command
-	ready     map[cyclamendyke.ServiceName][]*target // The usable targets of each service, as of this pass.
-	targetSet int                                    // Changes with what Known returns.
-	shadowed  map[cyclamendyke.TaskName]bool         // Tasks that may run on closed targets that were not listed yet.
-	settled   bool                                   // Nothing of earlier epochs can be running unseen.
+	cfg          Config
+	now          time.Duration
+	wall         time.Time
+	fleet        *cyclamendyke.FleetConfig
+	queues       map[cyclamendyke.QueueName]*cyclamendyke.Queue
+	teams        map[cyclamendyke.TeamName]*team
+	jobs         map[cyclamendyke.WorkflowID]*job
+	targets      map[cyclamendyke.TargetID]*target
+	active       activeSteps
+	timed        map[*job]struct{} // Workflows with occurrences to come.
+	advisers     map[cyclamendyke.MemberName]*adviser
+	adviserNames []cyclamendyke.MemberName // In order.
+	dirty        []*job
+	lastRun      int64
+	deposed      bool
+	commands     []Command
+	ready        map[cyclamendyke.ServiceName][]*target // The usable targets of each service, as of this pass.
+	targetSet    int                                    // Changes with what Known returns.
+	shadowed     map[cyclamendyke.TaskName]bool         // Tasks that may run on closed targets that were not listed yet.
+	settled      bool                                   // Nothing of earlier epochs can be running unseen.
 }
 
 // New returns a scheduler without workflows and targets.
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -29,19 +29,25 @@
 	}})
 }
 
+// answered returns the target that answered an order, unless it is forgotten or refused the order for the fence of a later epoch.
+func (s *Scheduler) answered(id cyclamendyke.TargetID, kind cyclamendyke.Kind) *target {
+	t := s.targets[id]
+	if t != nil && kind == cyclamendyke.KindFenced {
+		s.deposed = true
+		return nil
+	}
+	return t
+}
+
 // refusedFor is how long a target is left alone after it refused a start.
 const refusedFor = 300 * time.Millisecond
 
 // Started takes in the answer to a start; kind is empty if the target accepted it.
 func (s *Scheduler) Started(info cyclamendyke.Target, order cyclamendyke.StartOrder, kind cyclamendyke.Kind) {
-	t := s.targets[info.ID]
+	t := s.answered(info.ID, kind)
 	if t == nil {
 		return
 	}
-	if kind == cyclamendyke.KindFenced {
-		s.deposed = true
-		return
-	}
 	r := t.runs[runKey{order.Task, order.Run}]
 	if r == nil || r.state != runStarting {
 		return
--- a/node/admit.go
+++ b/node/admit.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"strings"
 	"time"
 
@@ -72,6 +73,11 @@
 	return strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
 }
 
+// untilAnswer bounds what is done for a caller, so that the answer arrives within its deadline.
+func untilAnswer(ctx context.Context, call cyclamendyke.IntakeCall) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, max(answerMargin, call.Deadline-answerMargin))
+}
+
 func refuse(result cyclamendyke.IntakeResult) cyclamendyke.IntakeReply {
 	reply := cyclamendyke.IntakeReply{Result: result}
 	if result == cyclamendyke.IntakeUnavailable || result == cyclamendyke.IntakeLimited {
@@ -80,7 +86,7 @@
 	return reply
 }
 
-// log notes a request's outcome.
+// logRequest notes a request's outcome.
 func (n *Node) logRequest(op string, call cyclamendyke.IntakeCall, a admitted, reply cyclamendyke.IntakeReply, err error) {
 	n.cfg.Metrics.Requests.WithLabelValues(op, string(reply.Result)).Inc()
 	fields := []any{"request", call.Request, "workflow", a.id, "team", a.team, "result", reply.Result}
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -15,7 +15,7 @@
 	if refused != "" {
 		return refuse(refused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(answerMargin, call.Deadline-answerMargin))
+	ctx, cancel := untilAnswer(ctx, call)
 	defer cancel()
 	err := c.cancelWork(ctx, a.id)
 	reply := cyclamendyke.IntakeReply{Result: cyclamendyke.IntakeCancelled}
--- a/node/election.go
+++ b/node/election.go
@@ -85,9 +85,14 @@
 	yieldTime  = 200 * time.Millisecond
 )
 
+// outranked reports whether a stronger member is there.
+func (n *Node) outranked() bool {
+	return n.dir.hasStronger(n.cfg.Settings.Cores * strongerBy)
+}
+
 // yield lets a stronger member stand first, and reports whether there is still no scheduler.
 func (n *Node) yield() bool {
-	if !n.dir.hasStronger(n.cfg.Settings.Cores * strongerBy) {
+	if !n.outranked() {
 		return true
 	}
 	wait(n.ctx, yieldTime)
--- a/node/handover.go
+++ b/node/handover.go
@@ -31,7 +31,7 @@
 		return
 	}
 	now := bootTime()
-	if !n.dir.hasStronger(n.cfg.Settings.Cores*strongerBy) || n.dir.storeLost.Load() {
+	if !n.outranked() || n.dir.storeLost.Load() {
 		r.since = 0
 		return
 	}
--- a/node/intake.go
+++ b/node/intake.go
@@ -44,7 +44,7 @@
 	if a.id == "" {
 		return refuse(cyclamendyke.IntakeNotSupported), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(answerMargin, call.Deadline-answerMargin))
+	ctx, cancel := untilAnswer(ctx, call)
 	defer cancel()
 	workflow, err := read(a.limit)
 	switch cyclamendyke.KindOf(err) {
--- a/node/look.go
+++ b/node/look.go
@@ -14,7 +14,7 @@
 	if refused != "" {
 		return refuse(refused)
 	}
-	ctx, cancel := context.WithTimeout(ctx, max(answerMargin, call.Deadline-answerMargin))
+	ctx, cancel := untilAnswer(ctx, call)
 	defer cancel()
 	if a.id == "" {
 		return c.count(ctx, a)
--- a/node/orders.go
+++ b/node/orders.go
@@ -38,13 +38,16 @@
 func (t *term) renew(c dispatch.RenewCommand) {
 	sent := bootTime()
 	listing, err := t.node.cfg.Targets.Renew(t.ctx, c.Target, c.Renewal)
-	t.post(func() {
-		if err != nil {
-			t.sched.RenewFailed(c.Target, c.Look, cyclamendyke.KindOf(err))
-			return
-		}
-		t.sched.Renewed(c.Target, c.Look, sent, listing)
-	})
+	t.post(func() { t.renewed(c, sent, &listing, cyclamendyke.KindOf(err)) })
+}
+
+// renewed takes in what became of a renewal that was sent at a moment; kind is empty if the target answered.
+func (t *term) renewed(c dispatch.RenewCommand, sent time.Duration, listing *cyclamendyke.Listing, kind cyclamendyke.Kind) {
+	if kind != "" {
+		t.sched.RenewFailed(c.Target, c.Look, kind)
+		return
+	}
+	t.sched.Renewed(c.Target, c.Look, sent, *listing)
 }
 
 func (t *term) start(c dispatch.StartCommand) {
--- a/node/relay.go
+++ b/node/relay.go
@@ -203,19 +203,14 @@
 	}
 	delete(r.pending, outcome.Number)
 	r.count(order.member, outcome.Kind)
-	sched := r.term.sched
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
-		sched.Started(c.Target, c.Order, outcome.Kind)
+		r.term.sched.Started(c.Target, c.Order, outcome.Kind)
 	case dispatch.RenewCommand:
-		if outcome.Kind == "" && outcome.Listing == nil {
-			outcome.Kind = cyclamendyke.KindUnknown
+		if outcome.Listing == nil {
+			outcome.Kind = cmp.Or(outcome.Kind, cyclamendyke.KindUnknown)
 		}
-		if outcome.Kind != "" {
-			sched.RenewFailed(c.Target, c.Look, outcome.Kind)
-			return
-		}
-		sched.Renewed(c.Target, c.Look, order.sent, *outcome.Listing)
+		r.term.renewed(c, order.sent, outcome.Listing, outcome.Kind)
 	}
 }
 
