Play loads against the scheduler and count what callers get

Change: loads described in data files (pools, queues, bursts) are drawn from a seed and played by the simulation, which now has gangs that work together, checkpoints, targets of different speed and tickets that expire. Answers no longer cause a pass each, but one that follows them, as in the process.

--- /dev/null
+++ b/core/dispatch/loadplayer_test.go
@@ -0,0 +1,298 @@
+package dispatch
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"cyclamendyke"
+)
+
+// loadPlayer plays a load against a scheduler and records what callers get.
+type loadPlayer struct {
+	*simulation
+	load    *loadFile
+	draw    *rand.Rand
+	asked   []*askedWorkflow
+	begin   time.Duration
+	runs    map[cyclamendyke.TaskName]int           // Runs that began.
+	workOf  map[cyclamendyke.TaskName]time.Duration // Run time on a target of factor one near the data.
+	factors map[cyclamendyke.TargetID]float64
+}
+
+// askedWorkflow is a workflow that a caller submitted, with the time that its caller would accept.
+type askedWorkflow struct {
+	spec        *cyclamendyke.Workflow
+	queue       string
+	at          time.Duration // Since the load began.
+	target      time.Duration
+	coreSeconds float64
+	done        time.Duration // Time from submission to completion; zero if it has not completed.
+}
+
+// usefulFactor is the multiple of its target time within which a workflow is of use to its caller.
+const usefulFactor = 3
+
+func newLoadPlayer(t testing.TB, load *loadFile) *loadPlayer {
+	p := &loadPlayer{
+		simulation: newSimulation(t, load.Seed), load: load, draw: rand.New(rand.NewPCG(load.Seed, 2)),
+		workOf: map[cyclamendyke.TaskName]time.Duration{}, factors: map[cyclamendyke.TargetID]float64{}, runs: map[cyclamendyke.TaskName]int{},
+	}
+	p.members = load.Fleet.Members
+	p.stopTime = load.Fleet.StopTime
+	p.checkpointEvery, p.restoreTime = load.Fleet.Checkpoint, load.Fleet.Restore
+	p.maxLease = load.Fleet.MaxLease
+	p.runTime = func(name cyclamendyke.TaskName, v *vm) time.Duration {
+		return time.Duration(float64(p.workOf[name]) * p.slowness(name, v))
+	}
+	p.fails = func(name cyclamendyke.TaskName) bool {
+		p.runs[name]++
+		return uniform("fails", name.String(), fmt.Sprint(p.runs[name])) < p.queueOf(p.workflows[name.Workflow].spec).Failing
+	}
+	p.adviceAllows = func(step cyclamendyke.StepName, id cyclamendyke.TargetID) bool {
+		return uniform(step.String(), string(id)) < p.queueOf(p.workflows[step.Workflow].spec).Allowed
+	}
+	p.configure()
+	p.addTargets()
+	for i := range load.Queues {
+		p.drawArrivals(&load.Queues[i])
+	}
+	return p
+}
+
+// uniform returns a number from 0 to 1 that depends only on the texts.
+func uniform(texts ...string) float64 {
+	hash := fnv.New64a()
+	for _, text := range texts {
+		_, _ = hash.Write([]byte(text))
+		_, _ = hash.Write([]byte{0})
+	}
+	return rand.New(rand.NewPCG(hash.Sum64(), 3)).Float64()
+}
+
+func (p *loadPlayer) slowness(name cyclamendyke.TaskName, v *vm) float64 {
+	factor := p.factors[v.info.ID]
+	rack := p.workflows[name.Workflow].spec.Steps[name.Step].Rack
+	if rack != "" && !slices.Contains(v.info.Labels, rack) {
+		factor *= p.load.Fleet.RemoteFactor
+	}
+	return factor
+}
+
+func (p *loadPlayer) queueOf(spec *cyclamendyke.Workflow) *loadQueue {
+	for i := range p.load.Queues {
+		if p.load.Queues[i].Name == string(spec.Queue) {
+			return &p.load.Queues[i]
+		}
+	}
+	p.t.Fatalf("unknown queue %s", spec.Queue)
+	return nil
+}
+
+func (p *loadPlayer) configure() {
+	p.fleet = &cyclamendyke.FleetConfig{Version: 1}
+	for _, pool := range p.load.Pools {
+		p.fleet.Services = append(p.fleet.Services, cyclamendyke.Service{Name: cyclamendyke.ServiceName(pool.Service)})
+	}
+	for _, q := range p.load.Queues {
+		queue := cyclamendyke.Queue{
+			Name: cyclamendyke.QueueName(q.Name), Service: cyclamendyke.ServiceName(q.Service), Priority: q.Priority,
+			MaxAttempts: q.Attempts, CriticalPathFactor: q.Factor, BaseTarget: q.Base,
+		}
+		if q.AdviceBase > 0 {
+			queue.Advice = &cyclamendyke.AdviceTiming{Base: q.AdviceBase, PerTarget: q.AdviceTarget, ValidFor: q.AdviceValid}
+			p.ticketTTL = q.AdviceValid
+		}
+		p.fleet.Queues = append(p.fleet.Queues, queue)
+	}
+	for _, team := range p.load.Teams {
+		p.fleet.Teams = append(p.fleet.Teams, cyclamendyke.TeamConfig{
+			Team: cyclamendyke.TeamName(team.Name), Weight: team.Weight,
+			Limit: cyclamendyke.Resources{Cores: cyclamendyke.MilliCores(1000 * team.Cores)},
+		})
+	}
+}
+
+func (p *loadPlayer) addTargets() {
+	for _, pool := range p.load.Pools {
+		for i := range pool.Targets {
+			id := cyclamendyke.TargetID(fmt.Sprintf("%s-%03d", pool.Service, i))
+			p.factors[id] = pool.RunTimes[p.draw.IntN(len(pool.RunTimes))]
+			p.addVM(cyclamendyke.Target{
+				ID: id, Service: cyclamendyke.ServiceName(pool.Service), Address: string(id),
+				Capacity: cyclamendyke.Resources{
+					Cores: cyclamendyke.MilliCores(1000 * pool.Cores), Memory: cyclamendyke.MiB(pool.Memory), Accelerators: pool.Accelerators,
+				},
+				Labels: []string{rackName(pool.Service, i/max(1, pool.RackSize))},
+			})
+		}
+	}
+}
+
+func rackName(service string, number int) string {
+	return fmt.Sprintf("%s-rack-%d", service, number)
+}
+
+// sample draws from the distribution.
+func (s loadSpread) sample(draw *rand.Rand) float64 {
+	x := math.Log(s.Mean) - s.Spread*s.Spread/2 + s.Spread*draw.NormFloat64()
+	value := math.Exp(x)
+	if s.Max > 0 {
+		value = min(value, s.Max)
+	}
+	return value
+}
+
+// play lets the work arrive, waits until all of it has ended or is of no use any more, and records
+// when each workflow completed.
+func (p *loadPlayer) play() {
+	p.elect()
+	p.run(2 * time.Second)
+	p.begin = p.now
+	for _, a := range p.asked {
+		p.after(a.at, func() { p.submit(a.spec) })
+	}
+	for _, off := range p.load.Outages {
+		p.after(off.At, func() { p.setReachable(off.Part, false) })
+		p.after(off.At+off.For, func() { p.setReachable(off.Part, true) })
+	}
+	p.watchCompletions()
+	p.run(time.Duration(p.load.Seconds) * time.Second)
+	p.run(loadTail)
+}
+
+// loadTail is how long a load is played after the last arrival.
+const loadTail = 30 * time.Second
+
+func (p *loadPlayer) setReachable(part float64, reachable bool) {
+	for id, v := range p.vms {
+		if uniform("reachable", string(id)) < part {
+			v.unreachable = !reachable
+		}
+	}
+}
+
+// drawArrivals draws all workflows of a queue, so that they do not depend on what the scheduler does.
+func (p *loadPlayer) drawArrivals(q *loadQueue) {
+	end := time.Duration(p.load.Seconds) * time.Second
+	for at := time.Duration(0); ; {
+		at += time.Duration(p.draw.ExpFloat64() / p.rateAt(q, at) * float64(time.Second))
+		if at >= end {
+			return
+		}
+		p.drawWorkflow(q, at)
+	}
+}
+
+// rateAt returns how many workflows a second arrive in a queue.
+func (p *loadPlayer) rateAt(q *loadQueue, at time.Duration) float64 {
+	rate := q.PerSecond
+	for _, burst := range p.load.Bursts {
+		if (burst.Queue == "" || burst.Queue == q.Name) && burst.At <= at && at < burst.At+burst.For {
+			rate *= burst.Factor
+		}
+	}
+	return rate
+}
+
+// drawTeam draws a team by its part of the work, which bursts of single teams raise.
+func (p *loadPlayer) drawTeam() cyclamendyke.TeamName {
+	if len(p.load.Teams) == 0 {
+		return "team"
+	}
+	roll := p.draw.Float64()
+	for _, team := range p.load.Teams {
+		if roll < team.Part {
+			return cyclamendyke.TeamName(team.Name)
+		}
+		roll -= team.Part
+	}
+	return cyclamendyke.TeamName(p.load.Teams[0].Name)
+}
+
+func share(draw *rand.Rand, part float64) bool { return draw.Float64() < part }
+
+// drawWorkflow draws a workflow of a queue that arrives at a time after the load begins.
+func (p *loadPlayer) drawWorkflow(q *loadQueue, at time.Duration) {
+	spec := &cyclamendyke.Workflow{
+		ID: cyclamendyke.WorkflowID(fmt.Sprintf("%s-%05d", q.Name, len(p.asked))), Team: p.drawTeam(), Queue: cyclamendyke.QueueName(q.Name),
+	}
+	asked := &askedWorkflow{spec: spec, queue: q.Name, at: at}
+	chain := time.Duration(0)
+	advice := time.Duration(0)
+	for i := range int(max(1, math.Round(q.Steps.sample(p.draw)))) {
+		step, longest := p.drawStep(q, spec.ID, i)
+		spec.Steps = append(spec.Steps, step)
+		chain += longest
+		advice += q.AdviceBase + 30*q.AdviceTarget
+		for k := range step.Count {
+			work := p.workOf[cyclamendyke.TaskName{Workflow: spec.ID, Step: i, Index: k}]
+			asked.coreSeconds += work.Seconds() * float64(step.Need.Cores+8000*cyclamendyke.MilliCores(step.Need.Accelerators)) / 1000
+		}
+	}
+	asked.target = q.Base + time.Duration(q.Factor*float64(chain+advice))
+	p.asked = append(p.asked, asked)
+}
+
+// drawStep draws a step and returns it with the run time of its longest task.
+func (p *loadPlayer) drawStep(q *loadQueue, id cyclamendyke.WorkflowID, index int) (cyclamendyke.Step, time.Duration) {
+	step := cyclamendyke.Step{
+		Count: int(max(1, math.Round(q.Tasks.sample(p.draw)))),
+		Need: cyclamendyke.Resources{
+			Cores: cyclamendyke.MilliCores(1000 * q.Cores.sample(p.draw)), Memory: cyclamendyke.MiB(q.Memory.sample(p.draw)),
+		},
+		Gang: share(p.draw, q.Gang), Checkpoints: share(p.draw, q.Checkpoints), Speculative: share(p.draw, q.Speculative),
+	}
+	if len(q.Accelerators) > 0 {
+		step.Need.Accelerators = q.Accelerators[p.draw.IntN(len(q.Accelerators))]
+	}
+	if share(p.draw, q.Apart) {
+		step.MaxPerTarget = 1
+	}
+	if share(p.draw, q.NearData) {
+		step.Rack = rackName(q.Service, p.draw.IntN(p.rackCount(q.Service)))
+	}
+	if index > 0 {
+		step.After = []int{index - 1}
+	}
+	work := q.Seconds.sample(p.draw) * float64(time.Second)
+	step.Estimate = time.Duration(work * math.Exp(q.EstimateError*p.draw.NormFloat64()))
+	longest := time.Duration(0)
+	for i := range step.Count {
+		task := time.Duration(work)
+		if !step.Gang {
+			task = time.Duration(work * math.Exp(q.Uneven*p.draw.NormFloat64()))
+		}
+		p.workOf[cyclamendyke.TaskName{Workflow: id, Step: index, Index: i}] = task
+		longest = max(longest, task)
+	}
+	return step, longest
+}
+
+func (p *loadPlayer) rackCount(service string) int {
+	for _, pool := range p.load.Pools {
+		if pool.Service == service {
+			return (pool.Targets + pool.RackSize - 1) / pool.RackSize
+		}
+	}
+	return 1
+}
+
+// completionPoll is how often callers ask for the state of their workflows.
+const completionPoll = 20 * time.Millisecond
+
+func (p *loadPlayer) watchCompletions() {
+	for _, a := range p.asked {
+		if a.done != 0 || p.now-p.begin < a.at {
+			continue
+		}
+		if state, _, _ := p.sched.Status(a.spec.ID); state == cyclamendyke.WorkflowCompleted {
+			a.done = p.now - p.begin - a.at
+		}
+	}
+	p.after(completionPoll, p.watchCompletions)
+}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -49,8 +48,20 @@
 	adviceRequests int
 	violations     []string
 	passes         int
+	passDue        bool          // A pass is scheduled.
 	passTime       time.Duration // Real time spent in all passes.
 
+	stopTime        time.Duration
+	maxLease        time.Duration
+	checkpointEvery time.Duration                                  // Work between two checkpoints; zero for one only at a stop.
+	restoreTime     time.Duration                                  // Time to resume from a checkpoint.
+	runTime         func(cyclamendyke.TaskName, *vm) time.Duration // How long a whole run of a task takes on a VM.
+	fails           func(cyclamendyke.TaskName) bool               // Whether a run that begins now fails at its end.
+	saved           map[cyclamendyke.TaskName]float64              // Part of each task's work that is in its checkpoint.
+	wasted          float64                                        // Core-seconds of work that was lost.
+	gangs           map[gangKey]*gangRun
+	badTickets      int // Starts rejected since their ticket had expired.
+
 	members              int                                                     // Number of members that request advice.
 	ticketTTL            time.Duration                                           // How long tickets are valid.
 	adviceBusyUntil      map[cyclamendyke.MemberName]time.Duration               // When each member's requests are all answered.
@@ -80,31 +91,6 @@
 	failuresAcked int // Number of acknowledged failures.
 }
 
-// vm is a simulated target VM.
-type vm struct {
-	info            cyclamendyke.Target
-	bootedAt        time.Duration
-	fence           uint64
-	leaseUntil      time.Duration
-	runs            map[cyclamendyke.TaskName]*vmRun
-	highestEnded    map[cyclamendyke.TaskName]int64 // The highest run number that ended or was stopped.
-	ends            []cyclamendyke.EndReport
-	lastEndSequence int64
-	down            bool
-	unreachable     bool
-	removed         bool // Its description was removed from the store.
-	pendingReply    func()
-}
-
-type vmRun struct {
-	number   int64
-	started  time.Duration
-	duration time.Duration
-	spec     *cyclamendyke.Step
-	team     cyclamendyke.TeamName
-	stopping bool
-}
-
 type event struct {
 	at       time.Duration
 	sequence int
@@ -136,16 +122,25 @@
 		members:   4,
 		ticketTTL: 2 * time.Second,
 
+		stopTime: simStopTime,
+		maxLease: 10 * time.Second,
+		saved:    map[cyclamendyke.TaskName]float64{},
+		gangs:    map[gangKey]*gangRun{},
+
 		adviceBusyUntil: map[cyclamendyke.MemberName]time.Duration{},
 		paces:           map[cyclamendyke.WorkflowID]int{},
 		adviceAllows:    func(cyclamendyke.StepName, cyclamendyke.TargetID) bool { return true },
 	}
+	sim.runTime = func(name cyclamendyke.TaskName, _ *vm) time.Duration {
+		return sim.workflows[name.Workflow].spec.Steps[name.Step].Estimate
+	}
+	sim.fails = func(cyclamendyke.TaskName) bool { return sim.random.Float64() < sim.faults.failRun }
 	return sim
 }
 
 func (sim *simulation) bounds() cyclamendyke.Bounds {
 	return cyclamendyke.Bounds{
-		MaxLease: 10 * time.Second, StopTimeout: simStopTime, StatusRetention: 2 * time.Minute,
+		MaxLease: sim.maxLease, StopTimeout: sim.stopTime, StatusRetention: 2 * time.Minute, RestoreTime: sim.restoreTime,
 	}
 }
 
@@ -273,89 +268,6 @@
 	}
 }
 
-func (sim *simulation) addVM(info cyclamendyke.Target) {
-	v := &vm{info: info}
-	sim.vms[info.ID] = v
-	sim.boot(v)
-}
-
-// boot starts a VM without any state.
-func (sim *simulation) boot(v *vm) {
-	v.down = false
-	v.bootedAt = sim.now
-	v.info.StartedMillis = int64(sim.now / time.Millisecond)
-	v.fence, v.leaseUntil, v.lastEndSequence, v.ends = 0, 0, 0, nil
-	v.runs = map[cyclamendyke.TaskName]*vmRun{}
-	v.highestEnded = map[cyclamendyke.TaskName]int64{}
-	if sim.sched != nil {
-		sim.sched.Advance(sim.now, sim.wall())
-		sim.sched.UpdateTarget(v.info)
-	}
-}
-
-// crash ends all runs on a VM without reporting them.
-func (sim *simulation) crash(v *vm) {
-	for name := range v.runs {
-		sim.removeRun(v, name)
-	}
-	v.down = true
-	v.pendingReply = nil
-}
-
-// removeRun removes a run from a VM.
-func (sim *simulation) removeRun(v *vm, name cyclamendyke.TaskName) {
-	r := v.runs[name]
-	delete(v.runs, name)
-	sim.history[name].running--
-	sim.teamUsed[r.team] = sim.teamUsed[r.team].Sub(r.spec.Reserved())
-}
-
-// end ends a run and reports its end.
-func (sim *simulation) end(v *vm, name cyclamendyke.TaskName, kind cyclamendyke.EndKind) {
-	r := v.runs[name]
-	sim.removeRun(v, name)
-	v.highestEnded[name] = max(v.highestEnded[name], r.number)
-	v.lastEndSequence++
-	v.ends = append(v.ends, cyclamendyke.EndReport{Sequence: v.lastEndSequence, Task: name, Run: r.number, Kind: kind})
-	if kind == cyclamendyke.EndDone {
-		sim.history[name].done = true
-	}
-	if reply := v.pendingReply; reply != nil {
-		v.pendingReply = nil
-		reply()
-	}
-}
-
-func (v *vm) clock(now time.Duration) time.Duration { return now - v.bootedAt }
-
-// expireLease ends all runs on a VM when its lease has expired.
-func (sim *simulation) expireLease(v *vm) {
-	if v.leaseUntil == 0 || v.clock(sim.now) < v.leaseUntil {
-		return
-	}
-	names := make([]cyclamendyke.TaskName, 0, len(v.runs))
-	for name := range v.runs {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b cyclamendyke.TaskName) int { return compareText(a.String(), b.String()) })
-	for _, name := range names {
-		sim.end(v, name, cyclamendyke.EndLeaseExpired)
-	}
-}
-
-func compareText(a, b string) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
-// extendLease extends the lease of a VM.
-func (sim *simulation) extendLease(v *vm, until time.Duration) {
-	v.leaseUntil = max(v.leaseUntil, min(until, v.clock(sim.now)+sim.bounds().MaxLease))
-	sim.after(v.leaseUntil-v.clock(sim.now)+time.Microsecond, func() { sim.expireLease(v) })
-}
-
 // run advances the simulated time and handles the events up to then.
 func (sim *simulation) run(d time.Duration) {
 	end := sim.now + d
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"cyclamendyke"
@@ -39,9 +40,10 @@
 		sim.adviceBusyUntil[c.Member] = max(sim.now, sim.adviceBusyUntil[c.Member]) + c.Cost
 		sim.after(sim.adviceBusyUntil[c.Member]-sim.now+2*simLatency, func() {
 			advice := cyclamendyke.Advice{Valid: sim.ticketTTL}
+			ticketText := strconv.FormatInt(int64(sim.now+sim.ticketTTL), 10)
 			for _, id := range c.Targets {
 				if sim.adviceAllows(c.Step, id) {
-					advice.Tickets = append(advice.Tickets, cyclamendyke.Ticket{Target: id, Text: "t"})
+					advice.Tickets = append(advice.Tickets, cyclamendyke.Ticket{Target: id, Text: ticketText})
 				}
 			}
 			sim.answer(sched, func() { sched.Advised(c, sent, advice, true) })
@@ -49,14 +51,21 @@
 	}
 }
 
-// answer calls handle and schedules a pass, unless another scheduler has replaced sched.
+// answer calls handle and schedules a pass if none is, unless another scheduler has replaced sched.
 func (sim *simulation) answer(sched *Scheduler, handle func()) {
 	if sim.sched != sched {
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
 	handle()
-	sim.after(simPassDelay, func() { sim.pass(sched) })
+	if sim.passDue {
+		return
+	}
+	sim.passDue = true
+	sim.after(simPassDelay, func() {
+		sim.passDue = false
+		sim.pass(sched)
+	})
 }
 
 // sendOrder delivers a request and its answer with the configured faults; a sender without an answer
@@ -104,6 +113,10 @@
 	if order.Until <= v.clock(sim.now) {
 		return cyclamendyke.KindLeaseInPast
 	}
+	if sim.expiredTicket(order) {
+		sim.badTickets++
+		return cyclamendyke.KindBadTicket
+	}
 	if order.Run <= v.highestEnded[order.Task] {
 		return cyclamendyke.KindStaleRun
 	}
@@ -112,6 +125,18 @@
 	return nil
 }
 
+// expiredTicket reports whether an order's ticket has expired.
+func (sim *simulation) expiredTicket(order cyclamendyke.StartOrder) bool {
+	if order.Ticket == "" {
+		return false
+	}
+	expiresAt, err := strconv.ParseInt(order.Ticket, 10, 64)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	return sim.now > time.Duration(expiresAt)
+}
+
 // beginRun checks the invariants that concern a start and simulates the run.
 func (sim *simulation) beginRun(v *vm, order cyclamendyke.StartOrder) {
 	spec := sim.workflows[order.Task.Workflow].spec
@@ -129,7 +154,7 @@
 		sim.reportViolation("%v started after its end was acknowledged", order.Task)
 	}
 	sim.checkStepOrder(order.Task, spec)
-	if limit := sim.fleet.Queues[0].MaxAttempts; limit > 0 && history.failuresAcked >= limit && !step.LongRunning {
+	if limit := sim.maxAttempts(spec.Queue); limit > 0 && history.failuresAcked >= limit && !step.LongRunning {
 		sim.reportViolation("%v started after %d failures", order.Task, history.failuresAcked)
 	}
 	used := step.Reserved()
@@ -146,20 +171,18 @@
 		}
 	}
 	history.running++
-	r := &vmRun{number: order.Run, started: sim.now, duration: step.Estimate, spec: step, team: spec.Team}
+	r := &vmRun{number: order.Run, started: sim.now, spec: step, team: spec.Team}
 	v.runs[order.Task] = r
-	kind := cyclamendyke.EndDone
-	if sim.random.Float64() < sim.faults.failRun {
-		kind = cyclamendyke.EndFailed
-	}
-	if step.LongRunning {
-		return
-	}
-	sim.after(step.Estimate, func() {
-		if v.runs[order.Task] == r && !r.stopping {
-			sim.end(v, order.Task, kind)
+	sim.beginWork(v, order.Task, r)
+}
+
+func (sim *simulation) maxAttempts(queue cyclamendyke.QueueName) int {
+	for _, q := range sim.fleet.Queues {
+		if q.Name == queue {
+			return q.MaxAttempts
 		}
-	})
+	}
+	return 0
 }
 
 // checkStepOrder checks that the steps on which a task depends are done.
@@ -185,7 +208,7 @@
 	v.highestEnded[c.Task] = max(v.highestEnded[c.Task], c.Run)
 	if r := v.runs[c.Task]; r != nil && r.number <= c.Run && !r.stopping {
 		r.stopping = true
-		sim.after(simStopTime, func() {
+		sim.after(sim.stopTime, func() {
 			if v.runs[c.Task] == r {
 				sim.end(v, c.Task, cyclamendyke.EndStopped)
 			}
@@ -259,7 +282,7 @@
 	for name, r := range v.runs {
 		percent := 50
 		if r.duration > 0 {
-			percent = int(100 * (sim.now - r.started) / r.duration)
+			percent = int(100 * sim.partDone(r))
 		}
 		listing.Running = append(listing.Running, cyclamendyke.RunReport{Task: name, Run: r.number, Percent: percent, Load: sim.servingLatency})
 	}
