Learn how fast targets run tasks, and go by the progress of runs

Change: the run times of a finished step's tasks are compared with each other and correct the slowness of their targets; steps with little time take fast targets, steps with much leave them free. What is left of a run follows from its reported progress, then from its step's other tasks, then from the estimate.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -168,8 +168,3 @@
 	}
 	return longest
 }
-
-// remaining estimates how long the run goes on; it is zero for an overdue run.
-func (r *run) remaining(now time.Duration) time.Duration {
-	return max(0, r.step.spec.Estimate-(now-r.startedAt))
-}
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -113,6 +113,7 @@
 	interferenceWeight = 1.0 // A serving task beside a filler, or the reverse.
 	gangRackWeight     = 2.0 // A gang member on another rack than the others.
 	acceleratorWeight  = 1.0 // Fraction of accelerators left free.
+	speedWeight        = 4.0 // Slowness of the target, times the step's haste.
 )
 
 // score rates a target for a task; lower is better. It prefers tight fits, which leave whole
@@ -130,6 +131,7 @@
 	if step.spec.SameRack && len(planned) > 0 && !planned.sameRack(t) {
 		score += gangRackWeight
 	}
+	score += speedWeight * step.haste * t.speed.slowness
 	serving, filler := step.spec.LatencyTarget > 0, step.spec.Filler
 	for _, r := range t.runs {
 		if serving && r.step.spec.Filler || filler && r.step.spec.LatencyTarget > 0 {
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -84,6 +84,7 @@
 	}
 	switch {
 	case kind == cyclamendyke.EndDone && !step.spec.LongRunning:
+		s.measure(r)
 		s.taskDone(r)
 	case kind == cyclamendyke.EndFailed:
 		s.taskFailed(r)
@@ -131,6 +132,7 @@
 func (s *Scheduler) stepDone(step *stepRun) {
 	s.active.remove(step)
 	s.dropClaims(step)
+	step.learnSpeeds()
 	occ, j := step.occ, step.job
 	occ.stepsDone++
 	if occ.stepsDone < len(occ.steps) {
@@ -257,5 +259,5 @@
 		return false
 	}
 	limit := max(minStallTime, time.Duration(stallFactor*float64(spec.Estimate)))
-	return r.target.listingSentAt-r.progressedAt > limit
+	return r.target.listingSentAt-r.progress.at > limit
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -48,8 +48,11 @@
 	failedRuns     []int64 // Numbers of a gang's failed runs.
 	advice         advice
 	rankKey        rankKey
-	unplacedReason string // Last logged reason for not being placed.
-	claimCount     int    // Number of claims held on targets.
+	haste          float64       // How much it gains by a fast target, from -1 to 1.
+	unplacedReason string        // Last logged reason for not being placed.
+	claimCount     int           // Number of claims held on targets.
+	measured       []measuredRun // Its tasks that are done, until all are.
+	measuredWork   float64       // Sum of their work.
 }
 
 // task is one task of a step.
@@ -74,21 +77,22 @@
 
 // run is one start of a task on a target.
 type run struct {
-	step            *stepRun
-	taskIndex       int
-	number          int64
-	target          *target
-	state           runState
-	startedAt       time.Duration // When it was ordered or adopted, or when its start became uncertain.
-	confirmedAt     time.Duration // When the target confirmed that it runs.
-	progressPercent int           // Last reported progress.
-	progressedAt    time.Duration // When the percentage last changed.
-	checkpoint      string        // Last reported checkpoint, at first the one that it was started from.
-	load            float64       // Last reported load: for a serving task, its tail latency in milliseconds.
-	pace            int           // Last ordered percentage of full speed.
-	stopSentAt      time.Duration
-	stopAcceptedAt  time.Duration // When the target accepted the stop; zero before.
-	stopInFlight    bool          // A stop request has no answer yet.
+	step           *stepRun
+	taskIndex      int
+	number         int64
+	target         *target
+	state          runState
+	startedAt      time.Duration // When it was ordered or adopted, or when its start became uncertain.
+	confirmedAt    time.Duration // When the target confirmed that it runs.
+	progress       progress
+	checkpoint     string  // Last reported checkpoint, at first the one that it was started from.
+	load           float64 // Last reported load: for a serving task, its tail latency in milliseconds.
+	pace           int     // Last ordered percentage of full speed.
+	stopSentAt     time.Duration
+	stopAcceptedAt time.Duration // When the target accepted the stop; zero before.
+	stopInFlight   bool          // A stop request has no answer yet.
+	resumed        bool          // It began from a checkpoint.
+	adopted        bool          // It was started by an earlier epoch.
 }
 
 func (r *run) taskName() cyclamendyke.TaskName {
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -51,13 +51,13 @@
 	}
 	if r.confirmedAt == 0 {
 		r.confirmedAt = s.now
-		r.progressedAt = s.now
+		r.progress.begin(0, s.now)
 		r.step.job.started = true
 	}
-	if report.Percent != r.progressPercent {
-		r.progressPercent = report.Percent
-		r.progressedAt = s.now
+	if r.resumed && r.progress.percent == 0 {
+		r.progress.begin(report.Percent, s.now)
 	}
+	r.progress.report(report.Percent, s.now)
 	r.load = report.Load
 	if report.Checkpoint != "" {
 		r.checkpoint = report.Checkpoint
@@ -95,8 +95,9 @@
 	task := &step.tasks[report.Task.Index]
 	r := &run{
 		step: step, taskIndex: report.Task.Index, number: report.Run, target: t, state: runRunning,
-		startedAt: s.now, confirmedAt: s.now, progressedAt: s.now, progressPercent: report.Percent, checkpoint: report.Checkpoint, pace: fullPace,
+		startedAt: s.now, confirmedAt: s.now, checkpoint: report.Checkpoint, adopted: true, pace: fullPace,
 	}
+	r.progress.begin(report.Percent, s.now)
 	needed := !task.done && !step.job.state.IsFinal() && (len(task.runs) == 0 || step.spec.Speculative)
 	s.reserve(r)
 	step.job.started = true
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -78,12 +78,14 @@
 	targetDuration := queue.BaseTarget
 	if step.spec.LongRunning {
 		step.rankKey = rankKey{overShare: j.overShare, priority: queue.Priority, deadline: step.releasedAt + targetDuration}
+		step.haste = -1
 		return
 	}
 	targetDuration += time.Duration(queue.CriticalPathFactor * float64(step.occ.criticalPath))
 	if queue.Advice != nil {
 		targetDuration += queue.Advice.Base + time.Duration(len(s.targets))*queue.Advice.PerTarget
 	}
+	step.haste = haste(begin+targetDuration-s.now, step.criticalPath)
 	step.rankKey = rankKey{
 		useless:   s.now+step.criticalPath > begin+uselessFactor*targetDuration,
 		overShare: j.overShare,
@@ -92,3 +94,17 @@
 		deadline:  begin + targetDuration,
 	}
 }
+
+// The ratio of the time that a step has left to its critical path at which it is indifferent to the
+// speed of targets, and the difference from it at which haste is full.
+const (
+	relaxedRatio = 3.0
+	hasteRange   = 1.0
+)
+
+// haste says how much a step gains by a fast target: from 1 for one that is on time only there, to
+// -1 for one that is on time anywhere and leaves the fast targets to others.
+func haste(left, criticalPath time.Duration) float64 {
+	ratio := left.Seconds() / max(0.001, criticalPath.Seconds())
+	return max(-1, min(1, (relaxedRatio-ratio)/hasteRange))
+}
--- /dev/null
+++ b/core/dispatch/remaining.go
@@ -0,0 +1,68 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// The rules for estimating how long a run goes on.
+const (
+	minKnownPercent     = 4                      // Less progress says too little about a run's pace.
+	minOverdueRemaining = 100 * time.Millisecond // Least time for which an overdue run is expected to go on, so that its target never counts as free.
+)
+
+// progress is a run's progress as its target has reported it.
+type progress struct {
+	percent      int           // Last reported percentage of the task's work.
+	at           time.Duration // When the percentage last changed.
+	firstPercent int           // Percentage from which the pace is measured: the first reported, if the run resumed from a checkpoint.
+	firstAt      time.Duration // When the run had firstPercent.
+}
+
+// begin starts the measurement of the pace at a percentage.
+func (p *progress) begin(percent int, now time.Duration) {
+	*p = progress{percent: percent, at: now, firstPercent: percent, firstAt: now}
+}
+
+// report records a percentage from a listing.
+func (p *progress) report(percent int, now time.Duration) {
+	if percent == p.percent {
+		return
+	}
+	p.percent, p.at = percent, now
+}
+
+// remaining estimates how long the run goes on: from its progress or, if that is unknown, from how
+// long the step's tasks take. An overdue run is expected to take as long again as it is overdue.
+func (r *run) remaining(now time.Duration) time.Duration {
+	if left, ok := r.progress.remaining(now); ok {
+		return left
+	}
+	overdue := now - r.startedAt - r.step.runTimeOn(r.target)
+	if overdue < 0 {
+		return -overdue
+	}
+	return max(minOverdueRemaining, overdue)
+}
+
+// remaining estimates the time left from the pace so far. It is unknown before enough progress was
+// reported, and once the run should have ended.
+func (p *progress) remaining(now time.Duration) (time.Duration, bool) {
+	made := p.percent - p.firstPercent
+	if made < minKnownPercent || p.at <= p.firstAt {
+		return 0, false
+	}
+	perPercent := float64(p.at-p.firstAt) / float64(made)
+	left := time.Duration(perPercent*float64(100-p.percent)) - (now - p.at)
+	return left, left > 0
+}
+
+// runTimeOn estimates how long a task of the step runs on a target: as long as the step's other tasks
+// did or, before any of them is done, as its estimate says.
+func (step *stepRun) runTimeOn(t *target) time.Duration {
+	base := float64(step.spec.Estimate)
+	if count := len(step.measured); count > 0 {
+		base = math.Exp(step.measuredWork/float64(count)) * float64(time.Second)
+	}
+	return time.Duration(base * math.Exp(t.speed.slowness))
+}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -161,7 +161,7 @@
 	runs := make([]endingRun, 0, len(t.runs))
 	for _, r := range t.runs {
 		if !r.step.spec.LongRunning {
-			runs = append(runs, endingRun{r, r.expectedRemaining(s.now)})
+			runs = append(runs, endingRun{r, r.remaining(s.now)})
 		}
 	}
 	slices.SortFunc(runs, func(a, b endingRun) int {
@@ -170,20 +170,6 @@
 	return runs
 }
 
-// minOverdueRemaining is the least time for which an overdue run is expected to go on, so that its
-// target never counts as free.
-const minOverdueRemaining = 100 * time.Millisecond
-
-// expectedRemaining estimates how long the run goes on; an overdue run is expected to take as long
-// again as it is overdue.
-func (r *run) expectedRemaining(now time.Duration) time.Duration {
-	overdue := now - r.startedAt - r.step.spec.Estimate
-	if overdue < 0 {
-		return -overdue
-	}
-	return max(minOverdueRemaining, overdue)
-}
-
 // preempt stops the cheapest set of less urgent runs that makes room for one task of the step on
 // one of the targets, and claims that room; it returns false if there is no such set.
 func (s *Scheduler) preempt(step *stepRun, queue *cyclamendyke.Queue, targets []*target) bool {
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -11,7 +11,7 @@
 	task := &step.tasks[index]
 	r := &run{
 		step: step, taskIndex: index, number: number, target: t, state: runStarting,
-		startedAt: s.now, checkpoint: task.checkpoint, pace: fullPace,
+		startedAt: s.now, checkpoint: task.checkpoint, resumed: task.checkpoint != "", pace: fullPace,
 	}
 	s.reserve(r)
 	queue := step.job.queue(s)
@@ -57,7 +57,8 @@
 	case "":
 		t.answeredAt = s.now
 		r.state = runRunning
-		r.confirmedAt, r.progressedAt = s.now, s.now
+		r.confirmedAt = s.now
+		r.progress.begin(0, s.now)
 		r.step.job.started = true
 		s.paceNewRun(r)
 	case cyclamendyke.KindUnknown:
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -39,6 +39,7 @@
 	unrecordedEnds  []unrecordedEnd
 
 	claims             []claim
+	speed              speed
 	failures           int // Consecutive failures; successive ones of the same workflow count once.
 	lastFailedWorkflow cyclamendyke.WorkflowID
 	fillerPace         int           // Percentage of full speed at which fillers run here.
