Let short runs use claimed room, and gangs preempt less urgent work

Cause: wide gangs waited for whole room while batch work with checkpoints, which loses 0.1 s when it is stopped, filled the targets; what they claimed stood idle until the last member had room.

Change: a claim says from when its room is needed, and a run that ends well before may use it; a gang stops less urgent runs where that costs least, if all its members then fit, and no task more than three times; tickets for claimed room are requested shortly before it is needed; a gang that does not fit as a whole takes no projected room.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -19,18 +19,6 @@
 		s.now >= t.blockedUntil && s.now-t.answeredAt <= maxAnswerAge
 }
 
-// available returns the free resources of a target that no other step claims; if step is nil, it
-// subtracts all claims.
-func (s *Scheduler) available(step *stepRun, t *target) cyclamendyke.Resources {
-	free := t.free()
-	for _, c := range t.claims {
-		if c.step != step && s.now < c.until {
-			free = free.Sub(c.need)
-		}
-	}
-	return free
-}
-
 // plan is a tentative placement: the number of gang members on each target.
 type plan map[*target]int
 
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -51,6 +51,8 @@
 	haste          float64       // How much it gains by a fast target, from -1 to 1.
 	unplacedReason string        // Last logged reason for not being placed.
 	claimCount     int           // Number of claims held on targets.
+	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
+	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
 	measured       []measuredRun // Its tasks that are done, until all are.
 	measuredWork   float64       // Sum of their work.
 }
@@ -61,6 +63,7 @@
 	runs        []*run
 	failedRuns  []int64 // Numbers of failed runs; stopped runs do not count.
 	checkpoint  string
+	preemptions int                   // How often a run was stopped for more urgent work.
 	avoidTarget cyclamendyke.TargetID // Target on which it last failed or made no progress.
 }
 
--- a/core/dispatch/loadplayer_test.go
+++ b/core/dispatch/loadplayer_test.go
@@ -178,28 +178,41 @@
 
 // drawArrivals draws all workflows of a queue, so that they do not depend on what the scheduler does.
 func (p *loadPlayer) drawArrivals(q *loadQueue) {
-	end := time.Duration(p.load.Seconds) * time.Second
-	for at := time.Duration(0); ; {
-		at += time.Duration(p.draw.ExpFloat64() / p.rateAt(q, at) * float64(time.Second))
-		if at >= end {
-			return
+	p.drawStream(q, "", func(at time.Duration) float64 { return q.PerSecond * p.burstFactor(q, "", at) })
+	for _, team := range p.load.Teams {
+		p.drawStream(q, team.Name, func(at time.Duration) float64 {
+			return q.PerSecond * team.Part * (p.burstFactor(q, team.Name, at) - 1)
+		})
+	}
+}
+
+// drawStream draws workflows that arrive at random at a rate a second; an empty team stands for all
+// teams by their parts.
+func (p *loadPlayer) drawStream(q *loadQueue, team string, rate func(at time.Duration) float64) {
+	const slice = 100 * time.Millisecond
+	for at := time.Duration(0); at < time.Duration(p.load.Seconds)*time.Second; at += slice {
+		for left := slice.Seconds() * rate(at); left > 0; {
+			left -= p.draw.ExpFloat64()
+			if left > 0 {
+				p.drawWorkflow(q, team, at+time.Duration(p.draw.Int64N(int64(slice))))
+			}
 		}
-		p.drawWorkflow(q, at)
 	}
 }
 
-// rateAt returns how many workflows a second arrive in a queue.
-func (p *loadPlayer) rateAt(q *loadQueue, at time.Duration) float64 {
-	rate := q.PerSecond
+// burstFactor returns by how much more work than usual arrives from a team; an empty team stands for
+// bursts of all teams.
+func (p *loadPlayer) burstFactor(q *loadQueue, team string, at time.Duration) float64 {
+	factor := 1.0
 	for _, burst := range p.load.Bursts {
-		if (burst.Queue == "" || burst.Queue == q.Name) && burst.At <= at && at < burst.At+burst.For {
-			rate *= burst.Factor
+		if (burst.Queue == "" || burst.Queue == q.Name) && burst.Team == team && burst.At <= at && at < burst.At+burst.For {
+			factor *= burst.Factor
 		}
 	}
-	return rate
+	return factor
 }
 
-// drawTeam draws a team by its part of the work, which bursts of single teams raise.
+// drawTeam draws a team by its part of the work.
 func (p *loadPlayer) drawTeam() cyclamendyke.TeamName {
 	if len(p.load.Teams) == 0 {
 		return "team"
@@ -216,10 +229,14 @@
 
 func share(draw *rand.Rand, part float64) bool { return draw.Float64() < part }
 
-// drawWorkflow draws a workflow of a queue that arrives at a time after the load begins.
-func (p *loadPlayer) drawWorkflow(q *loadQueue, at time.Duration) {
+// drawWorkflow draws a workflow of a queue that arrives at a time after the load begins; an empty team
+// stands for one drawn by the teams' parts.
+func (p *loadPlayer) drawWorkflow(q *loadQueue, team string, at time.Duration) {
 	spec := &cyclamendyke.Workflow{
-		ID: cyclamendyke.WorkflowID(fmt.Sprintf("%s-%05d", q.Name, len(p.asked))), Team: p.drawTeam(), Queue: cyclamendyke.QueueName(q.Name),
+		ID: cyclamendyke.WorkflowID(fmt.Sprintf("%s-%05d", q.Name, len(p.asked))), Team: cyclamendyke.TeamName(team), Queue: cyclamendyke.QueueName(q.Name),
+	}
+	if team == "" {
+		spec.Team = p.drawTeam()
 	}
 	asked := &askedWorkflow{spec: spec, queue: q.Name, at: at}
 	chain := time.Duration(0)
--- a/core/dispatch/loadresult_test.go
+++ b/core/dispatch/loadresult_test.go
@@ -76,6 +76,9 @@
 		limit := p.sizeQuantile(q.Name, 0.9)
 		fmt.Fprintf(&out, "%-10s %v\n", "  largest", p.result(func(a *askedWorkflow) bool { return a.queue == q.Name && a.coreSeconds > limit }))
 	}
+	for _, team := range p.load.Teams {
+		fmt.Fprintf(&out, "%-10s %v\n", team.Name, p.result(func(a *askedWorkflow) bool { return string(a.spec.Team) == team.Name }))
+	}
 	all := p.result(func(*askedWorkflow) bool { return true })
 	fmt.Fprintf(&out, "%-10s %v\n", "all", all)
 	worst := 1.0
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -38,17 +38,17 @@
 // have room left after the steps of higher rank.
 //
 // A request for advice takes far longer than a start, so under a backlog the requests of steps
-// without room would delay those of steps that can start. The exception is an urgent step without
-// verdicts: it makes a request even if it finds no room, unless noProjectedRoom has its need.
+// without room would delay those of steps that can start. The exception is a step without verdicts
+// that is urgent or may preempt: it makes a request even if it finds no room.
 func (s *Scheduler) requestMissingTickets(step *stepRun, queue *cyclamendyke.Queue, waiting int, noProjectedRoom noFitCache) {
-	if queue.Advice == nil || step.claimCount == 0 && noProjectedRoom.has(queue.Service, step.spec.Reserved()) {
+	if queue.Advice == nil || step.claimCount == 0 && noProjectedRoom.has(queue.Service, step.spec.Reserved()) && !s.mayPreempt(step, queue) {
 		return
 	}
 	targets := s.allocateProjected(step, queue, waiting, noProjectedRoom)
 	if step.advice.requestInFlight || s.now < step.advice.retryAt || s.freeAdviser(queue.Priority == 0) == "" {
 		return
 	}
-	if len(step.advice.verdicts) == 0 && (queue.Priority == 0 || len(targets) > 0 && s.hasIdleAdviser()) {
+	if len(step.advice.verdicts) == 0 && (queue.Priority == 0 || (len(targets) > 0 || s.mayPreempt(step, queue)) && s.hasIdleAdviser()) {
 		s.requestInitialAdvice(step, queue)
 		return
 	}
@@ -85,39 +85,62 @@
 	}
 }
 
+// ticketLead is added to the expected time of a request for tickets for claimed room.
+const ticketLead = 300 * time.Millisecond
+
 // assumedAllowedFraction is the expected fraction of allowed targets among those without a verdict.
 const assumedAllowedFraction = 0.4
 
 // allocateProjected subtracts a step's waiting tasks from the projectedFree of targets that they may
-// use, and returns the targets among them for which the step lacks a valid ticket.
+// use, and returns the targets among them for which the step needs a ticket now. A gang that does not
+// fit as a whole takes nothing, so that smaller steps can use what is there.
 func (s *Scheduler) allocateProjected(step *stepRun, queue *cyclamendyke.Queue, waiting int, noProjectedRoom noFitCache) []cyclamendyke.TargetID {
-	need := step.spec.Reserved()
 	var missing []cyclamendyke.TargetID
+	var chosen []roomOption
 	expectedStarts := 0.0
 	for _, option := range s.roomOptions(step, queue, noProjectedRoom) {
 		if expectedStarts >= float64(waiting) {
 			break
 		}
-		t := option.target
-		fits := step.fitCount(t.projectedFree, waiting)
-		t.projectedFree = t.projectedFree.Sub(need.Scale(int64(fits)))
+		option.tasks = step.fitCount(option.target.projectedFree, waiting)
+		chosen = append(chosen, option)
 		if option.verdict.allowed {
-			expectedStarts += float64(fits)
+			expectedStarts += float64(option.tasks)
 		} else {
-			expectedStarts += assumedAllowedFraction * float64(fits)
+			expectedStarts += assumedAllowedFraction * float64(option.tasks)
 		}
-		if !option.verdict.allowed || s.now >= option.verdict.expiresAt {
-			missing = append(missing, t.info.ID)
+		if s.needsTicket(step, queue, option) {
+			missing = append(missing, option.target.info.ID)
+		}
+	}
+	if !step.spec.Gang || expectedStarts >= float64(waiting) {
+		need := step.spec.Reserved()
+		for _, option := range chosen {
+			option.target.projectedFree = option.target.projectedFree.Sub(need.Scale(int64(option.tasks)))
 		}
 	}
 	return missing[:min(len(missing), maxAdviceTargets)]
 }
 
+// needsTicket reports whether a ticket for an option must be requested now. One for claimed room is
+// requested so late that it is still valid when the room is free.
+func (s *Scheduler) needsTicket(step *stepRun, queue *cyclamendyke.Queue, option roomOption) bool {
+	if !option.verdict.allowed {
+		return true
+	}
+	if s.now < option.verdict.expiresAt {
+		return false
+	}
+	lead := queue.Advice.Base + time.Duration(step.claimCount)*queue.Advice.PerTarget + ticketLead
+	return !option.claimed || s.now+lead >= step.claimedFrom
+}
+
 // roomOption is a target on which a step claims or finds room and which advice has not ruled out.
 type roomOption struct {
 	target  *target
 	verdict verdict
 	claimed bool // The step has a claim on the target.
+	tasks   int  // How many of the step's tasks are expected to fit.
 }
 
 // roomOptions returns a step's options: first the targets that it claims, then those that advice
@@ -135,7 +158,7 @@
 		}
 		v, hasVerdict := step.advice.verdicts[t.info.ID]
 		if v.allowed || !hasVerdict {
-			options = append(options, roomOption{t, v, claimed})
+			options = append(options, roomOption{target: t, verdict: v, claimed: claimed})
 		}
 	}
 	if !anyFits {
