Keep room free for the urgent work that the recent load forecasts

Change: for each service the urgent steps of the last eight seconds forecast how many urgent tasks run at once (mean and one standard deviation of independent arrivals) and what one needs. Less urgent work leaves that many slots free, less those that urgent runs hold, and prefers targets on which it takes none.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -52,7 +52,7 @@
 	var best, avoided *target
 	var bestScore float64
 	for _, t := range targets {
-		if !s.fitsNow(step, t, planned[t]) {
+		if !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
 			continue
 		}
 		if t.info.ID == avoid {
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -22,6 +22,10 @@
 	r.target.used = r.target.used.Add(need)
 	team := s.team(r.step.job.spec.Team)
 	team.used = team.used.Add(need)
+	if r.step.urgent(s) {
+		r.urgent = true
+		r.target.urgentRuns++
+	}
 	task := &r.step.tasks[r.taskIndex]
 	task.runs = append(task.runs, r)
 }
@@ -37,6 +41,9 @@
 	r.target.used = r.target.used.Sub(need)
 	team := s.team(r.step.job.spec.Team)
 	team.used = team.used.Sub(need)
+	if r.urgent {
+		r.target.urgentRuns--
+	}
 	task := &r.step.tasks[r.taskIndex]
 	task.runs = slices.DeleteFunc(task.runs, func(other *run) bool { return other == r })
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -94,6 +94,7 @@
 	stopSentAt     time.Duration
 	stopAcceptedAt time.Duration // When the target accepted the stop; zero before.
 	stopInFlight   bool          // A stop request has no answer yet.
+	urgent         bool          // Its queue had priority 0 when it was ordered.
 	resumed        bool          // It began from a checkpoint.
 	adopted        bool          // It was started by an earlier epoch.
 }
@@ -102,6 +103,12 @@
 	return r.step.taskName(r.taskIndex)
 }
 
+// urgent reports whether the step's queue has priority 0.
+func (step *stepRun) urgent(s *Scheduler) bool {
+	queue := step.job.queue(s)
+	return queue != nil && queue.Priority == 0
+}
+
 func (j *job) queue(s *Scheduler) *cyclamendyke.Queue {
 	return s.queues[j.spec.Queue]
 }
@@ -122,6 +129,7 @@
 		j.occurrences = append(j.occurrences, newOccurrence(j, k))
 	}
 	s.unreleased[j] = struct{}{}
+	s.expectUrgent(j)
 	s.cfg.LogDecision(Decision{Event: EventAccepted, Workflow: spec.ID, Count: len(spec.Steps)})
 }
 
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -35,6 +35,8 @@
 	lastRunNumber    int64
 	superseded       bool // A target has refused a request because it knows a later epoch.
 	commands         []Command
+	forecasts        map[cyclamendyke.ServiceName]*forecast
+	headrooms        map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	usableByService  map[cyclamendyke.ServiceName][]*target // Computed in each pass.
 	targetSetVersion int                                    // Incremented whenever the result of KnownTargets must be stored again.
 	unlistedTasks    map[cyclamendyke.TaskName]bool         // Tasks that may still run on closed targets that have not answered.
@@ -54,6 +56,8 @@
 		targets:       map[cyclamendyke.TargetID]*target{},
 		unreleased:    map[*job]struct{}{},
 		advisers:      map[cyclamendyke.MemberName]*adviser{},
+		forecasts:     map[cyclamendyke.ServiceName]*forecast{},
+		headrooms:     map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber: int64(cfg.Epoch) * runsPerEpoch,
 	}
 }
@@ -125,6 +129,7 @@
 	s.releaseDue()
 	s.indexUsable()
 	s.checkTargets()
+	s.updateHeadroom()
 	s.placeAll()
 	s.renewAll()
 	commands := s.commands
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -13,6 +13,9 @@
 		step: step, taskIndex: index, number: number, target: t, state: runStarting,
 		startedAt: s.now, checkpoint: task.checkpoint, resumed: task.checkpoint != "", pace: fullPace,
 	}
+	if h := s.headrooms[t.info.Service]; h != nil {
+		h.free -= h.slotsLost(s.urgentFree(t), step.spec.Reserved(), 0)
+	}
 	s.reserve(r)
 	queue := step.job.queue(s)
 	ticket, _ := step.ticket(queue, t, s.now)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -22,6 +22,7 @@
 
 	runs          map[runKey]*run
 	used          cyclamendyke.Resources
+	urgentRuns    int                    // Runs of queues with priority 0.
 	projectedFree cyclamendyke.Resources // Free now or soon, less what earlier steps of this pass have taken.
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
 
