Give steps that their team's limit blocks neither room nor advice

Cause: a step that its team's limit blocked still took projected room and asked for tickets.

Change: a step's waiting tasks are first cut to what the limit admits; a step without any is passed over. TestTeamAtLimitLeavesRoomToOthers fails without it.

--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -102,3 +102,32 @@
 	is.True(sim.history[cyclamendyke.TaskName{Workflow: "urgent"}] != nil)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestTeamAtLimitLeavesRoomToOthers submits much urgent work of a team that is at its limit. A less
+// urgent task of another team fails when its tickets have expired; it must get new ones and start again
+// at once, since the targets have room that the first team may not use.
+func TestTeamAtLimitLeavesRoomToOthers(t *testing.T) {
+	is := is.New(t)
+	sim := twoTeamFleet(t)
+	sim.fleet.Teams[1].Limit = cores(16)
+	sim.fleet.Queues = append(sim.fleet.Queues, sim.fleet.Queues[0])
+	sim.fleet.Queues[0].Priority = 0
+	sim.fleet.Queues[1].Name = "patient"
+	failing := cyclamendyke.TaskName{Workflow: "modest"}
+	sim.fails = func(name cyclamendyke.TaskName) bool { return name == failing && sim.starts <= 2 }
+	sim.elect()
+	modest := workflow("modest", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 2500 * time.Millisecond})
+	modest.Team, modest.Queue = "modest", "patient"
+	sim.submit(modest)
+	sim.run(time.Second)
+	is.Equal(sim.starts, 1)
+	for i := range 100 {
+		hot := workflow(fmt.Sprint("hot-", i), cyclamendyke.Step{Count: 4, Need: cores(4), Estimate: 10 * time.Second})
+		hot.Team = "hot"
+		sim.submit(hot)
+	}
+	sim.run(1800 * time.Millisecond)
+	is.Equal(sim.history[failing].running, 1) // Its second run.
+	is.Equal(total(sim.runsOf("hot-0")), 4)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -23,6 +23,12 @@
 			s.requestInitialAdvice(step, queue)
 			continue
 		}
+		waiting = s.admitted(step, waiting)
+		if len(waiting) == 0 {
+			s.dropClaims(step)
+			s.logUnplaced(step, "team limit reached")
+			continue
+		}
 		unplaced := len(waiting)
 		switch {
 		case queue.Advice == nil && noRoom.has(queue.Service, step.spec.Reserved()):
@@ -74,19 +80,31 @@
 	return out
 }
 
+// admitted returns those of a step's waiting tasks that its team's limit admits, for a gang all or
+// none. The others must not take room or advice from steps that can start.
+func (s *Scheduler) admitted(step *stepRun, waiting []int) []int {
+	team, need := s.team(step.job.spec.Team), step.spec.Reserved()
+	if step.spec.Gang {
+		if !team.admits(need.Scale(int64(len(waiting)))) {
+			return nil
+		}
+		return waiting
+	}
+	count := 0
+	for count < len(waiting) && team.admits(need.Scale(int64(count+1))) {
+		count++
+	}
+	return waiting[:count]
+}
+
 func (step *stepRun) taskName(index int) cyclamendyke.TaskName {
 	return cyclamendyke.TaskName{Workflow: step.job.spec.ID, Occurrence: step.occ.number, Step: step.index, Index: index}
 }
 
 // placeTasks starts the waiting tasks one by one and returns how many it could not place.
 func (s *Scheduler) placeTasks(step *stepRun, queue *cyclamendyke.Queue, waiting []int) int {
-	need := step.spec.Reserved()
 	targets := s.candidates(step, queue)
 	for n, index := range waiting {
-		if !s.team(step.job.spec.Team).admits(need) {
-			s.logUnplaced(step, "team limit reached")
-			return len(waiting) - n
-		}
 		best := s.bestTarget(step, targets, step.tasks[index].avoidTarget, nil)
 		if best == nil {
 			s.logUnplaced(step, "no target with room and a ticket")
@@ -119,10 +137,6 @@
 		}
 	}
 	count := len(step.tasks)
-	if !s.team(step.job.spec.Team).admits(step.spec.Reserved().Scale(int64(count))) {
-		s.logUnplaced(step, "team limit reached")
-		return count
-	}
 	planned, chosen := plan{}, make([]*target, 0, count)
 	targets := s.candidates(step, queue)
 	for range count {
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -19,14 +19,10 @@
 // it claims the room that frees up as runs end. waitClaims counts the steps of this pass
 // that have tried to claim such room.
 func (s *Scheduler) makeRoom(step *stepRun, queue *cyclamendyke.Queue, unplaced int, waitClaims *int) {
-	need := step.spec.Reserved()
 	count := 1
 	if step.spec.Gang {
 		count = unplaced
 	}
-	if !s.team(step.job.spec.Team).admits(need.Scale(int64(count))) {
-		return
-	}
 	if s.now < step.preemptedUntil && (step.spec.Gang || step.claimCount >= unplaced) {
 		return
 	}
