Keep only unfinished work where a new scheduler reads it

Cause: a new scheduler read all workflows of the last minutes in pages of up to 1 MB under the client's general timeout, threw everything away when one page was late and began anew.

Change: the commit that stores a final state puts it under done/ID and deletes the workflow, its progress and its cancellation, so that work/ holds unfinished work only. A submission is stored under the condition that no final state is there.

--- a/batch.go
+++ b/batch.go
@@ -8,6 +8,7 @@
 	Value    []byte
 	Lease    LeaseID
 	Expected Revision // Revision that the key must have; zero if it must not exist.
+	Always   bool     // Written whatever the key's revision; Expected is ignored.
 }
 
 // Guard is a condition that a key has a given revision.
@@ -19,12 +20,25 @@
 // Batch is a change of several keys that the store applies atomically.
 type Batch struct {
 	Puts    []Put
-	Guards  []Guard // Checked but not written.
-	Deletes []Guard // Checked and deleted.
+	Guards  []Guard  // Checked but not written.
+	Deletes []Guard  // Checked and deleted.
+	Removes []string // Deleted, if they exist, whatever their revision.
 }
 
-// MaxBatchPuts is the maximum number of keys that a batch with one guard may write.
-const MaxBatchPuts = 15
+// MaxBatchEntries is the maximum of Batch.Entries.
+const MaxBatchEntries = 32
+
+// Entries counts the writes, deletions and conditions of the batch.
+func (b *Batch) Entries() int {
+	count := len(b.Guards) + 2*len(b.Deletes) + len(b.Removes)
+	for _, put := range b.Puts {
+		count++
+		if !put.Always {
+			count++
+		}
+	}
+	return count
+}
 
 // BatchStore is a store that can change several keys atomically.
 type BatchStore interface {
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -26,6 +26,7 @@
 		r.urgent = true
 		r.target.urgentRuns++
 	}
+	r.step.job.runCount++
 	task := &r.step.tasks[r.taskIndex]
 	task.runs = append(task.runs, r)
 }
@@ -44,6 +45,7 @@
 	if r.urgent {
 		r.target.urgentRuns--
 	}
+	r.step.job.runCount--
 	task := &r.step.tasks[r.taskIndex]
 	task.runs = slices.DeleteFunc(task.runs, func(other *run) bool { return other == r })
 }
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -22,6 +23,7 @@
 	dirty               bool                  // In the scheduler's list of jobs to be stored.
 	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onDurable           []func()              // Called once the current version is stored.
+	runCount            int                   // Number of its runs, in any state.
 }
 
 // occurrence is one repetition of a workflow's steps.
@@ -116,7 +118,7 @@
 // Submit adds a workflow that the store has held since revision; a known workflow is left
 // unchanged.
 func (s *Scheduler) Submit(spec *cyclamendyke.Workflow, revision cyclamendyke.Revision) {
-	if s.jobs[spec.ID] != nil {
+	if _, hasEnded := s.endedJobs[spec.ID]; hasEnded || s.jobs[spec.ID] != nil {
 		return
 	}
 	age := min(max(0, s.wall.Sub(spec.AcceptedAt)), maxAcceptedAge)
@@ -196,6 +198,10 @@
 func (s *Scheduler) Cancel(id cyclamendyke.WorkflowID, onDurable func()) bool {
 	j := s.jobs[id]
 	if j == nil {
+		if _, hasEnded := s.endedJobs[id]; hasEnded {
+			onDurable()
+			return true
+		}
 		return false
 	}
 	if !j.state.IsFinal() {
@@ -231,6 +237,9 @@
 // Status returns a workflow's state and team, and whether it is known; a final state that is not
 // stored yet is returned as running.
 func (s *Scheduler) Status(id cyclamendyke.WorkflowID) (cyclamendyke.WorkflowState, cyclamendyke.TeamName, bool) {
+	if ended, ok := s.endedJobs[id]; ok {
+		return ended.state, ended.team, true
+	}
 	j := s.jobs[id]
 	if j == nil {
 		return "", "", false
@@ -256,27 +265,34 @@
 	return count
 }
 
-// TakeExpired removes and returns up to limit workflows whose final state need no longer be kept.
-func (s *Scheduler) TakeExpired(limit int) []ExpiredWorkflow {
-	var out []ExpiredWorkflow
-	for id, j := range s.jobs {
-		if len(out) == limit {
-			break
+// endedJob is a workflow whose final state is stored.
+type endedJob struct {
+	state cyclamendyke.WorkflowState
+	team  cyclamendyke.TeamName
+	at    time.Duration // When the state became final.
+}
+
+// forgetEnded keeps only the state of workflows that have ended, once their runs have ended too, and
+// that only for as long as it must stay available.
+func (s *Scheduler) forgetEnded() {
+	s.ended = slices.DeleteFunc(s.ended, func(j *job) bool {
+		if j.runCount > 0 {
+			return false
 		}
-		if !j.state.IsFinal() || j.durableVersion < j.version || s.now-j.finalAt < s.cfg.Bounds.StatusRetention+expiryMargin {
-			continue
+		delete(s.jobs, j.spec.ID)
+		s.endedJobs[j.spec.ID] = endedJob{state: j.state, team: j.spec.Team, at: j.finalAt}
+		return true
+	})
+	if s.now < s.forgetAt {
+		return
+	}
+	s.forgetAt = s.now + forgetInterval
+	for id, j := range s.endedJobs {
+		if s.now-j.at >= s.cfg.Bounds.StatusRetention+expiryMargin {
+			delete(s.endedJobs, id)
 		}
-		out = append(out, ExpiredWorkflow{ID: id, Revision: j.revision})
-		delete(s.jobs, id)
 	}
-	return out
 }
 
-// expiryMargin keeps final states longer than promised, for callers that repeat a request late.
-const expiryMargin = time.Minute
-
-// ExpiredWorkflow is a workflow whose record may be removed from the store.
-type ExpiredWorkflow struct {
-	ID       cyclamendyke.WorkflowID
-	Revision cyclamendyke.Revision // Revision of its progress record.
-}
+// forgetInterval is the time between two searches for ended workflows to forget.
+const forgetInterval = 10 * time.Second
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -17,7 +17,7 @@
 			continue
 		}
 		all++
-		if state, _, _ := sim.sched.Status(id); state == cyclamendyke.WorkflowCompleted {
+		if sim.status(id) == cyclamendyke.WorkflowCompleted {
 			completed++
 		}
 	}
--- a/core/dispatch/loadplayer_test.go
+++ b/core/dispatch/loadplayer_test.go
@@ -307,7 +307,7 @@
 		if a.done != 0 || p.now-p.begin < a.at {
 			continue
 		}
-		if state, _, _ := p.sched.Status(a.spec.ID); state == cyclamendyke.WorkflowCompleted {
+		if p.status(a.spec.ID) == cyclamendyke.WorkflowCompleted {
 			a.done = p.now - p.begin - a.at
 		}
 	}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -2,16 +2,33 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"cyclamendyke"
 )
 
-// jobRecord is the progress of a workflow as it is stored.
+// jobRecord is the progress of an unfinished workflow as it is stored.
 type jobRecord struct {
-	State cyclamendyke.WorkflowState `json:"state,omitempty"` // Empty until it is final.
+	State cyclamendyke.WorkflowState `json:"state,omitempty"` // Set only by earlier versions, which stored final states here too.
 	Steps []stepRecord               `json:"steps,omitempty"`
 }
 
+// FinalRecord is what is stored of a workflow in a final state.
+type FinalRecord struct {
+	State   cyclamendyke.WorkflowState `json:"state"`
+	Team    cyclamendyke.TeamName      `json:"team"`
+	EndedAt time.Time                  `json:"ended"`
+}
+
+// Expired reports whether the record need no longer be kept.
+func (r FinalRecord) Expired(now time.Time, bounds cyclamendyke.Bounds) bool {
+	return now.Sub(r.EndedAt) >= bounds.StatusRetention+expiryMargin
+}
+
+// expiryMargin keeps final states longer than promised, for callers that repeat a request late and
+// for clocks that differ.
+const expiryMargin = time.Minute
+
 // stepRecord is the progress of one step; a step without progress is left out.
 type stepRecord struct {
 	Occurrence  int                `json:"k,omitempty"`
@@ -27,11 +44,13 @@
 // gangTask is the key of a gang's failed runs in stepRecord.FailedRuns.
 const gangTask = -1
 
-// Record is one progress record to be stored.
+// Record is one record to be stored: of a workflow's progress or, if Final is set, the FinalRecord
+// that replaces all that is stored of the workflow.
 type Record struct {
 	ID       cyclamendyke.WorkflowID
+	Final    bool
 	Value    []byte
-	Expected cyclamendyke.Revision // Revision of the record it replaces; zero if there is none.
+	Expected cyclamendyke.Revision // Revision of the progress record it replaces; zero if there is none.
 	version  int64                 // Version of the job's progress in Value.
 }
 
@@ -59,15 +78,16 @@
 	return len(s.dirty) > 0
 }
 
-// TakeRecords removes and returns up to limit records to be stored, final ones first.
-func (s *Scheduler) TakeRecords(limit int) ([]Record, error) {
+// TakeRecords removes and returns records to be stored, final ones first, as long as fits reports that
+// there is room for one more.
+func (s *Scheduler) TakeRecords(fits func(final bool) bool) ([]Record, error) {
 	var chosen, rest []*job
 	for _, final := range []bool{true, false} {
 		for _, j := range s.dirty {
 			if j.state.IsFinal() != final {
 				continue
 			}
-			if len(chosen) < limit {
+			if fits(final) {
 				chosen = append(chosen, j)
 			} else {
 				rest = append(rest, j)
@@ -78,15 +98,27 @@
 	records := make([]Record, 0, len(chosen))
 	for _, j := range chosen {
 		j.dirty = false
-		value, err := json.Marshal(j.record())
+		record, err := s.encode(j)
 		if err != nil {
 			return nil, NewError("record", cyclamendyke.KindInvalid, err)
 		}
-		records = append(records, Record{ID: j.spec.ID, Value: value, Expected: j.revision, version: j.version})
+		records = append(records, record)
 	}
 	return records, nil
 }
 
+// encode returns the record of a job's present state.
+func (s *Scheduler) encode(j *job) (Record, error) {
+	record := Record{ID: j.spec.ID, Final: j.state.IsFinal(), Expected: j.revision, version: j.version}
+	var content any = j.record()
+	if record.Final {
+		content = FinalRecord{State: j.state, Team: j.spec.Team, EndedAt: s.wall.Add(j.finalAt - s.now)}
+	}
+	value, err := json.Marshal(content)
+	record.Value = value
+	return record, err
+}
+
 // RecordsStored marks records as stored at a revision and calls the callbacks that waited for them.
 func (s *Scheduler) RecordsStored(records []Record, revision cyclamendyke.Revision) {
 	for _, r := range records {
@@ -96,6 +128,9 @@
 		}
 		j.revision = revision
 		j.durableVersion = max(j.durableVersion, r.version)
+		if r.Final {
+			s.ended = append(s.ended, j)
+		}
 		if j.durableVersion >= j.version {
 			for _, callback := range j.onDurable {
 				callback()
@@ -109,9 +144,6 @@
 }
 
 func (j *job) record() jobRecord {
-	if j.state.IsFinal() {
-		return jobRecord{State: j.state}
-	}
 	var out jobRecord
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
@@ -177,6 +209,7 @@
 		j.state = stored.State
 		j.finalAt = s.now
 		j.started = true
+		s.markDirty(j) // So that it is stored as a FinalRecord.
 		return nil
 	}
 	for _, r := range stored.Steps {
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -31,7 +31,10 @@
 	unreleased       map[*job]struct{} // Workflows with occurrences that are not due yet.
 	advisers         map[cyclamendyke.MemberName]*adviser
 	adviserNames     []cyclamendyke.MemberName // Sorted.
-	dirty            []*job                    // Workflows whose progress must be stored.
+	ended            []*job                    // Workflows whose final state is stored, until their runs have ended.
+	endedJobs        map[cyclamendyke.WorkflowID]endedJob
+	forgetAt         time.Duration // When endedJobs is next searched for workflows to forget.
+	dirty            []*job        // Workflows whose progress must be stored.
 	lastRunNumber    int64
 	superseded       bool // A target has refused a request because it knows a later epoch.
 	commands         []Command
@@ -53,6 +56,7 @@
 		queues:        map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
 		teams:         map[cyclamendyke.TeamName]*team{},
 		jobs:          map[cyclamendyke.WorkflowID]*job{},
+		endedJobs:     map[cyclamendyke.WorkflowID]endedJob{},
 		targets:       map[cyclamendyke.TargetID]*target{},
 		unreleased:    map[*job]struct{}{},
 		advisers:      map[cyclamendyke.MemberName]*adviser{},
@@ -125,6 +129,7 @@
 
 // Run makes one scheduling pass and returns the commands to carry out.
 func (s *Scheduler) Run() []Command {
+	s.forgetEnded()
 	s.checkEarlierRuns()
 	s.releaseDue()
 	s.indexUsable()
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -40,6 +41,7 @@
 	fleet          *cyclamendyke.FleetConfig
 	workflows      map[cyclamendyke.WorkflowID]storedWorkflow
 	progress       map[cyclamendyke.WorkflowID]storedProgress
+	finals         map[cyclamendyke.WorkflowID]FinalRecord
 	vms            map[cyclamendyke.TargetID]*vm
 	history        map[cyclamendyke.TaskName]*taskHistory
 	teamUsed       map[cyclamendyke.TeamName]cyclamendyke.Resources
@@ -116,7 +118,8 @@
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
 		workflows: map[cyclamendyke.WorkflowID]storedWorkflow{}, progress: map[cyclamendyke.WorkflowID]storedProgress{},
-		vms: map[cyclamendyke.TargetID]*vm{}, history: map[cyclamendyke.TaskName]*taskHistory{},
+		finals: map[cyclamendyke.WorkflowID]FinalRecord{},
+		vms:    map[cyclamendyke.TargetID]*vm{}, history: map[cyclamendyke.TaskName]*taskHistory{},
 		teamUsed:  map[cyclamendyke.TeamName]cyclamendyke.Resources{},
 		fleet:     &cyclamendyke.FleetConfig{Version: 1},
 		members:   4,
@@ -166,8 +169,10 @@
 	sim.sched = sched
 	sched.Advance(sim.now, sim.wall())
 	sched.Configure(sim.fleet)
-	for _, s := range sim.workflows {
-		sched.Submit(s.spec, s.revision)
+	for id, s := range sim.workflows {
+		if _, ended := sim.finals[id]; !ended {
+			sched.Submit(s.spec, s.revision)
+		}
 	}
 	for id, progress := range sim.progress {
 		if err := sched.Load(id, progress.value, progress.revision); err != nil {
@@ -229,7 +234,8 @@
 	}
 	targetSetVersion := sched.TargetSetVersion()
 	known := sched.KnownTargets()
-	records, err := sched.TakeRecords(cyclamendyke.MaxBatchPuts)
+	room := cyclamendyke.MaxBatchEntries / 2
+	records, err := sched.TakeRecords(func(bool) bool { room--; return room >= 0 })
 	if err != nil {
 		sim.t.Fatal(err)
 	}
@@ -241,7 +247,7 @@
 		sim.revision++
 		sim.storedTargets = known
 		for _, r := range records {
-			sim.progress[r.ID] = storedProgress{r.Value, sim.revision}
+			sim.store(r)
 		}
 		sim.after(simLatency, func() {
 			if sim.sched != sched {
@@ -257,6 +263,29 @@
 	})
 }
 
+// store carries out the write of one record.
+func (sim *simulation) store(r Record) {
+	if !r.Final {
+		sim.progress[r.ID] = storedProgress{r.Value, sim.revision}
+		return
+	}
+	var final FinalRecord
+	if err := json.Unmarshal(r.Value, &final); err != nil {
+		sim.t.Fatal(err)
+	}
+	delete(sim.progress, r.ID)
+	sim.finals[r.ID] = final
+}
+
+// status returns a workflow's state from the scheduler or, if it does not know the workflow, from the
+// store.
+func (sim *simulation) status(id cyclamendyke.WorkflowID) cyclamendyke.WorkflowState {
+	if state, _, ok := sim.sched.Status(id); ok {
+		return state
+	}
+	return sim.finals[id].State
+}
+
 // submit stores a workflow and passes it to the scheduler.
 func (sim *simulation) submit(spec *cyclamendyke.Workflow) {
 	sim.revision++
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -50,8 +50,7 @@
 func (sim *simulation) states() map[cyclamendyke.WorkflowState]int {
 	out := map[cyclamendyke.WorkflowState]int{}
 	for id := range sim.workflows {
-		state, _, _ := sim.sched.Status(id)
-		out[state]++
+		out[sim.status(id)]++
 	}
 	return out
 }
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -46,6 +46,10 @@
 	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
 	n.recordStoreResult(err)
+	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
+		_, err = n.storedFinalStatus(ctx, id)
+		return err
+	}
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/node/cleanup_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+	"cyclamendyke/core/dispatch"
+)
+
+// keysBelow returns the keys of the store that start with prefix.
+func (c *testCluster) keysBelow(prefix string) []string {
+	entries, _, err := c.store.As("test").List(context.Background(), prefix)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	keys := []string{}
+	for _, entry := range entries {
+		keys = append(keys, entry.Key)
+	}
+	return keys
+}
+
+// TestEndedWorkflowLeavesOnlyItsState runs a workflow to its end; only its final state may stay in the
+// store, the next scheduler must show it, and the same submission once more must not run it again.
+func TestEndedWorkflowLeavesOnlyItsState(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	first := c.startNode("first")
+	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
+	const id = "00000000000000a1"
+	submitUntilAccepted(t, first, id)
+	eventually(t, "completion", func() bool { return isCompleted(first, id) })
+	is.Equal(c.keysBelow(workPrefix), []string{})
+	is.Equal(c.keysBelow(progressPrefix), []string{})
+	is.Equal(c.keysBelow(donePrefix), []string{donePrefix + id})
+	second := c.startNode("second")
+	first.Leave(time.Second)
+	eventually(t, "the second term", func() bool { return epochOf(second) == 2 })
+	is.True(isCompleted(second, id))
+	submitUntilAccepted(t, second, id)
+	is.Equal(c.keysBelow(workPrefix), []string{})
+	is.Equal(len(c.target.starts), 1)
+	reply := Intake{second}.Cancel(context.Background(), cyclamendyke.IntakeCall{Host: "h", Path: "/q/" + id, Timeout: time.Second})
+	is.Equal(reply.Result, cyclamendyke.IntakeCancelled)
+	is.True(isCompleted(second, id)) // It ended before it could be cancelled.
+}
+
+// TestExpiredFinalStatesAreRemoved stores final states of different ages; only those that need no longer
+// be kept may be removed, and none by a scheduler of an earlier epoch.
+func TestExpiredFinalStatesAreRemoved(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	n := c.startNode("only")
+	eventually(t, "the first term", func() bool { return epochOf(n) == 1 })
+	put := func(id string, age time.Duration) {
+		c.put(donePrefix+id, dispatch.FinalRecord{State: cyclamendyke.WorkflowCompleted, EndedAt: time.Now().Add(-age)})
+	}
+	put("a1", time.Second)
+	put("a2", time.Hour)
+	put("b3", time.Hour)
+	term := n.term.Load()
+	is.NoErr(term.removeExpiredBelow(donePrefix + "a"))
+	is.Equal(c.keysBelow(donePrefix), []string{donePrefix + "a1", donePrefix + "b3"})
+	c.bumpEpoch()
+	is.True(term.removeExpiredBelow(donePrefix+"b") != nil)
+	is.Equal(c.keysBelow(donePrefix), []string{donePrefix + "a1", donePrefix + "b3"})
+}
+
+// bumpEpoch writes the next epoch, as the election of another scheduler does.
+func (c *testCluster) bumpEpoch() {
+	store := c.store.As("test")
+	entry, err := store.Get(context.Background(), epochKey)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	value, err := json.Marshal(99)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := store.CompareAndSwap(context.Background(), epochKey, value, entry.Revision, 0); err != nil {
+		c.t.Fatal(err)
+	}
+}
--- a/node/intake.go
+++ b/node/intake.go
@@ -97,7 +97,7 @@
 }
 
 // storeAndNotify stores a workflow and notifies the scheduler. A workflow that is already in the
-// store counts as stored.
+// store, or has ended, counts as stored.
 func (n *Node) storeAndNotify(ctx context.Context, workflow *cyclamendyke.Workflow) error {
 	if n.storeDown() {
 		return NewError("store", cyclamendyke.KindUnavailable, errStoreDown)
@@ -108,7 +108,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	revision, err := n.cfg.Store.CompareAndSwap(ctx, workKey(workflow.ID), value, 0, 0)
+	revision, _, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{
+		Puts:   []cyclamendyke.Put{{Key: workKey(workflow.ID), Value: value}},
+		Guards: []cyclamendyke.Guard{{Key: doneKey(workflow.ID)}},
+	})
 	n.recordStoreResult(err)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindConflict {
 		return nil
--- a/node/keys.go
+++ b/node/keys.go
@@ -7,7 +7,7 @@
 )
 
 // The keys in the store. Any member writes workflows and cancellations; only the scheduler writes
-// progress and the list of known targets.
+// progress, final states and the list of known targets.
 const (
 	systemPrefix    = "system/" // Watched by every member.
 	schedulerKey    = systemPrefix + "scheduler"
@@ -17,6 +17,7 @@
 	workPrefix      = "work/" // Followed by the workflow's identifier.
 	cancelSuffix    = "/cancel"
 	progressPrefix  = "progress/"     // Followed by the workflow's identifier.
+	donePrefix      = "done/"         // Followed by the workflow's identifier; replaces the keys above once it has ended.
 	knownTargetsKey = "fleet/targets" // List of the targets on which something may run.
 )
 
@@ -28,6 +29,10 @@
 	return progressPrefix + string(id)
 }
 
+func doneKey(id cyclamendyke.WorkflowID) string {
+	return donePrefix + string(id)
+}
+
 // parseWorkKey returns the workflow of a key below workPrefix, and whether the key is a cancellation.
 func parseWorkKey(key string) (cyclamendyke.WorkflowID, bool) {
 	id, isCancellation := strings.CutSuffix(strings.TrimPrefix(key, workPrefix), cancelSuffix)
--- a/node/load.go
+++ b/node/load.go
@@ -36,6 +36,7 @@
 	}
 	t.post(func() { t.restore(&snapshot) })
 	t.wg.Go(func() { t.followTargets(snapshot.descriptionsRevision) })
+	t.wg.Go(t.removeExpired)
 	t.followWork(snapshot.workRevision)
 }
 
--- a/node/query.go
+++ b/node/query.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"cyclamendyke"
+	"cyclamendyke/core/dispatch"
 	"cyclamendyke/io/member"
 )
 
@@ -55,6 +56,9 @@
 func (n *Node) storedStatus(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
 	n.recordStoreResult(err)
+	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
+		return n.storedFinalStatus(ctx, id)
+	}
 	if err != nil {
 		return member.WorkflowStatus{}, err
 	}
@@ -71,7 +75,7 @@
 		return status, err
 	}
 	var record struct {
-		State cyclamendyke.WorkflowState `json:"state"`
+		State cyclamendyke.WorkflowState `json:"state"` // Set only by earlier versions.
 	}
 	if err := json.Unmarshal(progress.Value, &record); err != nil {
 		return status, NewError("status", cyclamendyke.KindInvalid, err)
@@ -83,6 +87,21 @@
 	return status, nil
 }
 
+// storedFinalStatus reads the state of a workflow that has ended. It must be read after the workflow
+// was not found, since a commit moves the one to the other.
+func (n *Node) storedFinalStatus(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
+	done, err := n.cfg.Store.Get(ctx, doneKey(id))
+	n.recordStoreResult(err)
+	if err != nil {
+		return member.WorkflowStatus{}, err
+	}
+	var record dispatch.FinalRecord
+	if err := json.Unmarshal(done.Value, &record); err != nil {
+		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindInvalid, err)
+	}
+	return member.WorkflowStatus{State: record.State, Team: record.Team}, nil
+}
+
 func (n *Node) countPending(ctx context.Context, request admittedRequest) cyclamendyke.IntakeReply {
 	callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
--- a/node/records.go
+++ b/node/records.go
@@ -16,8 +16,6 @@
 	commitRetryDelay  = 100 * time.Millisecond // After a commit that failed without a conflict.
 	workBatchDelay    = 300 * time.Millisecond // Long, since members also notify the scheduler of new work.
 	targetsBatchDelay = 300 * time.Millisecond // Long, since descriptions change with every heartbeat.
-	removalInterval   = 10 * time.Second       // Minimum time between two removals of expired workflows.
-	maxRemovalBatch   = 10                     // Maximum number of workflows in one removal.
 )
 
 // commitRecords starts writing the next batch of records unless one is being written.
@@ -29,23 +27,48 @@
 	if now < t.nextCommit && !t.sched.HasFinalRecords() {
 		return
 	}
-	records, err := t.sched.TakeRecords(cyclamendyke.MaxBatchPuts - 1) // The list of known targets may take one put.
+	batch := cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
+	var known knownTargetList
+	if t.knownTargetsChanged() {
+		known = t.encodeKnownTargets()
+		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: knownTargetsKey, Value: known.encoded, Expected: t.knownTargetsRevision})
+	}
+	room := cyclamendyke.MaxBatchEntries - batch.Entries()
+	records, err := t.sched.TakeRecords(func(final bool) bool {
+		room -= recordEntries(final)
+		return room >= 0
+	})
 	if err != nil {
 		t.node.cfg.Log.Error("cannot encode workflow progress", "err", err)
 		return
 	}
+	for _, r := range records {
+		addRecord(&batch, r)
+	}
 	t.committing = true
 	t.nextCommit = now + commitInterval
-	batch := cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
-	for _, r := range records {
+	t.wg.Go(func() { t.commit(batch, records, known) })
+}
+
+// addRecord adds the writes for one record to a batch.
+//
+// A workflow that has ended leaves only its final record, so that the next scheduler reads no more than
+// the unfinished work. Its keys need no conditions: only the scheduler of this epoch deletes them, and
+// no other value follows a final record.
+func addRecord(batch *cyclamendyke.Batch, r dispatch.Record) {
+	if !r.Final {
 		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: progressKey(r.ID), Value: r.Value, Expected: r.Expected})
+		return
 	}
-	var known knownTargetList
-	if t.knownTargetsChanged() {
-		known = t.encodeKnownTargets()
-		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: knownTargetsKey, Value: known.encoded, Expected: t.knownTargetsRevision})
-	}
-	t.wg.Go(func() { t.commit(batch, records, known) })
+	batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: doneKey(r.ID), Value: r.Value, Always: true})
+	batch.Removes = append(batch.Removes, workKey(r.ID), workKey(r.ID)+cancelSuffix, progressKey(r.ID))
+}
+
+// recordEntries returns how many entries of a batch addRecord adds.
+func recordEntries(final bool) int {
+	var batch cyclamendyke.Batch
+	addRecord(&batch, dispatch.Record{Final: final})
+	return batch.Entries()
 }
 
 // knownTargetList is a list of known targets to be written to the store.
@@ -103,6 +126,9 @@
 	}
 	revision := cyclamendyke.Revision(0)
 	for _, put := range batch.Puts {
+		if put.Always {
+			continue
+		}
 		entry := byKey[put.Key]
 		if !bytes.Equal(entry.Value, put.Value) {
 			return 0, false
@@ -121,38 +147,3 @@
 	}
 	t.sched.RecordsStored(records, revision)
 }
-
-// removeExpired starts removing workflows whose final state need no longer be kept.
-func (t *term) removeExpired() {
-	now := bootTime()
-	if now < t.nextRemoval || !t.leaseValid() {
-		return
-	}
-	t.nextRemoval = now + removalInterval
-	expired := t.sched.TakeExpired(maxRemovalBatch)
-	if len(expired) == 0 {
-		return
-	}
-	t.wg.Go(func() {
-		for _, e := range expired {
-			t.removeWorkflow(e)
-		}
-	})
-}
-
-// removeWorkflow removes a workflow's keys; if that fails, the next scheduler removes them.
-func (t *term) removeWorkflow(e dispatch.ExpiredWorkflow) {
-	batch := cyclamendyke.Batch{
-		Guards:  []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}},
-		Deletes: []cyclamendyke.Guard{{Key: progressKey(e.ID), Expected: e.Revision}},
-	}
-	for _, key := range []string{workKey(e.ID), workKey(e.ID) + cancelSuffix} {
-		entry, err := t.node.cfg.Store.Get(t.ctx, key)
-		if err == nil {
-			batch.Deletes = append(batch.Deletes, cyclamendyke.Guard{Key: key, Expected: entry.Revision})
-		}
-	}
-	if _, _, err := t.node.cfg.Store.Commit(t.ctx, batch); err != nil {
-		t.node.cfg.Log.Warn("cannot remove expired workflow", "workflow", e.ID, "err", err)
-	}
-}
--- a/node/term.go
+++ b/node/term.go
@@ -42,7 +42,6 @@
 	knownTargetsRevision   cyclamendyke.Revision // Revision of the stored list of known targets.
 	loaded                 bool                  // The state in the store has been loaded.
 	deferred               []func()              // Changes that wait until the state is loaded.
-	nextRemoval            time.Duration         // Earliest time of the next removal of expired workflows.
 	lastPassDuration       time.Duration
 }
 
@@ -151,7 +150,6 @@
 		return
 	}
 	t.commitRecords()
-	t.removeExpired()
 }
 
 // checkAuthority reports whether this process may still act as the scheduler, and ends the term if
--- a/standin/kv/batch.go
+++ b/standin/kv/batch.go
@@ -22,7 +22,9 @@
 	err := s.write(ctx, "commit", count, func() cyclamendyke.Kind {
 		guards := slices.Concat(batch.Guards, batch.Deletes)
 		for _, put := range batch.Puts {
-			guards = append(guards, cyclamendyke.Guard{Key: put.Key, Expected: put.Expected})
+			if !put.Always {
+				guards = append(guards, cyclamendyke.Guard{Key: put.Key, Expected: put.Expected})
+			}
 			if _, ok := s.service.leases[put.Lease]; put.Lease != 0 && !ok {
 				return cyclamendyke.KindNotFound
 			}
@@ -48,6 +50,11 @@
 		for _, deleted := range batch.Deletes {
 			s.service.remove(deleted.Key)
 		}
+		for _, key := range batch.Removes {
+			if s.service.liveEntry(key).Revision != 0 {
+				s.service.remove(key)
+			}
+		}
 		return ""
 	})
 	if err != nil {
