Send orders to members of their target's zone

Cause: only members of the scheduler's own zone carried out orders, and only from 100 targets on.

Change: a fleet needs executors when it has more than 250 targets for each core of the scheduler. Each zone's targets are called by members of that zone, as many as its targets need by the same measure, strongest first and at least two; a target keeps its executor when others come or go (rendezvous hashing by cores). Stops go the same way. A batch may take 0.8 s to be accepted in place of 0.3 s, which a VM of 0.12 cores under load needed.

--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -66,9 +66,13 @@
 	return out
 }
 
-// TargetCount returns the number of known targets.
-func (s *Scheduler) TargetCount() int {
-	return len(s.targets)
+// TargetsByZone counts the known targets of each zone.
+func (s *Scheduler) TargetsByZone() map[cyclamendyke.ZoneName]int {
+	counts := map[cyclamendyke.ZoneName]int{}
+	for _, t := range s.targets {
+		counts[t.info.Zone]++
+	}
+	return counts
 }
 
 // TargetIDs returns the IDs of the known targets.
--- a/io/member/orders.go
+++ b/io/member/orders.go
@@ -2,15 +2,24 @@
 
 import "cyclamendyke"
 
-// Order is an order that a member sends to a target for the scheduler; one of Start and Renewal is set.
+// Order is an order that a member sends to a target for the scheduler; one of Start, Stop and Renewal is
+// set.
 type Order struct {
 	Number  uint64                   `json:"number"` // Assigned by the scheduler and repeated in the outcome.
 	Target  cyclamendyke.TargetID    `json:"target"`
 	Address string                   `json:"address"` // The target's address.
 	Start   *cyclamendyke.StartOrder `json:"start,omitempty"`
+	Stop    *StopOrder               `json:"stop,omitempty"`
 	Renewal *cyclamendyke.Renewal    `json:"renewal,omitempty"`
 }
 
+// StopOrder asks a target to end a run or to prevent its start.
+type StopOrder struct {
+	Task  cyclamendyke.TaskName `json:"task"`
+	Run   int64                 `json:"run"`
+	Fence uint64                `json:"fence"`
+}
+
 // Orders is a batch of orders for one member, which reports their outcomes to ReplyTo as they arrive.
 type Orders struct {
 	Epoch   uint64  `json:"epoch"`
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"hash/fnv"
 	"slices"
 	"time"
 
@@ -15,23 +14,21 @@
 
 // The limits of delegating orders to other members.
 const (
-	minDelegationTargets = 100                    // With fewer targets the scheduler calls all of them itself.
-	delegationMargin     = 300 * time.Millisecond // Added to an order's timeout for the calls to and from the member.
-	delegationTimeout    = 300 * time.Millisecond // For sending one batch of orders to a member.
-	suspensionTime       = 4 * time.Second        // For members that are unreachable or fail too many orders.
-	failureWindow        = time.Second            // Period over which outcomes are counted.
-	minFailures          = 3                      // Fewer failures in a window never suspend a member.
+	delegationMargin  = 300 * time.Millisecond // Added to an order's timeout for the calls to and from the member.
+	delegationTimeout = 800 * time.Millisecond // For sending one batch of orders to a member.
+	suspensionTime    = 4 * time.Second        // For members that are unreachable or fail too many orders.
+	failureWindow     = time.Second            // Period over which outcomes are counted.
+	minFailures       = 3                      // Fewer failures in a window never suspend a member.
 )
 
-// delegator distributes a large fleet's start and renewal orders among the other members of the
-// scheduler's zone, which send them to the targets.
+// delegator has other members send a large fleet's orders to the targets.
 //
 // Calling every target would take more processor time than one VM has. The scheduler still
 // makes all decisions; members make the calls and report the outcomes in batches. An order
 // whose member is lost has an unknown outcome. Only the term's control goroutine uses it.
 type delegator struct {
 	term            *term
-	members         []memberRecord // The zone's other members that are not suspended.
+	executors       executors
 	lastOrderNumber uint64
 	pending         map[uint64]delegatedOrder                 // Orders without an outcome, by number.
 	outbox          map[cyclamendyke.MemberName]*orderBatch   // Orders of the current pass, by member.
@@ -77,7 +74,7 @@
 	}
 	d.lastRefresh = now
 	d.suspendFailing(now)
-	d.selectMembers(now)
+	d.selectExecutors(now)
 	for number, order := range d.pending {
 		memberLost := now >= order.sent+delegationTimeout && !d.term.node.peers.OrdersConnected(order.address)
 		if memberLost || now >= order.deadline {
@@ -116,40 +113,46 @@
 	}
 }
 
-// selectMembers selects the zone's other members that are not suspended.
-func (d *delegator) selectMembers(now time.Duration) {
-	d.members = slices.DeleteFunc(d.term.node.dir.zonePeers(d.term.node.cfg.Settings), func(m memberRecord) bool {
-		return now < d.suspendedUntil[m.Name]
+// selectExecutors selects the members that carry out orders among those that are not suspended.
+func (d *delegator) selectExecutors(now time.Duration) {
+	settings := d.term.node.cfg.Settings
+	members := slices.DeleteFunc(d.term.node.dir.allMembers(), func(m memberRecord) bool {
+		return m.Name == settings.Node || now < d.suspendedUntil[m.Name]
 	})
+	d.executors.assign(settings.Cores, members, d.term.sched.TargetsByZone())
 }
 
 // suspend stops delegating to a member for suspensionTime.
 func (d *delegator) suspend(name cyclamendyke.MemberName) {
 	now := bootTime()
 	d.suspendedUntil[name] = now + suspensionTime
-	d.selectMembers(now)
+	d.selectExecutors(now)
 }
 
 // delegate queues a command for a member, or returns false if the scheduler must execute it itself.
 func (d *delegator) delegate(command dispatch.Command) bool {
-	if len(d.members) == 0 || d.term.sched.TargetCount() < minDelegationTargets {
-		return false
-	}
 	order := member.Order{}
 	timeout := delegationMargin
+	var target cyclamendyke.Target
 	switch c := command.(type) {
 	case dispatch.StartCommand:
-		order.Target, order.Address, order.Start = c.Target.ID, c.Target.Address, &c.Order
+		target, order.Start = c.Target, &c.Order
+		timeout += startTimeout
+	case dispatch.StopCommand:
+		target, order.Stop = c.Target, &member.StopOrder{Task: c.Task, Run: c.Run, Fence: d.term.epoch}
 		timeout += startTimeout
 	case dispatch.RenewCommand:
-		order.Target, order.Address, order.Renewal = c.Target.ID, c.Target.Address, &c.Renewal
+		target, order.Renewal = c.Target, &c.Renewal
 		timeout += c.Renewal.Wait + renewMargin
 	default:
 		return false
 	}
+	to, ok := d.executors.forTarget(target)
+	if !ok {
+		return false
+	}
 	d.lastOrderNumber++
-	order.Number = d.lastOrderNumber
-	to := d.memberFor(order.Target)
+	order.Number, order.Target, order.Address = d.lastOrderNumber, target.ID, target.Address
 	now := bootTime()
 	d.pending[order.Number] = delegatedOrder{to.Name, to.Address, command, now, now + timeout}
 	if d.outbox[to.Name] == nil {
@@ -159,13 +162,6 @@
 	return true
 }
 
-// memberFor returns the member that calls a target.
-func (d *delegator) memberFor(id cyclamendyke.TargetID) memberRecord {
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(id)) // Write never fails.
-	return d.members[hash.Sum32()%uint32(len(d.members))]
-}
-
 // flush sends the queued orders to their members.
 func (d *delegator) flush() {
 	for name, batch := range d.outbox {
@@ -210,6 +206,8 @@
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
 		d.term.sched.Started(c.Target, c.Order, outcome.Kind)
+	case dispatch.StopCommand:
+		d.term.sched.Stopped(c.Target, c.Task, c.Run, outcome.Kind)
 	case dispatch.RenewCommand:
 		if outcome.Listing == nil {
 			outcome.Kind = cmp.Or(outcome.Kind, cyclamendyke.KindUnknown)
@@ -217,17 +215,3 @@
 		d.term.handleRenewal(c, order.sent, outcome.Listing, outcome.Kind)
 	}
 }
-
-// zonePeers returns the other members of this process's zone, sorted by name.
-func (d *directory) zonePeers(self cyclamendyke.FleetSettings) []memberRecord {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var out []memberRecord
-	for name, m := range d.members {
-		if name != self.Node && m.Zone == self.Zone {
-			out = append(out, m)
-		}
-	}
-	slices.SortFunc(out, func(a, b memberRecord) int { return cmp.Compare(a.Name, b.Name) })
-	return out
-}
--- a/node/directory.go
+++ b/node/directory.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -102,6 +103,13 @@
 	return false
 }
 
+// allMembers returns the members, sorted by name.
+func (d *directory) allMembers() []memberRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.SortedFunc(maps.Values(d.members), func(a, b memberRecord) int { return cmp.Compare(a.Name, b.Name) })
+}
+
 func (d *directory) memberAddress(name cyclamendyke.MemberName) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/node/orderexecutor.go
+++ b/node/orderexecutor.go
@@ -59,6 +59,10 @@
 		if err != nil {
 			e.node.cfg.RequestLog.Info("start failed", "task", order.Start.Task, "target", order.Target, "run", order.Start.Run, "epoch", e.epoch, "err", err)
 		}
+	case order.Stop != nil:
+		ctx, cancel := context.WithTimeout(e.node.ctx, startTimeout)
+		defer cancel()
+		outcome.Kind = cyclamendyke.KindOf(targets.Stop(ctx, target, order.Stop.Task, order.Stop.Run, order.Stop.Fence))
 	case order.Renewal != nil:
 		ctx, cancel := context.WithTimeout(e.node.ctx, order.Renewal.Wait+renewMargin)
 		defer cancel()
