Let queries wait for an end, and targets wait again once ends are recorded

Cause: callers ask for a workflow about when its last task ends. And a target with ends that were not recorded yet was listed only every 150 ms, so that an end right after another was seen that much later.

Change: a query of an unfinished workflow waits for its end, for 150 ms at most. The next renewal of a target goes out as soon as its ends are recorded.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -23,6 +23,7 @@
 	dirty               bool                  // In the scheduler's list of jobs to be stored.
 	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onDurable           []func()              // Called once the current version is stored.
+	onFinal             []func()              // Called once a final state is stored.
 	runCount            int                   // Number of its runs, in any state.
 }
 
@@ -254,6 +255,13 @@
 	return state, j.spec.Team, true
 }
 
+// NotifyFinal calls notify once a final state of an unfinished workflow is stored.
+func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) {
+	if j := s.jobs[id]; j != nil {
+		j.onFinal = append(j.onFinal, notify)
+	}
+}
+
 // Pending counts the queue's workflows that are not final and of which no task has started.
 func (s *Scheduler) Pending(queue cyclamendyke.QueueName) int {
 	count := 0
--- a/core/dispatch/load_test.go
+++ b/core/dispatch/load_test.go
@@ -131,3 +131,21 @@
 	is.Equal(total(sim.runsOf("hot-0")), 4)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestEndsRightAfterAnotherAreSeen lets two runs on one target end 30 ms apart; the second end must be
+// seen as soon as the first is recorded, since its caller may be waiting.
+func TestEndsRightAfterAnotherAreSeen(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(workflow("first", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: time.Second}))
+	sim.submit(workflow("second", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 1030 * time.Millisecond}))
+	sim.run(500 * time.Millisecond)
+	is.Equal(sim.starts, 2)
+	second := cyclamendyke.TaskName{Workflow: "second"}
+	for !sim.history[second].done {
+		sim.run(time.Millisecond)
+	}
+	sim.run(30 * time.Millisecond)
+	is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], 2)
+}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -130,6 +130,10 @@
 		j.durableVersion = max(j.durableVersion, r.version)
 		if r.Final {
 			s.ended = append(s.ended, j)
+			for _, notify := range j.onFinal {
+				notify()
+			}
+			j.onFinal = nil
 		}
 		if j.durableVersion >= j.version {
 			for _, callback := range j.onDurable {
@@ -139,7 +143,13 @@
 		}
 	}
 	for _, t := range s.targets {
+		if len(t.unrecordedEnds) == 0 {
+			continue
+		}
 		t.acknowledge()
+		if len(t.unrecordedEnds) == 0 {
+			t.renewAt = s.now // The target can wait for the next end again.
+		}
 	}
 }
 
--- a/node/handler.go
+++ b/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"cyclamendyke"
 	"cyclamendyke/io/member"
@@ -54,14 +55,39 @@
 	}
 }
 
-// Status returns a workflow's state from this process's scheduler.
+// queryWait is how long a query of an unfinished workflow waits for its end. Callers ask about the time
+// at which they expect it, and so learn of it at once instead of with their next query.
+const queryWait = 150 * time.Millisecond
+
+// Status returns a workflow's state from this process's scheduler, after queryWait at most.
 func (n *Node) Status(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
 	t := n.term.Load()
 	if t == nil {
 		return member.WorkflowStatus{}, member.NewError("status", member.KindNotScheduler, nil)
 	}
+	ended := make(chan struct{}, 1)
+	status, err := t.status(ctx, id, func() { ended <- struct{}{} })
+	if err != nil || status.State.IsFinal() {
+		return status, err
+	}
+	select {
+	case <-ended:
+		return t.status(ctx, id, nil)
+	case <-time.After(queryWait):
+	case <-ctx.Done():
+	case <-t.ctx.Done():
+	}
+	return status, nil
+}
+
+// status returns a workflow's present state; notify, unless it is nil, is called once a final state is
+// stored.
+func (t *term) status(ctx context.Context, id cyclamendyke.WorkflowID, notify func()) (member.WorkflowStatus, error) {
 	status, err := query(ctx, t, func(answer func(member.WorkflowStatus)) {
 		state, team, _ := t.sched.Status(id)
+		if notify != nil {
+			t.sched.NotifyFinal(id, notify)
+		}
 		answer(member.WorkflowStatus{State: state, Team: team})
 	})
 	if err == nil && status.State == "" {
