Store several batches of final states at a time

Cause: one commit was under way at a time and held at most seven final states.

Change: up to four commits at a time, no workflow in two of them; a final state takes two entries of a batch where it has neither progress nor a cancellation in the store. Batches with final states are at least 8 ms apart.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -21,6 +21,7 @@
 	version             int64                 // Version of the progress; increases with each change.
 	durableVersion      int64                 // Last version that is stored.
 	dirty               bool                  // In the scheduler's list of jobs to be stored.
+	storing             bool                  // A record of it is being stored; the next one waits.
 	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onDurable           []func()              // Called once the current version is stored.
 	onFinal             []func()              // Called once a final state is stored.
@@ -255,6 +256,12 @@
 	return state, j.spec.Team, true
 }
 
+// IsUnfinished reports whether a workflow is known and has no final state.
+func (s *Scheduler) IsUnfinished(id cyclamendyke.WorkflowID) bool {
+	j := s.jobs[id]
+	return j != nil && !j.state.IsFinal()
+}
+
 // NotifyFinal calls notify once a final state of an unfinished workflow is stored.
 func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) {
 	if j := s.jobs[id]; j != nil {
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -63,48 +64,36 @@
 	}
 }
 
-// HasFinalRecords reports whether a final state waits to be stored; callers may be waiting for it.
+// HasFinalRecords reports whether a final state can be stored now; callers may be waiting for it.
 func (s *Scheduler) HasFinalRecords() bool {
-	for _, j := range s.dirty {
-		if j.state.IsFinal() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.dirty, func(j *job) bool { return j.state.IsFinal() && !j.storing })
 }
 
-// HasRecords reports whether there are records to be stored.
+// HasRecords reports whether there are records that can be stored now.
 func (s *Scheduler) HasRecords() bool {
-	return len(s.dirty) > 0
+	return slices.ContainsFunc(s.dirty, func(j *job) bool { return !j.storing })
 }
 
-// TakeRecords removes and returns records to be stored, final ones first, as long as fits reports that
-// there is room for one more.
-func (s *Scheduler) TakeRecords(fits func(final bool) bool) ([]Record, error) {
-	var chosen, rest []*job
+// TakeRecords passes the records to be stored to take, final ones first, until it returns false for one
+// that it does not take.
+func (s *Scheduler) TakeRecords(take func(Record) bool) error {
+	isFull := false
 	for _, final := range []bool{true, false} {
 		for _, j := range s.dirty {
-			if j.state.IsFinal() != final {
+			if isFull || j.storing || j.state.IsFinal() != final {
 				continue
 			}
-			if fits(final) {
-				chosen = append(chosen, j)
-			} else {
-				rest = append(rest, j)
+			record, err := s.encode(j)
+			if err != nil {
+				return NewError("record", cyclamendyke.KindInvalid, err)
+			}
+			if isFull = !take(record); !isFull {
+				j.dirty, j.storing = false, true
 			}
 		}
 	}
-	s.dirty = rest
-	records := make([]Record, 0, len(chosen))
-	for _, j := range chosen {
-		j.dirty = false
-		record, err := s.encode(j)
-		if err != nil {
-			return nil, NewError("record", cyclamendyke.KindInvalid, err)
-		}
-		records = append(records, record)
-	}
-	return records, nil
+	s.dirty = slices.DeleteFunc(s.dirty, func(j *job) bool { return !j.dirty })
+	return nil
 }
 
 // encode returns the record of a job's present state.
@@ -126,6 +115,7 @@
 		if j == nil {
 			continue
 		}
+		j.storing = false
 		j.revision = revision
 		j.durableVersion = max(j.durableVersion, r.version)
 		if r.Final {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -235,8 +235,13 @@
 	targetSetVersion := sched.TargetSetVersion()
 	known := sched.KnownTargets()
 	room := cyclamendyke.MaxBatchEntries / 2
-	records, err := sched.TakeRecords(func(bool) bool { room--; return room >= 0 })
-	if err != nil {
+	var records []Record
+	if err := sched.TakeRecords(func(r Record) bool {
+		if room--; room >= 0 {
+			records = append(records, r)
+		}
+		return room >= 0
+	}); err != nil {
 		sim.t.Fatal(err)
 	}
 	sim.storing = true
--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -67,6 +67,18 @@
 	return err
 }
 
+// removeCancellation removes the cancellation of a workflow that had ended before; if that fails, the next
+// scheduler finds it again.
+func (t *term) removeCancellation(id cyclamendyke.WorkflowID) {
+	ctx, cancel := context.WithTimeout(t.ctx, cleanupTimeout)
+	defer cancel()
+	batch := t.newCleanupBatch()
+	batch.Removes = []string{workKey(id) + cancelSuffix}
+	if _, _, err := t.node.cfg.Store.Commit(ctx, batch); err != nil && t.ctx.Err() == nil {
+		t.node.cfg.Log.Warn("cannot remove the cancellation of an ended workflow", "workflow", id, "err", err)
+	}
+}
+
 // newCleanupBatch returns a batch that takes effect only if this term's epoch is the last.
 func (t *term) newCleanupBatch() cyclamendyke.Batch {
 	return cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -127,13 +127,22 @@
 
 // startNodeWithCores runs a node on a VM with the given number of cores.
 func (c *testCluster) startNodeWithCores(name cyclamendyke.MemberName, targets cyclamendyke.Targets, cores float64) *Node {
+	return c.start(name, c.store.As(string(name)), targets, cores)
+}
+
+// startNodeWithStore runs a node that calls the store through the given client.
+func (c *testCluster) startNodeWithStore(name cyclamendyke.MemberName, store cyclamendyke.BatchStore) *Node {
+	return c.start(name, store, c.target, 0)
+}
+
+func (c *testCluster) start(name cyclamendyke.MemberName, store cyclamendyke.BatchStore, targets cyclamendyke.Targets, cores float64) *Node {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	n := New(Config{
 		Settings: cyclamendyke.FleetSettings{Node: name, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
-		Address:  listener.Addr().String(), Store: c.store.As(string(name)), Targets: targets, Codec: jsonCodec{},
+		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(io.Discard), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
 	})
--- a/node/load.go
+++ b/node/load.go
@@ -123,8 +123,16 @@
 // cancelWorkflows cancels the workflows for which entries contain a cancellation.
 func (t *term) cancelWorkflows(entries []cyclamendyke.Entry) {
 	for _, entry := range entries {
-		if id, isCancellation := parseWorkKey(entry.Key); isCancellation && !entry.Deleted {
+		id, isCancellation := parseWorkKey(entry.Key)
+		switch {
+		case !isCancellation:
+		case entry.Deleted:
+			delete(t.cancellations, id)
+		case t.sched.IsUnfinished(id):
+			t.cancellations[id] = true
 			t.sched.Cancel(id, func() {})
+		default:
+			t.wg.Go(func() { t.removeCancellation(id) })
 		}
 	}
 }
--- a/node/records.go
+++ b/node/records.go
@@ -12,42 +12,62 @@
 
 // The timing of writing progress records and of following the store.
 const (
-	commitInterval    = 80 * time.Millisecond  // Minimum time between batches; final records are written at once.
-	commitRetryDelay  = 100 * time.Millisecond // After a commit that failed without a conflict.
-	workBatchDelay    = 300 * time.Millisecond // Long, since members also notify the scheduler of new work.
-	targetsBatchDelay = 300 * time.Millisecond // Long, since descriptions change with every heartbeat.
+	commitInterval      = 80 * time.Millisecond  // Minimum time between batches without final records.
+	finalCommitInterval = 8 * time.Millisecond   // Minimum time between batches with final records, for which callers wait.
+	maxCommitsInFlight  = 4                      // Batches of records written at a time.
+	commitRetryDelay    = 100 * time.Millisecond // After a commit that failed without a conflict.
+	workBatchDelay      = 300 * time.Millisecond // Long, since members also notify the scheduler of new work.
+	targetsBatchDelay   = 300 * time.Millisecond // Long, since descriptions change with every heartbeat.
 )
 
-// commitRecords starts writing the next batch of records unless one is being written.
+// commitRecords starts writing batches of records, several at a time if there are many.
 func (t *term) commitRecords() {
-	if t.committing || !t.sched.HasRecords() && !t.knownTargetsChanged() {
-		return
+	for t.commitsInFlight < maxCommitsInFlight && t.startCommit() {
 	}
+}
+
+// startCommit starts writing the next batch of records, if one is due.
+func (t *term) startCommit() bool {
 	now := bootTime()
-	if now < t.nextCommit && !t.sched.HasFinalRecords() {
-		return
+	storeTargets := t.knownTargetsChanged() && !t.storingTargets
+	switch {
+	case t.sched.HasFinalRecords():
+		if now < t.nextFinalCommit {
+			return false
+		}
+	case now < t.nextCommit || !t.sched.HasRecords() && !storeTargets:
+		return false
 	}
 	batch := cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
 	var known knownTargetList
-	if t.knownTargetsChanged() {
+	if storeTargets {
 		known = t.encodeKnownTargets()
+		t.storingTargets = true
 		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: knownTargetsKey, Value: known.encoded, Expected: t.knownTargetsRevision})
 	}
-	room := cyclamendyke.MaxBatchEntries - batch.Entries()
-	records, err := t.sched.TakeRecords(func(final bool) bool {
-		room -= recordEntries(final)
-		return room >= 0
+	var records []dispatch.Record
+	isFull := false
+	err := t.sched.TakeRecords(func(r dispatch.Record) bool {
+		extended := batch
+		t.addRecord(&extended, r)
+		if isFull = extended.Entries() > cyclamendyke.MaxBatchEntries; isFull {
+			return false
+		}
+		batch = extended
+		records = append(records, r)
+		return true
 	})
 	if err != nil {
 		t.node.cfg.Log.Error("cannot encode workflow progress", "err", err)
-		return
+		return false
 	}
-	for _, r := range records {
-		addRecord(&batch, r)
-	}
-	t.committing = true
+	t.commitsInFlight++
 	t.nextCommit = now + commitInterval
+	if !isFull {
+		t.nextFinalCommit = now + finalCommitInterval
+	}
 	t.wg.Go(func() { t.commit(batch, records, known) })
+	return true
 }
 
 // addRecord adds the writes for one record to a batch.
@@ -55,20 +75,19 @@
 // A workflow that has ended leaves only its final record, so that the next scheduler reads no more than
 // the unfinished work. Its keys need no conditions: only the scheduler of this epoch deletes them, and
 // no other value follows a final record.
-func addRecord(batch *cyclamendyke.Batch, r dispatch.Record) {
+func (t *term) addRecord(batch *cyclamendyke.Batch, r dispatch.Record) {
 	if !r.Final {
 		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: progressKey(r.ID), Value: r.Value, Expected: r.Expected})
 		return
 	}
 	batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: doneKey(r.ID), Value: r.Value, Always: true})
-	batch.Removes = append(batch.Removes, workKey(r.ID), workKey(r.ID)+cancelSuffix, progressKey(r.ID))
-}
-
-// recordEntries returns how many entries of a batch addRecord adds.
-func recordEntries(final bool) int {
-	var batch cyclamendyke.Batch
-	addRecord(&batch, dispatch.Record{Final: final})
-	return batch.Entries()
+	batch.Removes = append(batch.Removes, workKey(r.ID))
+	if r.Expected != 0 {
+		batch.Removes = append(batch.Removes, progressKey(r.ID))
+	}
+	if t.cancellations[r.ID] {
+		batch.Removes = append(batch.Removes, workKey(r.ID)+cancelSuffix)
+	}
 }
 
 // knownTargetList is a list of known targets to be written to the store.
@@ -140,8 +159,9 @@
 
 // handleCommit reports a written batch to the scheduler.
 func (t *term) handleCommit(records []dispatch.Record, known knownTargetList, revision cyclamendyke.Revision) {
-	t.committing = false
+	t.commitsInFlight--
 	if known.encoded != nil {
+		t.storingTargets = false
 		t.knownTargetsRevision, t.storedTargetSetVersion = revision, known.setVersion
 		t.sched.KnownTargetsStored(known.targets)
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -36,19 +36,22 @@
 	// Only the control goroutine uses the fields below.
 	sched                  *dispatch.Scheduler
 	delegator              *delegator
-	committing             bool                  // A batch of records is being written.
-	nextCommit             time.Duration         // Earliest time of the next batch without final records.
-	storedTargetSetVersion int                   // Target set version of the stored list of known targets.
-	knownTargetsRevision   cyclamendyke.Revision // Revision of the stored list of known targets.
-	loaded                 bool                  // The state in the store has been loaded.
-	deferred               []func()              // Changes that wait until the state is loaded.
+	cancellations          map[cyclamendyke.WorkflowID]bool // Unfinished workflows with a cancellation in the store.
+	commitsInFlight        int                              // Batches of records being written.
+	storingTargets         bool                             // One of them holds the list of known targets.
+	nextCommit             time.Duration                    // Earliest time of the next batch without final records.
+	nextFinalCommit        time.Duration                    // Earliest time of the next batch with final records.
+	storedTargetSetVersion int                              // Target set version of the stored list of known targets.
+	knownTargetsRevision   cyclamendyke.Revision            // Revision of the stored list of known targets.
+	loaded                 bool                             // The state in the store has been loaded.
+	deferred               []func()                         // Changes that wait until the state is loaded.
 	lastPassDuration       time.Duration
 }
 
 // beginTerm starts acting as the scheduler.
 func (n *Node) beginTerm(election electionResult) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	t := &term{node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize)}
+	t := &term{node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize), cancellations: map[cyclamendyke.WorkflowID]bool{}}
 	bounds := n.cfg.Settings.Bounds
 	grace := authorityGrace
 	if election.predecessorEnded {
