Store each known target under its own key, and follow 3,000 without falling behind

Cause: all known targets were one value, rewritten whenever one came, drained or went. At 3,000 targets it is larger than the store takes (1 MB), at 540 it is a quarter of a megabyte each time.

Change: a record for each known target, written when it changes under the condition of its own revision; a list that an earlier version stored is read and then removed. A watch goes on without a pause when an answer held 200 changes or more. Membership changes are taken in batches that grow with the fleet; retries are spread at random and wait longer after the rate limit.

--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"cyclamendyke"
@@ -14,14 +13,38 @@
 	Tasks  []string            `json:"tasks,omitempty"`  // All tasks that may run there, if it is closed.
 }
 
-// AddKnownTarget adds a target from the list that an earlier epoch stored.
-func (s *Scheduler) AddKnownTarget(known KnownTarget) {
+// KnownTargetChange is a change of what is stored of one target.
+type KnownTargetChange struct {
+	ID       cyclamendyke.TargetID
+	Known    *KnownTarget          // Nil if nothing can run there any more, so that its record is deleted.
+	Expected cyclamendyke.Revision // Revision of the present record; zero if there is none.
+}
+
+// knownRecord is the state of what is stored of one target.
+type knownRecord struct {
+	revision cyclamendyke.Revision
+	dirty    bool // It has changed since it was last taken to be stored.
+	storing  bool // A change is being stored; the next one waits.
+}
+
+// AddKnownTarget adds a target that an earlier epoch stored; revision is that of its own record, or zero
+// if it has none.
+func (s *Scheduler) AddKnownTarget(known KnownTarget, revision cyclamendyke.Revision) {
 	id := known.Target.ID
-	if s.targets[id] == nil {
+	isRegistered := s.targets[id] != nil
+	if !isRegistered {
 		s.UpdateTarget(known.Target)
 		s.targets[id].registered = false
 	}
 	t := s.targets[id]
+	if revision != 0 {
+		record := s.knownRecord(id)
+		record.revision = revision
+		record.dirty = false
+		if !isRegistered || known.Closed || t.info.Draining || t.info.StartedMillis != known.Target.StartedMillis {
+			s.targetChanged(id)
+		}
+	}
 	if !known.Closed || t.info.StartedMillis != known.Target.StartedMillis {
 		return
 	}
@@ -37,33 +60,95 @@
 	t.unlistedTasksComplete = true
 }
 
+func (s *Scheduler) knownRecord(id cyclamendyke.TargetID) *knownRecord {
+	record := s.knownRecords[id]
+	if record == nil {
+		record = &knownRecord{}
+		s.knownRecords[id] = record
+	}
+	return record
+}
+
+// targetChanged notes that what is stored of a target must be stored again.
+func (s *Scheduler) targetChanged(id cyclamendyke.TargetID) {
+	s.knownRecord(id).dirty = true
+	s.knownTargetsDirty = true
+}
+
 // mayHaveUnlistedRuns reports whether runs of an earlier epoch may be left on a target that has not
 // answered this one.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
 	return !t.listed && !t.expired && s.now < s.cfg.EarlierRunsEndBy
 }
 
-// TargetSetVersion returns a version that increases whenever the result of KnownTargets must be
-// stored again.
-func (s *Scheduler) TargetSetVersion() int {
-	return s.targetSetVersion
+// HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
+func (s *Scheduler) HasKnownTargetChanges() bool {
+	if !s.knownTargetsDirty {
+		return false
+	}
+	s.knownTargetsDirty = false
+	for _, record := range s.knownRecords {
+		s.knownTargetsDirty = s.knownTargetsDirty || record.dirty
+		if record.dirty && !record.storing {
+			return true
+		}
+	}
+	return false
 }
 
-// KnownTargets returns the targets on which something may run, to be stored for the next epoch; from
-// then on nothing is started on those that it returns as closed.
-func (s *Scheduler) KnownTargets() []KnownTarget {
-	out := make([]KnownTarget, 0, len(s.targets))
-	for _, t := range s.targets {
-		known := KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.unlistedTasksComplete)}
-		known.Target.Draining, known.Target.Remaining = false, 0
-		if known.Closed {
-			t.closed = true
-			known.Tasks = t.possibleTasks()
+// TakeKnownTargetChanges passes the changes to be stored to take until it returns false for one that it
+// does not take; from then on nothing is started on targets that are taken as closed.
+func (s *Scheduler) TakeKnownTargetChanges(take func(KnownTargetChange) bool) {
+	for id, record := range s.knownRecords {
+		if !record.dirty || record.storing {
+			continue
+		}
+		change := KnownTargetChange{ID: id, Known: s.describeKnown(id), Expected: record.revision}
+		if change.Known == nil && record.revision == 0 {
+			delete(s.knownRecords, id)
+			continue
+		}
+		if !take(change) {
+			return
+		}
+		record.dirty, record.storing = false, true
+		if change.Known != nil && change.Known.Closed {
+			s.targets[id].closed = true
+		}
+	}
+}
+
+// describeKnown returns what is to be stored of a target, or nil if nothing can run there any more.
+func (s *Scheduler) describeKnown(id cyclamendyke.TargetID) *KnownTarget {
+	t := s.targets[id]
+	if t == nil {
+		return nil
+	}
+	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.unlistedTasksComplete)}
+	known.Target.Draining, known.Target.Remaining = false, 0
+	if known.Closed {
+		known.Tasks = t.possibleTasks()
+	}
+	return known
+}
+
+// KnownTargetChangesStored records that changes are stored at a revision, and allows new starts on the
+// targets that are not closed.
+func (s *Scheduler) KnownTargetChangesStored(changes []KnownTargetChange, revision cyclamendyke.Revision) {
+	for _, change := range changes {
+		record := s.knownRecord(change.ID)
+		record.storing, record.revision = false, revision
+		if change.Known == nil {
+			record.revision = 0
+			if !record.dirty {
+				delete(s.knownRecords, change.ID)
+			}
+			continue
+		}
+		if t := s.targets[change.ID]; t != nil && !change.Known.Closed {
+			t.closed = false
 		}
-		out = append(out, known)
 	}
-	slices.SortFunc(out, func(a, b KnownTarget) int { return cmp.Compare(a.Target.ID, b.Target.ID) })
-	return out
 }
 
 // TargetsByZone counts the known targets of each zone.
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -95,7 +95,7 @@
 	}
 	if listing.Draining {
 		if !t.info.Draining {
-			s.targetSetVersion++
+			s.targetChanged(info.ID)
 		}
 		t.info.Draining = true
 		t.info.Remaining = listing.Remaining
@@ -148,6 +148,6 @@
 	t.expired = true
 	if !t.registered {
 		delete(s.targets, info.ID)
-		s.targetSetVersion++
+		s.targetChanged(info.ID)
 	}
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -19,34 +19,35 @@
 
 // Scheduler holds the state of all workflows and targets.
 type Scheduler struct {
-	cfg              Config
-	now              time.Duration
-	wall             time.Time
-	fleet            *cyclamendyke.FleetConfig
-	queues           map[cyclamendyke.QueueName]*cyclamendyke.Queue
-	teams            map[cyclamendyke.TeamName]*team
-	jobs             map[cyclamendyke.WorkflowID]*job
-	targets          map[cyclamendyke.TargetID]*target
-	active           activeSteps
-	unreleased       map[*job]struct{} // Workflows with occurrences that are not due yet.
-	advisers         map[cyclamendyke.MemberName]*adviser
-	adviserNames     []cyclamendyke.MemberName // Sorted.
-	ended            []*job                    // Workflows whose final state is stored, until their runs have ended.
-	endedJobs        map[cyclamendyke.WorkflowID]endedJob
-	forgetAt         time.Duration // When endedJobs is next searched for workflows to forget.
-	dirty            []*job        // Workflows whose progress must be stored.
-	lastRunNumber    int64
-	superseded       bool // A target has refused a request because it knows a later epoch.
-	commands         []Command
-	forecasts        map[cyclamendyke.ServiceName]*forecast
-	headrooms        map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
-	claims           []*claim
-	roomIndex        roomIndex
-	allowedParts     map[cyclamendyke.QueueName]*allowedPart
-	usableByService  map[cyclamendyke.ServiceName][]*target // Computed in each pass.
-	targetSetVersion int                                    // Incremented whenever the result of KnownTargets must be stored again.
-	unlistedTasks    map[cyclamendyke.TaskName]bool         // Tasks that may still run on closed targets that have not answered.
-	earlierRunsKnown bool                                   // Runs left from earlier epochs are all listed or in unlistedTasks.
+	cfg               Config
+	now               time.Duration
+	wall              time.Time
+	fleet             *cyclamendyke.FleetConfig
+	queues            map[cyclamendyke.QueueName]*cyclamendyke.Queue
+	teams             map[cyclamendyke.TeamName]*team
+	jobs              map[cyclamendyke.WorkflowID]*job
+	targets           map[cyclamendyke.TargetID]*target
+	active            activeSteps
+	unreleased        map[*job]struct{} // Workflows with occurrences that are not due yet.
+	advisers          map[cyclamendyke.MemberName]*adviser
+	adviserNames      []cyclamendyke.MemberName // Sorted.
+	ended             []*job                    // Workflows whose final state is stored, until their runs have ended.
+	endedJobs         map[cyclamendyke.WorkflowID]endedJob
+	forgetAt          time.Duration // When endedJobs is next searched for workflows to forget.
+	dirty             []*job        // Workflows whose progress must be stored.
+	lastRunNumber     int64
+	superseded        bool // A target has refused a request because it knows a later epoch.
+	commands          []Command
+	forecasts         map[cyclamendyke.ServiceName]*forecast
+	headrooms         map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
+	claims            []*claim
+	roomIndex         roomIndex
+	allowedParts      map[cyclamendyke.QueueName]*allowedPart
+	usableByService   map[cyclamendyke.ServiceName][]*target // Computed in each pass.
+	knownRecords      map[cyclamendyke.TargetID]*knownRecord
+	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
+	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run on closed targets that have not answered.
+	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
 }
 
 // New returns a scheduler without workflows and targets.
@@ -64,6 +65,7 @@
 		unreleased:    map[*job]struct{}{},
 		advisers:      map[cyclamendyke.MemberName]*adviser{},
 		allowedParts:  map[cyclamendyke.QueueName]*allowedPart{},
+		knownRecords:  map[cyclamendyke.TargetID]*knownRecord{},
 		forecasts:     map[cyclamendyke.ServiceName]*forecast{},
 		headrooms:     map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber: int64(cfg.Epoch) * runsPerEpoch,
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -64,15 +64,14 @@
 	gangs           map[gangKey]*gangRun
 	badTickets      int // Starts rejected since their ticket had expired.
 
-	members              int                                                     // Number of members that request advice.
-	ticketTTL            time.Duration                                           // How long tickets are valid.
-	adviceBusyUntil      map[cyclamendyke.MemberName]time.Duration               // When each member's requests are all answered.
-	storing              bool                                                    // A write to the store is in flight.
-	storedTargets        []KnownTarget                                           // The stored list of targets.
-	storedTargetsVersion int                                                     // The TargetSetVersion of storedTargets.
-	paces                map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
-	servingLatency       float64                                                 // Tail latency of all serving tasks, in milliseconds.
-	adviceAllows         func(cyclamendyke.StepName, cyclamendyke.TargetID) bool // Whether advice allows a step on a target.
+	members         int                                       // Number of members that request advice.
+	ticketTTL       time.Duration                             // How long tickets are valid.
+	adviceBusyUntil map[cyclamendyke.MemberName]time.Duration // When each member's requests are all answered.
+	storing         bool                                      // A write to the store is in flight.
+	storedTargets   map[cyclamendyke.TargetID]storedTarget
+	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
+	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
+	adviceAllows    func(cyclamendyke.StepName, cyclamendyke.TargetID) bool // Whether advice allows a step on a target.
 }
 
 type storedWorkflow struct {
@@ -80,6 +79,11 @@
 	revision cyclamendyke.Revision
 }
 
+type storedTarget struct {
+	known    KnownTarget
+	revision cyclamendyke.Revision
+}
+
 type storedProgress struct {
 	value    []byte
 	revision cyclamendyke.Revision
@@ -118,8 +122,9 @@
 	sim := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
 		workflows: map[cyclamendyke.WorkflowID]storedWorkflow{}, progress: map[cyclamendyke.WorkflowID]storedProgress{},
-		finals: map[cyclamendyke.WorkflowID]FinalRecord{},
-		vms:    map[cyclamendyke.TargetID]*vm{}, history: map[cyclamendyke.TaskName]*taskHistory{},
+		storedTargets: map[cyclamendyke.TargetID]storedTarget{},
+		finals:        map[cyclamendyke.WorkflowID]FinalRecord{},
+		vms:           map[cyclamendyke.TargetID]*vm{}, history: map[cyclamendyke.TaskName]*taskHistory{},
 		teamUsed:  map[cyclamendyke.TeamName]cyclamendyke.Resources{},
 		fleet:     &cyclamendyke.FleetConfig{Version: 1},
 		members:   4,
@@ -162,7 +167,6 @@
 	sim.epoch++
 	sim.revision++
 	sim.storing = false
-	sim.storedTargetsVersion = -1
 	sched := New(Config{
 		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + LongestLease(sim.bounds()) + leaseMargin,
 	})
@@ -185,7 +189,7 @@
 		}
 	}
 	for _, known := range sim.storedTargets {
-		sched.AddKnownTarget(known)
+		sched.AddKnownTarget(known.known, known.revision)
 	}
 	sched.SetAdvisers(memberNames(sim.members))
 	sim.runPeriodically(sched)
@@ -229,11 +233,14 @@
 
 // storeRecords writes the scheduler's records and list of targets to the store.
 func (sim *simulation) storeRecords(sched *Scheduler) {
-	if sim.storing || !sched.HasRecords() && sched.TargetSetVersion() == sim.storedTargetsVersion {
+	if sim.storing || !sched.HasRecords() && !sched.HasKnownTargetChanges() {
 		return
 	}
-	targetSetVersion := sched.TargetSetVersion()
-	known := sched.KnownTargets()
+	var changes []KnownTargetChange
+	sched.TakeKnownTargetChanges(func(c KnownTargetChange) bool {
+		changes = append(changes, c)
+		return true
+	})
 	room := cyclamendyke.MaxBatchEntries / 2
 	var records []Record
 	if err := sched.TakeRecords(func(r Record) bool {
@@ -250,7 +257,8 @@
 			return // The store rejects writes of an earlier epoch.
 		}
 		sim.revision++
-		sim.storedTargets = known
+		revision := sim.revision
+		sim.storeKnownTargets(changes)
 		for _, r := range records {
 			sim.store(r)
 		}
@@ -260,14 +268,27 @@
 			}
 			sim.storing = false
 			sched.Advance(sim.now, sim.wall())
-			sim.storedTargetsVersion = targetSetVersion
-			sched.KnownTargetsStored(known)
-			sched.RecordsStored(records, sim.revision)
+			sched.KnownTargetChangesStored(changes, revision)
+			sched.RecordsStored(records, revision)
 			sim.pass(sched)
 		})
 	})
 }
 
+// storeKnownTargets carries out changes of the known targets.
+func (sim *simulation) storeKnownTargets(changes []KnownTargetChange) {
+	for _, c := range changes {
+		if sim.storedTargets[c.ID].revision != c.Expected {
+			sim.t.Fatalf("record of %s changed at revision %d, expected %d", c.ID, sim.storedTargets[c.ID].revision, c.Expected)
+		}
+		if c.Known == nil {
+			delete(sim.storedTargets, c.ID)
+			continue
+		}
+		sim.storedTargets[c.ID] = storedTarget{*c.Known, sim.revision}
+	}
+}
+
 // store carries out the write of one record.
 func (sim *simulation) store(r Record) {
 	if !r.Final {
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -109,7 +109,7 @@
 	case t == nil:
 		t = &target{runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
 		s.targets[info.ID] = t
-		s.targetSetVersion++
+		s.targetChanged(info.ID)
 		s.logTarget(info.ID, "new")
 	case info.StartedMillis != 0 && t.info.StartedMillis != 0 && info.StartedMillis < t.info.StartedMillis:
 		return // A stale description; the target has reported a later incarnation itself.
@@ -118,14 +118,14 @@
 	}
 	if info.Draining && !t.info.Draining {
 		s.logTarget(info.ID, "draining")
-		s.targetSetVersion++
+		s.targetChanged(info.ID)
 	}
 	if t.registered && t.info.Draining && t.info.StartedMillis == info.StartedMillis && !info.Draining {
 		// A drain is never undone within an incarnation.
 		info.Draining, info.Remaining = true, t.info.Remaining
 	}
 	if !t.registered {
-		s.targetSetVersion++
+		s.targetChanged(info.ID)
 	}
 	t.info = info
 	t.registered = true
@@ -136,7 +136,7 @@
 func (s *Scheduler) RemoveTargetDescription(id cyclamendyke.TargetID) {
 	if t := s.targets[id]; t != nil && t.registered {
 		t.registered = false
-		s.targetSetVersion++
+		s.targetChanged(id)
 		s.logTarget(id, "description removed from the store")
 	}
 }
@@ -151,7 +151,7 @@
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
 	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, true, nil
-	s.targetSetVersion++
+	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
 	t.lastEndHandled, t.lastEndRecorded, t.unrecordedEnds = 0, 0, nil
 	t.orphans = map[runKey]bool{}
@@ -192,7 +192,7 @@
 		if !t.registered {
 			s.logTarget(id, "dropped")
 			delete(s.targets, id)
-			s.targetSetVersion++
+			s.targetChanged(id)
 		}
 	}
 	for _, t := range s.targets {
--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -27,6 +27,9 @@
 		if t.ctx.Err() != nil {
 			return
 		}
+		if part == 0 {
+			t.post(t.removeOldKnownTargets)
+		}
 		prefix := donePrefix + cleanupDigits[part%len(cleanupDigits):][:1]
 		if err := t.removeExpiredBelow(prefix); err != nil && t.ctx.Err() == nil {
 			t.node.cfg.Log.Warn("cannot remove expired final states", "prefix", prefix, "err", err)
@@ -79,6 +82,22 @@
 	}
 }
 
+// removeOldKnownTargets removes the list that earlier versions wrote, once each target has its own
+// record.
+func (t *term) removeOldKnownTargets() {
+	if !t.hasOldKnownTargets || t.sched.HasKnownTargetChanges() {
+		return
+	}
+	t.hasOldKnownTargets = false
+	batch := t.newCleanupBatch()
+	batch.Removes = []string{oldKnownTargetsKey}
+	t.wg.Go(func() {
+		if _, _, err := t.node.cfg.Store.Commit(t.ctx, batch); err != nil && t.ctx.Err() == nil {
+			t.node.cfg.Log.Warn("cannot remove the old list of known targets", "err", err)
+		}
+	})
+}
+
 // newCleanupBatch returns a batch that takes effect only if this term's epoch is the last.
 func (t *term) newCleanupBatch() cyclamendyke.Batch {
 	return cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
--- a/node/directory.go
+++ b/node/directory.go
@@ -16,6 +16,7 @@
 )
 
 const (
+	largeBatch      = 200                     // Changes in one answer after which a watch goes on without a pause, so that it does not fall behind.
 	longPollTimeout = 1500 * time.Millisecond // For one watch call; short, since a dead connection may cause no error.
 )
 
@@ -192,23 +193,34 @@
 
 // followDirectory keeps the directory up to date.
 func (n *Node) followDirectory() {
-	n.follow(systemPrefix, 0, n.dir.replace, n.dir.apply)
+	n.follow(systemPrefix, n.dir.batchDelay, n.dir.replace, n.dir.apply)
+}
+
+// batchDelayPerMember makes the pause between two batches of membership changes grow with the fleet:
+// each batch costs each member a call to the store.
+const batchDelayPerMember = 2 * time.Millisecond
+
+// batchDelay returns the pause after a batch of changes.
+func (d *directory) batchDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(len(d.members)) * batchDelayPerMember
 }
 
 // follow lists a prefix and watches it until the node is closed. If the store has
 // compacted changes that the watch still needs, follow lists the prefix again.
-func (n *Node) follow(prefix string, batchDelay time.Duration, replace, apply func([]cyclamendyke.Entry)) {
+func (n *Node) follow(prefix string, batchDelay func() time.Duration, replace, apply func([]cyclamendyke.Entry)) {
 	n.followWithContext(n.ctx, prefix, batchDelay, replace, apply)
 }
 
 // followWithContext is follow with its own context. It pauses for batchDelay after each change, so
 // that further changes arrive in one batch.
-func (n *Node) followWithContext(ctx context.Context, prefix string, batchDelay time.Duration, replace, apply func([]cyclamendyke.Entry)) {
+func (n *Node) followWithContext(ctx context.Context, prefix string, batchDelay func() time.Duration, replace, apply func([]cyclamendyke.Entry)) {
 	for ctx.Err() == nil {
 		entries, at, err := n.cfg.Store.List(ctx, prefix)
 		n.recordStoreResult(err)
 		if err != nil {
-			sleep(ctx, storeRetryDelay)
+			sleep(ctx, retryDelay(err))
 			continue
 		}
 		replace(entries)
@@ -218,7 +230,7 @@
 
 // watchFrom watches a prefix for changes after revision at. It returns when the store has compacted
 // changes that it still needs, or when the context ends.
-func (n *Node) watchFrom(ctx context.Context, prefix string, at cyclamendyke.Revision, batchDelay time.Duration, apply func([]cyclamendyke.Entry)) {
+func (n *Node) watchFrom(ctx context.Context, prefix string, at cyclamendyke.Revision, batchDelay func() time.Duration, apply func([]cyclamendyke.Entry)) {
 	for ctx.Err() == nil {
 		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, longPollTimeout)
 		if cyclamendyke.KindOf(err) == cyclamendyke.KindCompacted {
@@ -227,17 +239,22 @@
 		}
 		n.recordStoreResult(err)
 		if err != nil {
-			sleep(ctx, storeRetryDelay)
+			sleep(ctx, retryDelay(err))
 			continue
 		}
 		at = max(at, reached)
-		if len(events) > 0 {
-			apply(events)
-			sleep(ctx, batchDelay)
+		if len(events) == 0 {
+			continue
+		}
+		apply(events)
+		if len(events) < largeBatch {
+			sleep(ctx, batchDelay())
 		}
 	}
 }
 
+func noDelay() time.Duration { return 0 }
+
 // sleep pauses for d unless the context ends first.
 func sleep(ctx context.Context, d time.Duration) {
 	if d == 0 {
@@ -260,7 +277,7 @@
 			}
 		}
 	}
-	n.follow(n.cfg.Codec.ConfigKey(), 0, apply, apply)
+	n.follow(n.cfg.Codec.ConfigKey(), noDelay, apply, apply)
 }
 
 func (n *Node) applyConfig(entry cyclamendyke.Entry) {
--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/matryer/is"
@@ -31,3 +34,37 @@
 	is.Equal(d.view().epoch, uint64(7))
 	is.Equal(len(d.members), 0)
 }
+
+// pagedWatch is a store whose watches return at most a page of the changes that wait.
+type pagedWatch struct {
+	cyclamendyke.BatchStore
+	changes int // Number of changes, one at each revision from 1 on.
+	page    int
+	done    context.CancelFunc // Called when all changes have been returned.
+}
+
+// Watch returns the next page of changes.
+func (p *pagedWatch) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, _ time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
+	var page []cyclamendyke.Entry
+	for revision := after + 1; int(revision) <= p.changes && len(page) < p.page; revision++ {
+		page = append(page, cyclamendyke.Entry{Key: fmt.Sprint(prefix, revision), Revision: revision})
+	}
+	if len(page) == 0 {
+		p.done()
+		return nil, after, ctx.Err()
+	}
+	return page, page[len(page)-1].Revision, nil
+}
+
+// TestWatchDoesNotFallBehind watches a prefix with more changes than one answer holds; all must be applied
+// without a pause until an answer is small again.
+func TestWatchDoesNotFallBehind(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n := newIdleNode(&pagedWatch{changes: 2*largeBatch + 1, page: largeBatch, done: cancel}).Node
+	applied, pauses := 0, 0
+	n.watchFrom(ctx, "k/", 0, func() time.Duration { pauses++; return 0 }, func(entries []cyclamendyke.Entry) { applied += len(entries) })
+	is.Equal(applied, 2*largeBatch+1)
+	is.Equal(pauses, 1)
+}
--- a/node/election.go
+++ b/node/election.go
@@ -75,7 +75,7 @@
 		if cyclamendyke.KindOf(err) != cyclamendyke.KindConflict {
 			n.cfg.Log.Warn("election", "epoch", v.epoch+1, "err", err)
 		}
-		sleep(n.ctx, storeRetryDelay)
+		sleep(n.ctx, retryDelay(err))
 		return electionResult{}, false
 	}
 	return election, true
--- a/node/keys.go
+++ b/node/keys.go
@@ -9,16 +9,17 @@
 // The keys in the store. Any member writes workflows and cancellations; only the scheduler writes
 // progress, final states and the list of known targets.
 const (
-	systemPrefix    = "system/" // Watched by every member.
-	schedulerKey    = systemPrefix + "scheduler"
-	epochKey        = systemPrefix + "epoch"    // Not bound to a lease; never decreases.
-	resignationKey  = systemPrefix + "resigned" // The last epoch whose scheduler stepped down.
-	membersPrefix   = systemPrefix + "members/"
-	workPrefix      = "work/" // Followed by the workflow's identifier.
-	cancelSuffix    = "/cancel"
-	progressPrefix  = "progress/"     // Followed by the workflow's identifier.
-	donePrefix      = "done/"         // Followed by the workflow's identifier; replaces the keys above once it has ended.
-	knownTargetsKey = "fleet/targets" // List of the targets on which something may run.
+	systemPrefix       = "system/" // Watched by every member.
+	schedulerKey       = systemPrefix + "scheduler"
+	epochKey           = systemPrefix + "epoch"    // Not bound to a lease; never decreases.
+	resignationKey     = systemPrefix + "resigned" // The last epoch whose scheduler stepped down.
+	membersPrefix      = systemPrefix + "members/"
+	workPrefix         = "work/" // Followed by the workflow's identifier.
+	cancelSuffix       = "/cancel"
+	progressPrefix     = "progress/"      // Followed by the workflow's identifier.
+	donePrefix         = "done/"          // Followed by the workflow's identifier; replaces the keys above once it has ended.
+	knownTargetsPrefix = "fleet/targets/" // Followed by a target's identifier: the targets on which something may run.
+	oldKnownTargetsKey = "fleet/targets"  // The list of them that earlier versions stored in one value.
 )
 
 func workKey(id cyclamendyke.WorkflowID) string {
--- a/node/load.go
+++ b/node/load.go
@@ -16,7 +16,7 @@
 type storeSnapshot struct {
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
-	knownTargets                       cyclamendyke.Entry
+	knownTargets                       []cyclamendyke.Entry
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -29,7 +29,7 @@
 			break
 		}
 		t.node.cfg.Log.Warn("cannot read scheduler state from the store", "epoch", t.epoch, "err", err)
-		sleep(t.ctx, storeRetryDelay)
+		sleep(t.ctx, retryDelay(err))
 	}
 	if t.ctx.Err() != nil {
 		return
@@ -58,12 +58,8 @@
 		snapshot.targetDescriptions, snapshot.descriptionsRevision, err = store.List(ctx, t.node.cfg.Codec.TargetsPrefix())
 		return err
 	})
-	group.Go(func() error {
-		known, err := store.Get(ctx, knownTargetsKey)
-		if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
-			return nil
-		}
-		snapshot.knownTargets = known
+	group.Go(func() (err error) {
+		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
 		return err
 	})
 	return group.Wait()
@@ -81,16 +77,7 @@
 	}
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
-	var known []dispatch.KnownTarget
-	t.knownTargetsRevision = snapshot.knownTargets.Revision
-	if len(snapshot.knownTargets.Value) > 0 {
-		if err := json.Unmarshal(snapshot.knownTargets.Value, &known); err != nil {
-			t.node.cfg.Log.Error("cannot decode list of known targets", "revision", snapshot.knownTargets.Revision, "err", err)
-		}
-	}
-	for _, target := range known {
-		t.sched.AddKnownTarget(target)
-	}
+	t.addKnownTargets(snapshot.knownTargets)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
 	for _, change := range t.deferred {
@@ -99,6 +86,29 @@
 	t.deferred = nil
 }
 
+// addKnownTargets adds the targets on which an earlier epoch may have left runs.
+func (t *term) addKnownTargets(entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if entry.Key == oldKnownTargetsKey {
+			t.hasOldKnownTargets = true
+			var known []dispatch.KnownTarget
+			if err := json.Unmarshal(entry.Value, &known); err != nil {
+				t.node.cfg.Log.Error("cannot decode list of known targets", "revision", entry.Revision, "err", err)
+			}
+			for _, target := range known {
+				t.sched.AddKnownTarget(target, 0)
+			}
+			continue
+		}
+		var known dispatch.KnownTarget
+		if err := json.Unmarshal(entry.Value, &known); err != nil {
+			t.node.cfg.Log.Error("cannot decode known target", "key", entry.Key, "revision", entry.Revision, "err", err)
+			continue
+		}
+		t.sched.AddKnownTarget(known, entry.Revision)
+	}
+}
+
 // submitWorkflows submits the workflows among entries in the order in which they were stored.
 func (t *term) submitWorkflows(entries []cyclamendyke.Entry) {
 	var submissions []member.Submission
@@ -160,8 +170,8 @@
 func (t *term) followTargets(at cyclamendyke.Revision) {
 	prefix := t.node.cfg.Codec.TargetsPrefix()
 	apply := func(entries []cyclamendyke.Entry) { t.post(func() { t.updateTargets(entries) }) }
-	t.node.watchFrom(t.ctx, prefix, at, targetsBatchDelay, apply)
-	t.node.followWithContext(t.ctx, prefix, targetsBatchDelay, t.replaceTargets, apply)
+	t.node.watchFrom(t.ctx, prefix, at, followBatchDelay, apply)
+	t.node.followWithContext(t.ctx, prefix, followBatchDelay, t.replaceTargets, apply)
 }
 
 // replaceTargets applies a full listing of target descriptions and removes those missing from it.
@@ -192,6 +202,6 @@
 			t.cancelWorkflows(entries)
 		})
 	}
-	t.node.watchFrom(t.ctx, workPrefix, at, workBatchDelay, apply)
-	t.node.followWithContext(t.ctx, workPrefix, workBatchDelay, apply, apply)
+	t.node.watchFrom(t.ctx, workPrefix, at, followBatchDelay, apply)
+	t.node.followWithContext(t.ctx, workPrefix, followBatchDelay, apply, apply)
 }
--- a/node/records.go
+++ b/node/records.go
@@ -16,10 +16,12 @@
 	finalCommitInterval = 8 * time.Millisecond   // Minimum time between batches with final records, for which callers wait.
 	maxCommitsInFlight  = 4                      // Batches of records written at a time.
 	commitRetryDelay    = 100 * time.Millisecond // After a commit that failed without a conflict.
-	workBatchDelay      = 300 * time.Millisecond // Long, since members also notify the scheduler of new work.
-	targetsBatchDelay   = 300 * time.Millisecond // Long, since descriptions change with every heartbeat.
 )
 
+// followBatchDelay is the pause after changes of work and of targets. It is long, since members also
+// notify the scheduler of new work, and descriptions of targets change with every heartbeat.
+func followBatchDelay() time.Duration { return 300 * time.Millisecond }
+
 // commitRecords starts writing batches of records, several at a time if there are many.
 func (t *term) commitRecords() {
 	for t.commitsInFlight < maxCommitsInFlight && t.startCommit() {
@@ -29,102 +31,109 @@
 // startCommit starts writing the next batch of records, if one is due.
 func (t *term) startCommit() bool {
 	now := bootTime()
-	storeTargets := t.knownTargetsChanged() && !t.storingTargets
 	switch {
 	case t.sched.HasFinalRecords():
 		if now < t.nextFinalCommit {
 			return false
 		}
-	case now < t.nextCommit || !t.sched.HasRecords() && !storeTargets:
+	case now < t.nextCommit || !t.sched.HasRecords() && !t.sched.HasKnownTargetChanges():
 		return false
 	}
-	batch := cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
-	var known knownTargetList
-	if storeTargets {
-		known = t.encodeKnownTargets()
-		t.storingTargets = true
-		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: knownTargetsKey, Value: known.encoded, Expected: t.knownTargetsRevision})
-	}
-	var records []dispatch.Record
-	isFull := false
-	err := t.sched.TakeRecords(func(r dispatch.Record) bool {
-		extended := batch
-		t.addRecord(&extended, r)
-		if isFull = extended.Entries() > cyclamendyke.MaxBatchEntries; isFull {
-			return false
-		}
-		batch = extended
-		records = append(records, r)
-		return true
-	})
-	if err != nil {
+	batch := recordBatch{Batch: cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}}
+	t.sched.TakeKnownTargetChanges(func(c dispatch.KnownTargetChange) bool { return batch.addKnownTarget(t, c) })
+	if err := t.sched.TakeRecords(func(r dispatch.Record) bool { return batch.addRecord(t, r) }); err != nil {
 		t.node.cfg.Log.Error("cannot encode workflow progress", "err", err)
 		return false
 	}
 	t.commitsInFlight++
 	t.nextCommit = now + commitInterval
-	if !isFull {
+	if batch.isFull {
+		t.nextCommit, t.nextFinalCommit = now, now
+	} else {
 		t.nextFinalCommit = now + finalCommitInterval
 	}
-	t.wg.Go(func() { t.commit(batch, records, known) })
+	t.wg.Go(func() { t.commit(&batch) })
 	return true
 }
 
-// addRecord adds the writes for one record to a batch.
-//
-// A workflow that has ended leaves only its final record, so that the next scheduler reads no more than
-// the unfinished work. Its keys need no conditions: only the scheduler of this epoch deletes them, and
-// no other value follows a final record.
-func (t *term) addRecord(batch *cyclamendyke.Batch, r dispatch.Record) {
-	if !r.Final {
-		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: progressKey(r.ID), Value: r.Value, Expected: r.Expected})
-		return
-	}
-	batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: doneKey(r.ID), Value: r.Value, Always: true})
-	batch.Removes = append(batch.Removes, workKey(r.ID))
-	if r.Expected != 0 {
-		batch.Removes = append(batch.Removes, progressKey(r.ID))
-	}
-	if t.cancellations[r.ID] {
-		batch.Removes = append(batch.Removes, workKey(r.ID)+cancelSuffix)
-	}
+// recordBatch is a batch with the records that it writes.
+type recordBatch struct {
+	cyclamendyke.Batch
+	records      []dispatch.Record
+	knownTargets []dispatch.KnownTargetChange
+	isFull       bool // Something did not fit.
 }
 
-// knownTargetList is a list of known targets to be written to the store.
-type knownTargetList struct {
-	targets    []dispatch.KnownTarget
-	setVersion int
-	encoded    []byte
+// extend replaces the batch by a larger one, unless that is too large.
+func (b *recordBatch) extend(extended cyclamendyke.Batch) bool {
+	if extended.Entries() > cyclamendyke.MaxBatchEntries {
+		b.isFull = true
+		return false
+	}
+	b.Batch = extended
+	return true
 }
 
-func (t *term) encodeKnownTargets() knownTargetList {
-	list := knownTargetList{targets: t.sched.KnownTargets(), setVersion: t.sched.TargetSetVersion()}
-	text, err := json.Marshal(list.targets)
-	if err != nil {
-		t.node.cfg.Log.Error("cannot encode list of known targets", "err", err)
+// addKnownTarget adds the change of a known target, unless it does not fit.
+func (b *recordBatch) addKnownTarget(t *term, c dispatch.KnownTargetChange) bool {
+	extended, key := b.Batch, knownTargetsPrefix+string(c.ID)
+	if c.Known == nil {
+		extended.Deletes = append(extended.Deletes, cyclamendyke.Guard{Key: key, Expected: c.Expected})
+	} else {
+		value, err := json.Marshal(c.Known)
+		if err != nil {
+			t.node.cfg.Log.Error("cannot encode known target", "target", c.ID, "err", err)
+			return false
+		}
+		extended.Puts = append(extended.Puts, cyclamendyke.Put{Key: key, Value: value, Expected: c.Expected})
 	}
-	list.encoded = text
-	return list
+	if !b.extend(extended) {
+		return false
+	}
+	b.knownTargets = append(b.knownTargets, c)
+	return true
 }
 
-func (t *term) knownTargetsChanged() bool {
-	return t.sched.TargetSetVersion() != t.storedTargetSetVersion
+// addRecord adds the writes for a record, unless they do not fit.
+//
+// A workflow that has ended leaves only its final record, so that the next scheduler reads no more than
+// the unfinished work. Its keys need no conditions: only the scheduler of this epoch deletes them, and
+// no other value follows a final record.
+func (b *recordBatch) addRecord(t *term, r dispatch.Record) bool {
+	extended := b.Batch
+	if r.Final {
+		extended.Puts = append(extended.Puts, cyclamendyke.Put{Key: doneKey(r.ID), Value: r.Value, Always: true})
+		extended.Removes = append(extended.Removes, workKey(r.ID))
+		if r.Expected != 0 {
+			extended.Removes = append(extended.Removes, progressKey(r.ID))
+		}
+		if t.cancellations[r.ID] {
+			extended.Removes = append(extended.Removes, workKey(r.ID)+cancelSuffix)
+		}
+	} else {
+		extended.Puts = append(extended.Puts, cyclamendyke.Put{Key: progressKey(r.ID), Value: r.Value, Expected: r.Expected})
+	}
+	if !b.extend(extended) {
+		return false
+	}
+	b.records = append(b.records, r)
+	return true
 }
 
 // commit writes a batch and retries until its outcome is certain.
-func (t *term) commit(batch cyclamendyke.Batch, records []dispatch.Record, known knownTargetList) {
+func (t *term) commit(batch *recordBatch) {
 	for t.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
-		revision, current, err := t.node.cfg.Store.Commit(ctx, batch)
+		revision, current, err := t.node.cfg.Store.Commit(ctx, batch.Batch)
 		cancel()
 		t.node.recordStoreResult(err)
 		switch {
 		case err == nil:
-			t.post(func() { t.handleCommit(records, known, revision) })
+			t.post(func() { t.handleCommit(batch, revision) })
 			return
 		case cyclamendyke.KindOf(err) == cyclamendyke.KindConflict:
-			if revision, ok := t.appliedRevision(batch, current); ok {
-				t.post(func() { t.handleCommit(records, known, revision) })
+			if revision, ok := t.appliedRevision(&batch.Batch, current); ok {
+				t.post(func() { t.handleCommit(batch, revision) })
 				return
 			}
 			t.end("progress was written by another scheduler")
@@ -135,7 +144,7 @@
 }
 
 // appliedRevision returns the revision of the batch if an earlier attempt to write it took effect.
-func (t *term) appliedRevision(batch cyclamendyke.Batch, current []cyclamendyke.Entry) (cyclamendyke.Revision, bool) {
+func (t *term) appliedRevision(batch *cyclamendyke.Batch, current []cyclamendyke.Entry) (cyclamendyke.Revision, bool) {
 	byKey := map[string]cyclamendyke.Entry{}
 	for _, entry := range current {
 		byKey[entry.Key] = entry
@@ -154,16 +163,17 @@
 		}
 		revision = entry.Revision
 	}
+	for _, deleted := range batch.Deletes {
+		if byKey[deleted.Key].Revision != 0 {
+			return 0, false
+		}
+	}
 	return revision, true
 }
 
 // handleCommit reports a written batch to the scheduler.
-func (t *term) handleCommit(records []dispatch.Record, known knownTargetList, revision cyclamendyke.Revision) {
+func (t *term) handleCommit(batch *recordBatch, revision cyclamendyke.Revision) {
 	t.commitsInFlight--
-	if known.encoded != nil {
-		t.storingTargets = false
-		t.knownTargetsRevision, t.storedTargetSetVersion = revision, known.setVersion
-		t.sched.KnownTargetsStored(known.targets)
-	}
-	t.sched.RecordsStored(records, revision)
+	t.sched.KnownTargetChangesStored(batch.knownTargets, revision)
+	t.sched.RecordsStored(batch.records, revision)
 }
--- a/node/session.go
+++ b/node/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,9 +17,20 @@
 	leaseRenewInterval = 500 * time.Millisecond
 	leaseMargin        = 150 * time.Millisecond // The lease counts as expired this long before its end.
 	storeTimeout       = 900 * time.Millisecond // Limit of one call to the store.
-	storeRetryDelay    = 150 * time.Millisecond
+	storeRetryDelay    = 150 * time.Millisecond // Mean delay after a failed call to the store.
+	limitedRetryDelay  = 600 * time.Millisecond // Mean delay after a call that exceeded the store's rate limit.
 )
 
+// retryDelay returns how long to wait after a failed call to the store. It is random, so that the
+// processes of a large fleet, which may all start at once, do not come back together.
+func retryDelay(err error) time.Duration {
+	mean := storeRetryDelay
+	if cyclamendyke.KindOf(err) == cyclamendyke.KindLimited {
+		mean = limitedRetryDelay
+	}
+	return mean/2 + rand.N(mean)
+}
+
 // session is this process's lease in the store.
 type session struct {
 	mu         sync.Mutex
@@ -113,7 +125,7 @@
 		}
 		if err := n.openSession(); err != nil {
 			n.recordStoreResult(err)
-			if !n.sleep(storeRetryDelay) {
+			if !n.sleep(retryDelay(err)) {
 				return
 			}
 			continue
@@ -187,7 +199,7 @@
 // since a renewal also detects that the store answers again.
 func (n *Node) renewInterval() time.Duration {
 	if n.dir.storeFailing.Load() {
-		return storeRetryDelay
+		return retryDelay(nil)
 	}
 	return leaseRenewInterval
 }
--- a/node/term.go
+++ b/node/term.go
@@ -34,18 +34,16 @@
 	endOnce  sync.Once
 
 	// Only the control goroutine uses the fields below.
-	sched                  *dispatch.Scheduler
-	delegator              *delegator
-	cancellations          map[cyclamendyke.WorkflowID]bool // Unfinished workflows with a cancellation in the store.
-	commitsInFlight        int                              // Batches of records being written.
-	storingTargets         bool                             // One of them holds the list of known targets.
-	nextCommit             time.Duration                    // Earliest time of the next batch without final records.
-	nextFinalCommit        time.Duration                    // Earliest time of the next batch with final records.
-	storedTargetSetVersion int                              // Target set version of the stored list of known targets.
-	knownTargetsRevision   cyclamendyke.Revision            // Revision of the stored list of known targets.
-	loaded                 bool                             // The state in the store has been loaded.
-	deferred               []func()                         // Changes that wait until the state is loaded.
-	lastPassDuration       time.Duration
+	sched              *dispatch.Scheduler
+	delegator          *delegator
+	cancellations      map[cyclamendyke.WorkflowID]bool // Unfinished workflows with a cancellation in the store.
+	hasOldKnownTargets bool                             // The store holds the list of known targets that earlier versions wrote.
+	commitsInFlight    int                              // Batches of records being written.
+	nextCommit         time.Duration                    // Earliest time of the next batch without final records.
+	nextFinalCommit    time.Duration                    // Earliest time of the next batch with final records.
+	loaded             bool                             // The state in the store has been loaded.
+	deferred           []func()                         // Changes that wait until the state is loaded.
+	lastPassDuration   time.Duration
 }
 
 // beginTerm starts acting as the scheduler.
