Do not repeat a task that may be done on a target that is away

A zone was cut for 5.8 s. A task of 0.6 s had ended as done on a target there at its beginning; the lease ran out by the books after 5.1 s, the task started elsewhere at 39.824 s, and 0.2 s later the target was back and its end was acknowledged. Besides, a renewal to a target that does not answer waited 2.9 s, so that the scheduler did not see it come back.

Change: if no run of the target certainly worked when the lease ended, the target gets as long again as the longest lease to come back. Renewals to a target that failed ask for an immediate answer.

--- a/core/dispatch/remaining.go
+++ b/core/dispatch/remaining.go
@@ -45,6 +45,21 @@
 	return max(minOverdueRemaining, overdue)
 }
 
+// certainPart is the part of its expected run time for which a run certainly works.
+const certainPart = 0.7
+
+// worksAt reports whether the run, unless something stops it, certainly still works at a given time.
+func (r *run) worksAt(at time.Duration) bool {
+	if r.step.spec.LongRunning {
+		return r.state == runRunning
+	}
+	begin, expected := r.startedAt, r.step.runTimeOn(r.target)
+	if left, ok := r.progress.remaining(r.progress.at); ok {
+		begin, expected = r.progress.at, left
+	}
+	return r.state == runRunning && at < begin+time.Duration(certainPart*float64(expected))
+}
+
 // remaining estimates the time left from the pace so far. It is unknown before enough progress was
 // reported, and once the run should have ended.
 func (p *progress) remaining(now time.Duration) (time.Duration, bool) {
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -30,8 +30,8 @@
 }
 
 func (s *Scheduler) longPollWait(t *target) time.Duration {
-	if !t.listed {
-		return 0
+	if !t.listed || t.renewFailed {
+		return 0 // An immediate answer shows the soonest that the target is back.
 	}
 	serving, filler := false, false
 	for _, r := range t.runs {
--- a/core/dispatch/simulatedvm_test.go
+++ b/core/dispatch/simulatedvm_test.go
@@ -17,6 +17,7 @@
 	highestEnded    map[cyclamendyke.TaskName]int64 // The highest run number that ended or was stopped.
 	ends            []cyclamendyke.EndReport
 	lastEndSequence int64
+	voidEnds        int64 // Sequence number up to which ends count for nothing, since the lease has killed runs after them.
 	down            bool
 	unreachable     bool
 	removed         bool // Its description was removed from the store.
@@ -34,7 +35,7 @@
 	v.down = false
 	v.bootedAt = sim.now
 	v.info.StartedMillis = int64(sim.now / time.Millisecond)
-	v.fence, v.leaseUntil, v.lastEndSequence, v.ends = 0, 0, 0, nil
+	v.fence, v.leaseUntil, v.lastEndSequence, v.voidEnds, v.ends = 0, 0, 0, 0, nil
 	v.runs = map[cyclamendyke.TaskName]*vmRun{}
 	v.highestEnded = map[cyclamendyke.TaskName]int64{}
 	if sim.sched != nil {
@@ -80,6 +81,7 @@
 	v.ends = append(v.ends, end)
 	if kind == cyclamendyke.EndDone {
 		sim.history[name].done = true
+		sim.history[name].doneRuns[r.number] = false
 	}
 	if r.spec.Gang {
 		sim.endGang(name, r.number, kind)
@@ -101,6 +103,9 @@
 	for name := range v.runs {
 		names = append(names, name)
 	}
+	if len(names) > 0 {
+		v.voidEnds = v.lastEndSequence
+	}
 	slices.SortFunc(names, func(a, b cyclamendyke.TaskName) int { return compareText(a.String(), b.String()) })
 	for _, name := range names {
 		if v.runs[name] != nil { // Unless it ended with another member of its gang.
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -94,7 +94,8 @@
 	running       int
 	doneAcked     bool // A successful end was acknowledged.
 	done          bool
-	failuresAcked int // Number of acknowledged failures.
+	doneRuns      map[int64]bool // Runs that were done, and whether another run started after each.
+	failuresAcked int            // Number of acknowledged failures.
 }
 
 type event struct {
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -143,7 +143,7 @@
 	step := &spec.Steps[order.Task.Step]
 	history := sim.history[order.Task]
 	if history == nil {
-		history = &taskHistory{}
+		history = &taskHistory{doneRuns: map[int64]bool{}}
 		sim.history[order.Task] = history
 	}
 	sim.starts++
@@ -171,6 +171,9 @@
 		}
 	}
 	history.running++
+	for number := range history.doneRuns {
+		history.doneRuns[number] = true
+	}
 	r := &vmRun{number: order.Run, started: sim.now, spec: step, team: spec.Team}
 	v.runs[order.Task] = r
 	sim.beginWork(v, order.Task, r)
@@ -269,7 +272,11 @@
 		v.ends = v.ends[1:]
 		switch end.Kind {
 		case cyclamendyke.EndDone:
-			sim.history[end.Task].doneAcked = true
+			history := sim.history[end.Task]
+			history.doneAcked = true
+			if history.doneRuns[end.Run] && end.Sequence > v.voidEnds && !sim.workflows[end.Task.Workflow].spec.Steps[end.Task.Step].Speculative {
+				sim.reportViolation("%v was done on %s and started again before that was known", end.Task, v.info.ID)
+			}
 		case cyclamendyke.EndFailed:
 			sim.history[end.Task].failuresAcked++
 		}
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -267,3 +267,36 @@
 	is.Equal(sim.starts, 2)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestDoneOnUnreachableVMIsNotRepeated makes a VM unreachable until a while after its lease has ended. A
+// task that was done there meanwhile must not start elsewhere; if another run was killed with the lease,
+// it must start, since the end then counts for nothing.
+func TestDoneOnUnreachableVMIsNotRepeated(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		others     *cyclamendyke.Workflow
+		wantStarts int
+	}{
+		{name: "alone", wantStarts: 1},
+		{name: "beside a long run", others: workflow("long", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 14 * time.Second}), wantStarts: 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := limitedFleet(t, 1, 1)
+			sim.elect()
+			if test.others != nil {
+				sim.submit(test.others)
+			}
+			sim.submit(workflow("short", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: time.Second}))
+			sim.run(500 * time.Millisecond)
+			sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+			sim.vms["vm-0"].unreachable = true
+			sim.run(LongestLease(sim.bounds()) + 2*time.Second)
+			sim.vms["vm-0"].unreachable = false
+			sim.run(15 * time.Second)
+			is.Equal(sim.starts, test.wantStarts)
+			is.Equal(sim.states()[cyclamendyke.WorkflowRunning], 0)
+			is.Equal(len(sim.violations), 0)
+		})
+	}
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -91,6 +91,25 @@
 	return t.clockReadAt + left + leaseMargin
 }
 
+// runsEndBy returns when the runs on a target that does not answer count as ended, so that their tasks
+// start elsewhere.
+//
+// A run that was still working when the lease ended was killed then. One that had ended before may be
+// done, and a target without any other run does not tell that its lease has ended, so that the end would
+// count when the target is back. Such a target gets as long again as the longest lease to come back.
+func (s *Scheduler) runsEndBy(t *target) time.Duration {
+	leaseEnd := s.leaseEnd(t)
+	if !t.listed || len(t.runs) == 0 {
+		return leaseEnd
+	}
+	for _, r := range t.runs {
+		if r.worksAt(leaseEnd) {
+			return leaseEnd
+		}
+	}
+	return leaseEnd + s.cfg.Bounds.MaxLease
+}
+
 // LongestLease returns the longest time for which a granted lease can last, allowing for the
 // slowest target clock.
 func LongestLease(bounds cyclamendyke.Bounds) time.Duration {
@@ -179,7 +198,7 @@
 // removes expired targets that are not registered.
 func (s *Scheduler) checkTargets() {
 	for id, t := range s.targets {
-		if t.expired || s.now <= s.leaseEnd(t) {
+		if t.expired || s.now <= s.runsEndBy(t) {
 			continue
 		}
 		if t.listed || !t.registered {
