--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -39,7 +39,7 @@
 	// Age is the age of the target's last answer, a run time, the time since acceptance or the
 	// duration of a request, depending on the event.
 	Age time.Duration
-	// Count is a number of steps, tickets, targets or failures, or the sequence number of an end,
-	// depending on the event.
+	// Count is a number of steps, tasks, tickets, targets or failures, or the sequence number of an
+	// end, depending on the event.
 	Count int
 }
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -114,6 +114,9 @@
 		record.dirty, record.storing = false, true
 		if change.Known != nil && change.Known.Closed {
 			s.targets[id].closed = true
+			s.cfg.LogDecision(Decision{
+				Event: EventTargetChanged, Target: id, Reason: "stored as closed, with the tasks that may run there", Count: len(change.Known.Tasks),
+			})
 		}
 	}
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"cyclamendyke"
@@ -156,12 +157,14 @@
 	}
 	knownBefore := s.earlierRunsKnown
 	s.earlierRunsKnown = true
+	closedTargets := 0
 	var unlistedCapacity cyclamendyke.Resources
 	s.unlistedTasks = map[cyclamendyke.TaskName]bool{}
 	for _, t := range s.targets {
 		switch {
 		case !s.mayHaveUnlistedRuns(t):
 		case t.unlistedTasksComplete:
+			closedTargets++
 			for _, name := range t.unlistedTasks {
 				s.unlistedTasks[name] = true
 			}
@@ -174,7 +177,10 @@
 	if !s.earlierRunsKnown || knownBefore {
 		return
 	}
-	s.cfg.LogDecision(Decision{Event: EventSettled, Count: len(s.targets)})
+	s.cfg.LogDecision(Decision{
+		Event: EventSettled, Count: len(s.targets),
+		Reason: fmt.Sprintf("%d targets closed without an answer, %d tasks may still run there", closedTargets, len(s.unlistedTasks)),
+	})
 }
 
 // updateMaxUnlistedUse computes each team's maxUnlistedUse; unlistedCapacity is the total capacity of
@@ -214,3 +220,12 @@
 	}
 	return sum
 }
+
+// UnstoredEnds returns the number of reported ends whose effect is not stored yet.
+func (s *Scheduler) UnstoredEnds() int {
+	count := 0
+	for _, t := range s.targets {
+		count += len(t.unrecordedEnds)
+	}
+	return count
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,6 +14,8 @@
 	DelegatedOrders *prometheus.CounterVec
 	// PassSeconds is the duration of scheduling passes in seconds.
 	PassSeconds prometheus.Histogram
+	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
+	UnstoredEnds prometheus.Gauge
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -47,7 +49,10 @@
 		PassSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cyclamendyke_fleet_pass_seconds", Help: "Passes of the scheduler over what waits.", Buckets: passBuckets,
 		}),
+		UnstoredEnds: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_unstored_ends", Help: "Ends of runs that this scheduler knows and has not stored yet.",
+		}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds)
 	return m
 }
--- a/node/term.go
+++ b/node/term.go
@@ -90,6 +90,7 @@
 func (t *term) runControlLoop() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
 	for {
 		select {
 		case change := <-t.inbox:
@@ -104,6 +105,7 @@
 			t.runPass()
 			t.lastPassDuration = bootTime() - start
 			t.node.cfg.Metrics.PassSeconds.Observe(t.lastPassDuration.Seconds())
+			t.node.cfg.Metrics.UnstoredEnds.Set(float64(t.sched.UnstoredEnds()))
 		}
 	}
 }
