--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -67,28 +66,15 @@
 	members         int                                       // Number of members that request advice.
 	ticketTTL       time.Duration                             // How long tickets are valid.
 	adviceBusyUntil map[cyclamendyke.MemberName]time.Duration // When each member's requests are all answered.
-	storing         bool                                      // A write to the store is in flight.
+	commitsInFlight int                                       // Batches that are being written to the store.
+	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
+	storeBackAt     time.Duration                             // The store writes nothing before this time.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
 	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
 	adviceAllows    func(cyclamendyke.StepName, cyclamendyke.TargetID) bool // Whether advice allows a step on a target.
 }
 
-type storedWorkflow struct {
-	spec     *cyclamendyke.Workflow
-	revision cyclamendyke.Revision
-}
-
-type storedTarget struct {
-	known    KnownTarget
-	revision cyclamendyke.Revision
-}
-
-type storedProgress struct {
-	value    []byte
-	revision cyclamendyke.Revision
-}
-
 // taskHistory is what has happened to a task on all VMs.
 type taskHistory struct {
 	running       int
@@ -131,6 +117,8 @@
 		members:   4,
 		ticketTTL: 2 * time.Second,
 
+		writeDelay: func() time.Duration { return simWriteTime },
+
 		stopTime: simStopTime,
 		maxLease: 10 * time.Second,
 		saved:    map[cyclamendyke.TaskName]float64{},
@@ -167,7 +155,7 @@
 func (sim *simulation) elect() {
 	sim.epoch++
 	sim.revision++
-	sim.storing = false
+	sim.commitsInFlight = 0
 	sched := New(Config{
 		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + LongestLease(sim.bounds()) + leaseMargin,
 	})
@@ -232,78 +220,6 @@
 	sim.storeRecords(sched)
 }
 
-// storeRecords writes the scheduler's records and list of targets to the store.
-func (sim *simulation) storeRecords(sched *Scheduler) {
-	if sim.storing || !sched.HasRecords() && !sched.HasKnownTargetChanges() {
-		return
-	}
-	var changes []KnownTargetChange
-	sched.TakeKnownTargetChanges(func(c KnownTargetChange) bool {
-		changes = append(changes, c)
-		return true
-	})
-	room := cyclamendyke.MaxBatchEntries / 2
-	var records []Record
-	if err := sched.TakeRecords(func(r Record) bool {
-		if room--; room >= 0 {
-			records = append(records, r)
-		}
-		return room >= 0
-	}); err != nil {
-		sim.t.Fatal(err)
-	}
-	sim.storing = true
-	sim.after(5*time.Millisecond, func() {
-		if sim.sched != sched {
-			return // The store rejects writes of an earlier epoch.
-		}
-		sim.revision++
-		revision := sim.revision
-		sim.storeKnownTargets(changes)
-		for _, r := range records {
-			sim.store(r)
-		}
-		sim.after(simLatency, func() {
-			if sim.sched != sched {
-				return
-			}
-			sim.storing = false
-			sched.Advance(sim.now, sim.wall())
-			sched.KnownTargetChangesStored(changes, revision)
-			sched.RecordsStored(records, revision)
-			sim.pass(sched)
-		})
-	})
-}
-
-// storeKnownTargets carries out changes of the known targets.
-func (sim *simulation) storeKnownTargets(changes []KnownTargetChange) {
-	for _, c := range changes {
-		if sim.storedTargets[c.ID].revision != c.Expected {
-			sim.t.Fatalf("record of %s changed at revision %d, expected %d", c.ID, sim.storedTargets[c.ID].revision, c.Expected)
-		}
-		if c.Known == nil {
-			delete(sim.storedTargets, c.ID)
-			continue
-		}
-		sim.storedTargets[c.ID] = storedTarget{*c.Known, sim.revision}
-	}
-}
-
-// store carries out the write of one record.
-func (sim *simulation) store(r Record) {
-	if !r.Final {
-		sim.progress[r.ID] = storedProgress{r.Value, sim.revision}
-		return
-	}
-	var final FinalRecord
-	if err := json.Unmarshal(r.Value, &final); err != nil {
-		sim.t.Fatal(err)
-	}
-	delete(sim.progress, r.ID)
-	sim.finals[r.ID] = final
-}
-
 // status returns a workflow's state from the scheduler or, if it does not know the workflow, from the
 // store.
 func (sim *simulation) status(id cyclamendyke.WorkflowID) cyclamendyke.WorkflowState {
--- /dev/null
+++ b/core/dispatch/storeoutage_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cyclamendyke"
+)
+
+// stopWriting makes the store take no batch that the scheduler begins to write from now on.
+func (sim *simulation) stopWriting() {
+	sim.writeDelay = func() time.Duration { return time.Hour }
+}
+
+// resumeWriting undoes stopWriting for the batches that follow.
+func (sim *simulation) resumeWriting() {
+	sim.writeDelay = func() time.Duration { return simWriteTime }
+}
+
+// oneTask returns a workflow of one task that runs for a second.
+func oneTask(id string) *cyclamendyke.Workflow {
+	return workflow(id, cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: time.Second})
+}
+
+// TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover ends a task on a target that is away at the takeover.
+func TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(oneTask("job"))
+	sim.run(500 * time.Millisecond)
+	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	sim.stopWriting()
+	sim.run(time.Second)
+	is.Equal(sim.sched.UnstoredEnds(), 1)
+	sim.resumeWriting()
+	sim.vms["vm-0"].unreachable = true
+	sim.removeDescription(sim.vms["vm-0"])
+	sim.run(100 * time.Millisecond)
+	sim.elect()
+	sim.run(2 * time.Second)
+	is.Equal(sim.starts, 1)
+	sim.vms["vm-0"].unreachable = false
+	sim.restoreDescription(sim.vms["vm-0"])
+	sim.run(5 * time.Second)
+	is.Equal(sim.starts, 1)
+	is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], 1)
+	is.Equal(len(sim.violations), 0)
+}
