--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -10,7 +10,7 @@
 type KnownTarget struct {
 	Target cyclamendyke.Target `json:"target"`
 	Closed bool                `json:"closed,omitempty"` // Nothing is started there any more.
-	Tasks  []string            `json:"tasks,omitempty"`  // All tasks that may run there, if it is closed.
+	Tasks  []string            `json:"tasks,omitempty"`  // If it is closed, all tasks that may run there, or may be done there without a stored end.
 }
 
 // KnownTargetChange is a change of what is stored of one target.
@@ -188,17 +188,21 @@
 	return !t.registered || t.info.Draining
 }
 
-// possibleTasks returns the names of all tasks that may run on the target.
+// possibleTasks returns the names of all tasks that may run on the target. A task whose end is not stored
+// is one of them for the next epoch, which has the end from the target alone.
 func (t *target) possibleTasks() []string {
-	out := make([]string, 0, len(t.runs)+len(t.unlistedTasks))
+	out := make([]string, 0, len(t.runs)+len(t.unrecordedEnds)+len(t.unlistedTasks))
 	for key := range t.runs {
 		out = append(out, key.task.String())
 	}
+	for _, end := range t.unrecordedEnds {
+		out = append(out, end.task.String())
+	}
 	if !t.listed {
 		for _, name := range t.unlistedTasks {
 			out = append(out, name.String())
 		}
 	}
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
 }
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -19,7 +19,7 @@
 		}
 		s.applyEnd(t, end)
 		if j.durableVersion < j.version {
-			t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{end.Sequence, j, j.version})
+			t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{end.Sequence, end.Task, j, j.version})
 		}
 	}
 }
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -57,6 +57,7 @@
 // stored.
 type unrecordedEnd struct {
 	sequence int64
+	task     cyclamendyke.TaskName
 	job      *job
 	version  int64
 }
