--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -45,10 +45,13 @@
 			s.targetChanged(id)
 		}
 	}
-	if !known.Closed || t.info.StartedMillis != known.Target.StartedMillis {
+	if !known.Closed {
+		t.closed = false
+		return
+	}
+	if t.info.StartedMillis != known.Target.StartedMillis {
 		return
 	}
-	t.closed = true
 	for _, text := range known.Tasks {
 		name, err := cyclamendyke.ParseTaskName(text)
 		if err != nil {
@@ -172,16 +175,6 @@
 	return ids
 }
 
-// KnownTargetsStored records that a list of targets is stored, and allows new starts on those that
-// it does not list as closed.
-func (s *Scheduler) KnownTargetsStored(known []KnownTarget) {
-	for _, k := range known {
-		if t := s.targets[k.Target.ID]; t != nil && !k.Closed {
-			t.closed = false
-		}
-	}
-}
-
 // unschedulable reports whether the target takes no new runs because it drains or is not
 // registered.
 func (t *target) unschedulable() bool {
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -50,3 +50,21 @@
 	is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], 1)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestTargetTakesWorkBeforeItsRecordIsStored adds a target that the next epoch would not know.
+func TestTargetTakesWorkBeforeItsRecordIsStored(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 0)
+	sim.elect()
+	sim.run(time.Second)
+	sim.stopWriting()
+	sim.addVM(cyclamendyke.Target{ID: "new", Service: "s", Address: "new", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	sim.submit(longStep("job"))
+	sim.run(time.Second)
+	is.Equal(sim.starts, 0)
+	sim.resumeWriting()
+	sim.elect()
+	sim.run(time.Second)
+	is.Equal(sim.starts, 1)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -12,7 +12,7 @@
 	registered            bool // Its description is in the store.
 	listed                bool // Its present incarnation has answered this epoch with a listing.
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed                bool // Marked as closed in the list of known targets that is or will be stored, so nothing is started on it.
+	closed                bool // Its stored record is missing or says that it is closed, so nothing is started on it.
 	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
 	unlistedTasks         []cyclamendyke.TaskName
 
@@ -127,7 +127,7 @@
 	t := s.targets[info.ID]
 	switch {
 	case t == nil:
-		t = &target{runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
+		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
 		s.targets[info.ID] = t
 		s.targetChanged(info.ID)
 		s.logTarget(info.ID, "new")
