--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -68,3 +68,21 @@
 	sim.run(time.Second)
 	is.Equal(sim.starts, 1)
 }
+
+// TestRecordOfTargetWithUnstoredEndsIsDeleted gives a target up while an end is known but not stored.
+func TestRecordOfTargetWithUnstoredEndsIsDeleted(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(oneTask("job"))
+	sim.run(500 * time.Millisecond)
+	sim.stopWriting()
+	sim.run(time.Second)
+	is.Equal(sim.sched.UnstoredEnds(), 1)
+	sim.resumeWriting()
+	sim.vms["vm-0"].unreachable = true
+	sim.removeDescription(sim.vms["vm-0"])
+	sim.run(3 * sim.maxLease)
+	_, stored := sim.storedTargets["vm-0"]
+	is.True(stored)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -194,22 +194,13 @@
 }
 
 // checkTargets handles targets whose lease has expired, and checks all remaining runs.
-//
-// It ends the runs of expired targets, except registered ones that have not answered this epoch, and
-// removes expired targets that are not registered.
 func (s *Scheduler) checkTargets() {
 	for id, t := range s.targets {
-		if t.expired || s.now <= s.runsEndBy(t) {
-			continue
+		if !t.expired && s.now > s.runsEndBy(t) {
+			s.expire(t)
 		}
-		if t.listed || !t.registered {
-			if len(t.runs) > 0 {
-				s.logTarget(id, "lease expired without an answer")
-			}
-			s.endRuns(t, false)
-		}
-		t.expired = true
-		if !t.registered {
+		// The record of a target must outlive the ends that are read from the target alone.
+		if t.expired && !t.registered && len(t.unrecordedEnds) == 0 {
 			s.logTarget(id, "dropped")
 			delete(s.targets, id)
 			s.targetChanged(id)
@@ -222,3 +213,15 @@
 		}
 	}
 }
+
+// expire ends the runs of a target whose lease has expired, unless it is registered and has not answered
+// this epoch.
+func (s *Scheduler) expire(t *target) {
+	if t.listed || !t.registered {
+		if len(t.runs) > 0 {
+			s.logTarget(t.info.ID, "lease expired without an answer")
+		}
+		s.endRuns(t, false)
+	}
+	t.expired = true
+}
