--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -86,3 +86,30 @@
 	_, stored := sim.storedTargets["vm-0"]
 	is.True(stored)
 }
+
+// TestTaskOnVMThatRestartedBeforeTakeoverStartsAgain leaves the stored record behind the VM's restart.
+func TestTaskOnVMThatRestartedBeforeTakeoverStartsAgain(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.run(time.Second)
+	sim.stopWriting()
+	sim.crash(sim.vms["vm-0"])
+	sim.boot(sim.vms["vm-0"])
+	sim.submit(longStep("job"))
+	sim.run(time.Second)
+	sim.resumeWriting()
+	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	sim.removeDescription(sim.vms["vm-0"])
+	sim.vms["vm-0"].unreachable = true
+	sim.elect()
+	sim.run(100 * time.Millisecond)
+	sim.restoreDescription(sim.vms["vm-0"])
+	sim.run(2 * time.Second)
+	is.Equal(sim.starts, 1)
+	sim.vms["vm-0"].unreachable = false
+	sim.run(15 * time.Second)
+	is.Equal(sim.starts, 1)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -166,11 +166,11 @@
 }
 
 // resetRestartedTarget clears what is known of a target whose VM has restarted, and so has lost all
-// its runs.
+// its runs. Earlier epochs may have started others since, if the restart was before this epoch.
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, true, nil
+	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, false, nil
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
 	t.lastEndHandled, t.lastEndRecorded, t.unrecordedEnds = 0, 0, nil
