--- a/node/handler.go
+++ b/node/handler.go
@@ -16,11 +16,7 @@
 	if t == nil {
 		return member.NewError("submitted", member.KindNotScheduler, nil)
 	}
-	t.postWhenLoaded(func() {
-		if t.leaseValid() {
-			t.sched.Submit(submission.Workflow, submission.Revision)
-		}
-	})
+	t.postWhenLoaded(func() { t.submit(submission) })
 	return nil
 }
 
--- a/node/load.go
+++ b/node/load.go
@@ -1,15 +1,12 @@
 package node
 
 import (
-	"cmp"
 	"encoding/json"
-	"slices"
 
 	"golang.org/x/sync/errgroup"
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
-	"cyclamendyke/io/member"
 )
 
 // storeSnapshot is the state that a new scheduler reads from the store.
@@ -109,27 +106,6 @@
 	}
 }
 
-// submitWorkflows submits the workflows among entries in the order in which they were stored.
-func (t *term) submitWorkflows(entries []cyclamendyke.Entry) {
-	var submissions []member.Submission
-	for _, entry := range entries {
-		id, isCancellation := parseWorkKey(entry.Key)
-		if isCancellation || entry.Deleted {
-			continue
-		}
-		var workflow cyclamendyke.Workflow
-		if err := json.Unmarshal(entry.Value, &workflow); err != nil {
-			t.node.cfg.Log.Error("cannot decode workflow", "workflow", id, "revision", entry.Revision, "err", err)
-			continue
-		}
-		submissions = append(submissions, member.Submission{Workflow: &workflow, Revision: entry.Revision})
-	}
-	slices.SortFunc(submissions, func(a, b member.Submission) int { return cmp.Compare(a.Revision, b.Revision) })
-	for _, submission := range submissions {
-		t.sched.Submit(submission.Workflow, submission.Revision)
-	}
-}
-
 // cancelWorkflows cancels the workflows for which entries contain a cancellation.
 func (t *term) cancelWorkflows(entries []cyclamendyke.Entry) {
 	for _, entry := range entries {
@@ -138,6 +114,8 @@
 		case !isCancellation:
 		case entry.Deleted:
 			delete(t.cancellations, id)
+		case t.isHeld(id):
+			t.heldCancellations = append(t.heldCancellations, entry)
 		case t.sched.IsUnfinished(id):
 			t.cancellations[id] = true
 			t.sched.Cancel(id, func() {})
@@ -196,9 +174,7 @@
 func (t *term) followWork(at cyclamendyke.Revision) {
 	apply := func(entries []cyclamendyke.Entry) {
 		t.post(func() {
-			if t.leaseValid() {
-				t.submitWorkflows(entries)
-			}
+			t.submitWorkflows(entries)
 			t.cancelWorkflows(entries)
 		})
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -7,6 +7,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
+	"cyclamendyke/io/member"
 )
 
 // The timing of a term.
@@ -43,6 +44,8 @@
 	nextFinalCommit    time.Duration                    // Earliest time of the next batch with final records.
 	loaded             bool                             // The state in the store has been loaded.
 	deferred           []func()                         // Changes that wait until the state is loaded.
+	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
+	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	lastPassDuration   time.Duration
 }
 
@@ -140,6 +143,7 @@
 		return
 	}
 	t.sched.Advance(bootTime(), time.Now())
+	t.submitHeld()
 	t.sched.SetAdvisers(t.advisers())
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
