--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -113,3 +113,21 @@
 	is.Equal(sim.starts, 1)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestDoneTaskStartsAgainWhenItsVMStaysAwayAfterTakeover keeps the VM away for longer than any lease.
+func TestDoneTaskStartsAgainWhenItsVMStaysAwayAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(oneTask("job"))
+	sim.run(500 * time.Millisecond)
+	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	sim.vms["vm-0"].unreachable = true
+	sim.elect()
+	sim.run(LongestLease(sim.bounds()) + time.Second)
+	sim.vms["vm-0"].unreachable = false
+	sim.run(5 * time.Second)
+	is.Equal(sim.starts, 1)
+	is.Equal(len(sim.violations), 0)
+}
