--- a/node/directory.go
+++ b/node/directory.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -169,16 +170,21 @@
 			d.resignation = epochRecord{epoch, entry.Revision}
 		}
 	default:
-		name := cyclamendyke.MemberName(entry.Key[len(membersPrefix):])
-		var record memberRecord
-		if !d.decode(entry, &record) {
-			delete(d.members, name)
-			return
+		if name, ok := strings.CutPrefix(entry.Key, membersPrefix); ok {
+			d.applyMember(cyclamendyke.MemberName(name), entry)
 		}
-		d.members[name] = record
 	}
 }
 
+func (d *directory) applyMember(name cyclamendyke.MemberName, entry cyclamendyke.Entry) {
+	var record memberRecord
+	if !d.decode(entry, &record) {
+		delete(d.members, name)
+		return
+	}
+	d.members[name] = record
+}
+
 // decode reads a record. It returns false if the entry was deleted or is malformed, and logs the latter.
 func (d *directory) decode(entry cyclamendyke.Entry, record any) bool {
 	if entry.Deleted {
--- a/node/directory_test.go
+++ b/node/directory_test.go
@@ -68,3 +68,16 @@
 	is.Equal(applied, 2*largeBatch+1)
 	is.Equal(pauses, 1)
 }
+
+// TestUnknownSystemKey applies keys under system/ that this version does not know, as a later one may write.
+func TestUnknownSystemKey(t *testing.T) {
+	is := is.New(t)
+	var lines bytes.Buffer
+	d := directory{log: log.New(&lines), changed: make(chan struct{}, 1)}
+	d.replace([]cyclamendyke.Entry{
+		{Key: systemPrefix + "x", Value: []byte(`{"name":"x"}`), Revision: 1},
+		{Key: systemPrefix + "unknown-key-with-a-long-name", Value: []byte(`{"name":"y"}`), Revision: 2},
+		{Key: membersPrefix + "a", Value: []byte(`{"name":"a"}`), Revision: 3},
+	})
+	is.Equal(d.memberNames(), []cyclamendyke.MemberName{"a"})
+}
