--- a/core/inifile/file.go
+++ b/core/inifile/file.go
@@ -13,9 +13,10 @@
 
 // File is a parsed INI file with the line of each section and key.
 type File struct {
-	Name     string
-	Sections []*Section // In the order of the text, without duplicates.
-	faults   []cyclamendyke.Fault
+	Name         string
+	Sections     []*Section // In the order of the text, without duplicates.
+	faults       []cyclamendyke.Fault
+	valuesLoaded bool // The text has no syntax errors, so that its values were read.
 }
 
 // Section is one section, such as [word] or [word "name"].
@@ -120,6 +121,7 @@
 			key.value = loaded.Section(section.Header()).Key(key.name).Value()
 		}
 	}
+	f.valuesLoaded = true
 }
 
 func isPrintable(line string) bool {
--- a/core/inifile/read.go
+++ b/core/inifile/read.go
@@ -46,14 +46,14 @@
 }
 
 // Text returns the value of a key, or fallback if the key is missing. It records a fault
-// for an empty value, unless the file already has a fault.
+// for an empty value, unless syntax errors kept the values from being read.
 func (f *File) Text(section *Section, name, fallback string) string {
 	key := section.findKey(name)
 	if key == nil {
 		return fallback
 	}
 	key.wasRead = true
-	if key.value == "" && len(f.faults) == 0 {
+	if key.value == "" && f.valuesLoaded {
 		f.AddKeyFault(section, name, "the value is empty")
 	}
 	return key.value
