--- a/core/account/account_test.go
+++ b/core/account/account_test.go
@@ -154,6 +154,23 @@
 	})
 }
 
+// TestCloseAfterFailedFlush closes a writer during an outage that is much shorter than its flush interval.
+func TestCloseAfterFailedFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		service := kv.New(kv.Config{})
+		w := account.New(account.Config{Store: service.As("a"), Zone: zone, Member: "a", Started: time.Now(), FlushInterval: time.Hour})
+		w.Add(cyclamendyke.AccountRecord{At: time.Now(), Verdict: cyclamendyke.VerdictRan})
+		service.SetFaults(kv.Faults{Down: true})
+		time.AfterFunc(30*time.Second, func() { service.SetFaults(kv.Faults{}) })
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Minute)
+		defer cancel()
+		w.Close(ctx)
+		is.NoErr(ctx.Err())
+		is.Equal(len(readAll(t, service.As("auditor"), account.Query{}).Records), 1)
+	})
+}
+
 func TestReader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/core/account/config.go
+++ b/core/account/config.go
@@ -17,6 +17,8 @@
 	maxSegmentBytes = 64_000  // Before a segment grows beyond this, the next one is started.
 	maxRecordBytes  = 500_000 // Larger records are aggregated.
 
+	closeRetryInterval = time.Second // Between two flushes of a closing writer, unless FlushInterval is shorter.
+
 	// maxAggregates is the number of aggregates from which on new ones are per hour instead of per minute.
 	// From twice this number on they are per day and without route, from three times also without team.
 	maxAggregates = 4_096
--- a/core/account/writer.go
+++ b/core/account/writer.go
@@ -131,31 +131,34 @@
 	w.cancel()
 }
 
-// run flushes at each tick and on Close. It returns when the context ends, or
-// after Close if the first flush then writes everything.
+// run flushes at each tick and from Close on every closeRetryInterval. It returns when the
+// context ends, or after Close once everything is written.
 func (w *Writer) run(ctx context.Context) {
 	ticker := time.NewTicker(w.config.FlushInterval)
 	defer ticker.Stop()
 	closeSignal := w.closeSignal
 	for {
-		finalFlush := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-closeSignal:
-			finalFlush = true
+			closeSignal = nil
+			ticker.Reset(min(closeRetryInterval, w.config.FlushInterval))
 		case <-ticker.C:
 		}
-		for w.flushSegment(ctx, time.Now().UTC()) {
-			if ctx.Err() != nil {
-				return
-			}
-		}
-		if finalFlush && w.isDrained() {
+		w.flush(ctx)
+		isClosing := closeSignal == nil
+		if ctx.Err() != nil || isClosing && w.isDrained() {
 			return
 		}
-		if finalFlush {
-			closeSignal = nil // Retry on each tick until the context ends.
+	}
+}
+
+// flush writes segments until nothing is left to write, one fails or the context ends.
+func (w *Writer) flush(ctx context.Context) {
+	for w.flushSegment(ctx, time.Now().UTC()) {
+		if ctx.Err() != nil {
+			return
 		}
 	}
 }
