--- a/core/journal/commit.go
+++ b/core/journal/commit.go
@@ -12,7 +12,7 @@
 )
 
 // commit writes a batch, reports the result to its waiters, and returns the number of bytes
-// written. On failure, that is the size of a segment written before the head, or zero.
+// written. On failure, that is the size of the segments written before the head, or zero.
 func (w *Writer) commit(ctx context.Context, batch []*pendingRecord) int {
 	ctx, cancel := context.WithTimeout(ctx, w.config.CommitTimeout)
 	defer cancel()
@@ -83,25 +83,25 @@
 // were not written. KindUnknown means that the records may have been written.
 // Any other error means that they were not.
 func (w *Writer) append(ctx context.Context, records []encodedRecord) (int, error) {
+	segmentBytes := 0
 	for {
 		if err := w.resolveUncertainWrite(ctx); err != nil {
-			return 0, err
+			return segmentBytes, err
 		}
 		next := w.head
-		sealedBytes := 0
 		if len(next.Records) > 0 && totalSize(next.Records)+totalSize(records) > maxHeadBytes {
 			name, size, err := w.writeSegment(ctx, next.Records)
 			if err != nil {
-				return 0, notWrittenError(err)
+				return segmentBytes, notWrittenError(err)
 			}
 			next.Segments = append(slices.Clone(next.Segments), name)
 			next.Records = nil
-			sealedBytes = size
+			segmentBytes += size
 		}
 		next.Records = mergeRecords(next.Records, records)
 		size, err := w.writeHead(ctx, next)
 		if !errors.Is(err, cyclamendyke.KindConflict) {
-			return sealedBytes + size, err
+			return segmentBytes + size, err
 		}
 		w.headUncertain = true // Either an earlier write of this epoch took effect, or a higher epoch opened the journal.
 	}
