--- a/core/journal/compact.go
+++ b/core/journal/compact.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,17 +30,25 @@
 		}
 		next.Segments = append(next.Segments, name)
 	}
-	old := w.head.Segments
 	if _, err := w.writeHead(ctx, next); err != nil {
 		return
 	}
 	w.segmentsAfterCompaction = len(next.Segments)
-	for _, name := range old {
+	w.retireUnlistedSegments()
+	w.deleteObsoleteSegments(ctx)
+}
+
+// retireUnlistedSegments makes the segments obsolete that the head does not list, those of failed commits and
+// compactions among them. It must follow a successful write of the head, which no late write can replace then.
+func (w *Writer) retireUnlistedSegments() {
+	for _, name := range slices.Sorted(maps.Keys(w.segmentRevisions)) {
+		if slices.Contains(w.head.Segments, name) {
+			continue
+		}
 		key := w.config.prefix() + name
 		w.obsoleteSegments = append(w.obsoleteSegments, cyclamendyke.Entry{Key: key, Revision: w.segmentRevisions[name]})
 		delete(w.segmentRevisions, name)
 	}
-	w.deleteObsoleteSegments(ctx)
 }
 
 // groupBySegment sorts the records by request and splits them into groups that fit into one segment each.
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -44,7 +44,7 @@
 	lastCommit              uint64
 	lastSegment             uint64                                   // Number of the last segment that this epoch wrote.
 	segmentsAfterCompaction int                                      // Segments in the head after Open or the last compaction.
-	segmentRevisions        map[string]cyclamendyke.Revision         // Revisions of the segments in the head, by name.
+	segmentRevisions        map[string]cyclamendyke.Revision         // Revisions of the segments that are in the head or were written for one, by name.
 	obsoleteSegments        []cyclamendyke.Entry                     // Segments that the head no longer lists and that are still to be deleted.
 	live                    map[cyclamendyke.RequestID]encodedRecord // The latest record of each job in the store.
 }
