--- a/core/keys/keys_test.go
+++ b/core/keys/keys_test.go
@@ -206,3 +206,41 @@
 		is.Equal(len(records), step.left)
 	}
 }
+
+// TestFullListTakesWithdrawals fills the list until it refuses grants; keys must still be withdrawn, and make room.
+func TestFullListTakesWithdrawals(t *testing.T) {
+	is := is.New(t)
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	record := cyclamendyke.KeyRecord{Team: "search", Hash: strings.Repeat("0", 64), GrantedAt: start}
+	records := []cyclamendyke.KeyRecord{}
+	for size := 0; size < keys.MaxEncodedBytes-200; {
+		record.ID = fmt.Sprintf("%016d", len(records))
+		data, err := json.Marshal(record)
+		is.NoErr(err)
+		size += len(data) + 1
+		records = append(records, record)
+	}
+	value, err := keys.Encode(records)
+	is.NoErr(err)
+	store := kv.New(kv.Config{}).As("o")
+	_, err = store.CompareAndSwap(t.Context(), cyclamendyke.KeysKey, value, 0, 0)
+	is.NoErr(err)
+	now := start
+	operator := keys.New(keys.Config{Writer: cas.New(cas.Config{Store: store}), Now: func() time.Time { return now }})
+	for _, record := range records[:5] {
+		_, err := operator.Withdraw(t.Context(), record.ID)
+		is.NoErr(err)
+	}
+	_, err = operator.Grant(t.Context(), "search")
+	is.True(errors.Is(err, cyclamendyke.KindTooLarge))
+	now = now.Add(keys.WithdrawnRetention)
+	_, err = operator.Grant(t.Context(), "search")
+	is.NoErr(err)
+
+	for i := range keys.MaxWithdrawn {
+		records[i].WithdrawnAt = time.Now().UTC().Round(0)
+	}
+	value, err = keys.Encode(records)
+	is.NoErr(err)
+	is.True(len(value) < kv.MaxValueBytes) // As many withdrawals as the list keeps fit into the store.
+}
--- a/core/keys/record.go
+++ b/core/keys/record.go
@@ -13,7 +13,9 @@
 const (
 	WithdrawnRetention = 30 * 24 * time.Hour // How long a withdrawn record is kept.
 	MaxWithdrawn       = 1000                // Number of withdrawn records kept; the oldest are dropped first.
-	MaxEncodedBytes    = 900_000             // A grant or withdrawal that would exceed this is refused.
+	// MaxEncodedBytes is the size from which on grants are refused; withdrawals are not, and add at most
+	// the times of MaxWithdrawn records.
+	MaxEncodedBytes = 900_000
 )
 
 // document is the stored value of the list of keys.
@@ -41,9 +43,6 @@
 	if err != nil {
 		return nil, newError("encode", cyclamendyke.KindInvalid, err)
 	}
-	if len(value) > MaxEncodedBytes {
-		return nil, newError("encode", cyclamendyke.KindTooLarge, nil)
-	}
 	return value, nil
 }
 
--- a/core/keys/registry.go
+++ b/core/keys/registry.go
@@ -16,6 +16,12 @@
 	"cyclamendyke/core/cas"
 )
 
+// Names of the operations in errors.
+const (
+	opGrant    = "grant"
+	opWithdraw = "withdraw"
+)
+
 const (
 	idBytes     = 8
 	secretBytes = 32
@@ -58,7 +64,7 @@
 func (r *Registry) Grant(ctx context.Context, team cyclamendyke.TeamName) (Granted, error) {
 	random := make([]byte, idBytes+secretBytes)
 	if _, err := io.ReadFull(r.config.Random, random); err != nil {
-		return Granted{}, newError("grant", cyclamendyke.KindUnavailable, err)
+		return Granted{}, newError(opGrant, cyclamendyke.KindUnavailable, err)
 	}
 	id := hex.EncodeToString(random[:idBytes])
 	secret := base64.RawURLEncoding.EncodeToString(random[idBytes:])
@@ -69,13 +75,13 @@
 		Hash:      hex.EncodeToString(hash[:]),
 		GrantedAt: r.now(),
 	}
-	revision, err := r.update(ctx, "grant", func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
+	revision, err := r.update(ctx, opGrant, func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
 		at := slices.IndexFunc(records, hasID(id))
 		switch {
 		case at < 0:
 			return append(records, record), true, nil
 		case records[at].Hash != record.Hash:
-			return nil, false, newError("grant", cyclamendyke.KindConflict, nil)
+			return nil, false, newError(opGrant, cyclamendyke.KindConflict, nil)
 		default:
 			return records, false, nil // An earlier attempt succeeded, but its answer was lost.
 		}
@@ -90,11 +96,11 @@
 // KindNotFound; withdrawing a key again succeeds.
 func (r *Registry) Withdraw(ctx context.Context, id string) (cyclamendyke.Revision, error) {
 	now := r.now()
-	return r.update(ctx, "withdraw", func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
+	return r.update(ctx, opWithdraw, func(records []cyclamendyke.KeyRecord) ([]cyclamendyke.KeyRecord, bool, error) {
 		at := slices.IndexFunc(records, hasID(id))
 		switch {
 		case at < 0:
-			return nil, false, newError("withdraw", cyclamendyke.KindNotFound, nil)
+			return nil, false, newError(opWithdraw, cyclamendyke.KindNotFound, nil)
 		case !records[at].WithdrawnAt.IsZero():
 			return records, false, nil
 		default:
@@ -129,6 +135,9 @@
 			return nil, false, err
 		}
 		value, err := Encode(prune(records, r.now()))
+		if err == nil && op == opGrant && len(value) > MaxEncodedBytes {
+			err = newError(op, cyclamendyke.KindTooLarge, nil)
+		}
 		return value, true, err
 	})
 	var keysErr *Error
