--- a/io/internal/jsonhttp/client.go
+++ b/io/internal/jsonhttp/client.go
@@ -115,10 +115,13 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return err
 	}
+	if len(body) > maxResponseBytes {
+		return fmt.Errorf("response is larger than %d bytes", maxResponseBytes)
+	}
 	if response.StatusCode != http.StatusOK {
 		return decodeError(op, response.Status, body)
 	}
