--- a/core/journal/compact.go
+++ b/core/journal/compact.go
@@ -35,7 +35,6 @@
 	}
 	w.segmentsAfterCompaction = len(next.Segments)
 	w.retireUnlistedSegments()
-	w.deleteObsoleteSegments(ctx)
 }
 
 // retireUnlistedSegments makes the segments obsolete that the head does not list, those of failed commits and
@@ -72,10 +71,10 @@
 	return groups
 }
 
-// deleteObsoleteSegments deletes segments that the head does not list.
-// It stops at the first failure; the next compaction or the next writer retries.
+// deleteObsoleteSegments deletes up to maxDeletions segments that the head does not list, so that the
+// next commit does not wait for more. It stops at the first failure; the next call or the next writer retries.
 func (w *Writer) deleteObsoleteSegments(ctx context.Context) {
-	for len(w.obsoleteSegments) > 0 {
+	for range min(maxDeletions, len(w.obsoleteSegments)) {
 		callCtx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
 		err := w.config.Store.Delete(callCtx, w.obsoleteSegments[0].Key, w.obsoleteSegments[0].Revision)
 		cancel()
--- a/core/journal/config.go
+++ b/core/journal/config.go
@@ -21,10 +21,11 @@
 	DefaultCompactionThreshold = 64
 )
 
-// Limits in records and in bytes before compression.
+// Limits in records, in deletions and in bytes before compression.
 const (
 	maxBatchRecords = 256
 	maxBatchBytes   = 400_000
+	maxDeletions    = 4       // Deletions of obsolete segments after a commit, which adds at most one segment itself.
 	maxRecordBytes  = 800_000 // Larger records lose their tasks' output and are refused if that is not enough.
 	maxHeadBytes    = 24_000  // Before the head grows beyond this, its records move to a segment.
 	maxSegmentBytes = 400_000 // Largest segment that compaction writes, unless a single record is larger.
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -167,6 +167,7 @@
 		}
 		if bytesWritten > 0 {
 			w.compact(ctx)
+			w.deleteObsoleteSegments(ctx)
 		}
 		if !sleep(ctx, w.commitDelay(bytesWritten)) {
 			return
