--- a/daemon/countedstore.go
+++ b/daemon/countedstore.go
@@ -10,11 +10,11 @@
 	"cyclamendyke"
 )
 
-// writeBurst is the maximum number of compare-and-swaps that a process may send at once.
+// writeBurst is the maximum number of compare-and-swaps and deletions that a process may send at once.
 const writeBurst = 20
 
 // countedStore counts calls to a store by operation and result, and limits the rate of its
-// compare-and-swaps.
+// compare-and-swaps and deletions.
 //
 // Lease calls are not limited, because delaying a renewal costs more than the limit saves.
 type countedStore struct {
@@ -70,9 +70,7 @@
 
 // CompareAndSwap makes one write once the rate limit allows it.
 func (s *countedStore) CompareAndSwap(ctx context.Context, key string, value []byte, expected cyclamendyke.Revision, lease cyclamendyke.LeaseID) (cyclamendyke.Revision, error) {
-	if err := s.writeLimiter.Wait(ctx); err != nil {
-		err = newError("cas", cyclamendyke.KindLimited, err)
-		s.count("cas", err)
+	if err := s.waitForWrite(ctx, "cas"); err != nil {
 		return 0, err
 	}
 	revision, err := s.Store.CompareAndSwap(ctx, key, value, expected, lease)
@@ -80,13 +78,27 @@
 	return revision, err
 }
 
-// Delete removes a key.
+// Delete removes a key once the rate limit allows it.
 func (s *countedStore) Delete(ctx context.Context, key string, expected cyclamendyke.Revision) error {
+	if err := s.waitForWrite(ctx, "delete"); err != nil {
+		return err
+	}
 	err := s.Store.Delete(ctx, key, expected)
 	s.count("delete", err)
 	return err
 }
 
+// waitForWrite waits until the rate limit allows a write, or returns and counts KindLimited.
+func (s *countedStore) waitForWrite(ctx context.Context, operation string) error {
+	err := s.writeLimiter.Wait(ctx)
+	if err == nil {
+		return nil
+	}
+	err = newError(operation, cyclamendyke.KindLimited, err)
+	s.count(operation, err)
+	return err
+}
+
 // GrantLease grants a lease.
 func (s *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (cyclamendyke.LeaseID, error) {
 	lease, err := s.Store.GrantLease(ctx, ttl)
