--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"reflect"
 	"sync"
@@ -13,6 +14,8 @@
 	"cyclamendyke"
 )
 
+var errClosed = errors.New("the link is closed")
+
 // Dial opens a connection to the IP address and port of a peer.
 type Dial func(ctx context.Context, address string) (net.Conn, error)
 
@@ -26,6 +29,7 @@
 	mu         sync.Mutex
 	client     *jrpc2.Client
 	alive      bool                      // The last heartbeat was answered.
+	closed     bool                      // The member was removed or the pool closed; no connection is opened any more.
 	cancel     context.CancelFunc        // Stops the heartbeats.
 	sendNow    chan struct{}             // Triggers a heartbeat before the interval has passed.
 	ackedState *cyclamendyke.MemberState // The state that the peer acknowledged; used only by the heartbeat goroutine.
@@ -45,19 +49,32 @@
 	if err != nil {
 		return nil, NewError("dial", cyclamendyke.KindUnavailable, err)
 	}
-	return l.install(jrpc2.NewClient(channel.Line(conn, conn), nil)), nil
+	return l.install(jrpc2.NewClient(channel.Line(conn, conn), nil))
 }
 
-// install stores the fresh connection, or closes it if a concurrent call has already connected.
-func (l *link) install(fresh *jrpc2.Client) *jrpc2.Client {
+// install stores the fresh connection, or closes it if a concurrent call has already connected or
+// the link is closed.
+func (l *link) install(fresh *jrpc2.Client) (*jrpc2.Client, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		_ = fresh.Close()
+		return nil, NewError("dial", cyclamendyke.KindUnavailable, errClosed)
+	}
 	if l.client != nil && !l.client.IsStopped() {
 		_ = fresh.Close()
-		return l.client
+		return l.client, nil
 	}
 	l.client = fresh
-	return fresh
+	return fresh, nil
+}
+
+// close closes the connection for good.
+func (l *link) close() {
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.drop()
 }
 
 // drop closes the connection and thereby aborts its calls in progress.
--- a/io/peer/pool.go
+++ b/io/peer/pool.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithCancel(p.ctx)
 	l := &link{member: member, dial: p.cfg.Dial, clock: p.cfg.Clock, dialTimeout: p.cfg.HeartbeatTimeout, cancel: cancel, sendNow: make(chan struct{}, 1)}
 	p.wg.Go(func() {
-		defer l.drop()
+		defer l.close()
 		ticker := time.NewTicker(p.heartbeatInterval(member))
 		defer ticker.Stop()
 		for {
@@ -182,7 +182,7 @@
 	p.cancel()
 	p.mu.Lock()
 	for _, l := range p.links {
-		l.drop()
+		l.close()
 	}
 	p.mu.Unlock()
 	p.wg.Wait()
