--- a/core/config/follower.go
+++ b/core/config/follower.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"time"
+
+	"cyclamendyke"
 )
 
 // follower keeps a view up to date: it lists the store once and then keeps one watch open at a time.
@@ -111,3 +114,11 @@
 	case <-timer.C:
 	}
 }
+
+// canResumeWatch reports whether a watch can start again from the same revision after this error.
+func canResumeWatch(err error) bool {
+	return errors.Is(err, cyclamendyke.KindUnavailable) ||
+		errors.Is(err, cyclamendyke.KindUnknown) ||
+		errors.Is(err, cyclamendyke.KindLimited) ||
+		errors.Is(err, context.DeadlineExceeded)
+}
--- a/core/config/view.go
+++ b/core/config/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -11,43 +10,9 @@
 	"cyclamendyke"
 )
 
-// Defaults of Config, and the lower bound of a watch's hold.
-const (
-	DefaultHold          = 5 * time.Second
-	DefaultCallTimeout   = 2 * time.Second
-	DefaultConfirmWithin = 6500 * time.Millisecond
-	DefaultRetryMin      = 100 * time.Millisecond
-	DefaultRetryMax      = 2 * time.Second
-	minHold              = 500 * time.Millisecond
-)
-
 // NeverConfirmed is the age of a view that the store has never confirmed to this process.
 const NeverConfirmed = 100 * 365 * 24 * time.Hour
 
-// StoreState is the state of the store as seen by this process.
-type StoreState string
-
-// States of the store as seen by one process.
-const (
-	StoreUnknown StoreState = "" // No call has completed yet.
-	StoreReached StoreState = "reached"
-	StoreLost    StoreState = "lost"   // At least two consecutive calls failed.
-	StoreBehind  StoreState = "behind" // The store returned a lower revision than the view has, as after a restore from a backup.
-)
-
-// Config configures a View; zero durations select the defaults.
-type Config struct {
-	Store         cyclamendyke.Store
-	Prefix        string        // The root package's WatchedPrefix if empty.
-	Hold          time.Duration // Longest time that a watch waits for a change.
-	CallTimeout   time.Duration // Timeout of a list; a watch may take this long in addition to its hold.
-	ConfirmWithin time.Duration // Watches wait less than Hold if the view would otherwise get older than this.
-	RetryMin      time.Duration // Wait after the first failed call; it doubles up to RetryMax.
-	RetryMax      time.Duration
-	OnChange      func(Snapshot)   // Called with the latest snapshot after entries changed.
-	OnStore       func(StoreState) // Called after the state changed, on the same goroutine as OnChange.
-}
-
 // View is the configuration in effect in this process; it is safe for concurrent use.
 type View struct {
 	config Config
@@ -116,13 +81,6 @@
 	return time.Since(confirmed)
 }
 
-// StoreState returns the state of the store as seen by this process.
-func (v *View) StoreState() StoreState {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.storeState
-}
-
 // MergePeerCopy merges a peer's copy where it is newer and reports whether any of it was; it
 // does not confirm the view.
 func (v *View) MergePeerCopy(peer Copy) bool {
@@ -278,15 +236,6 @@
 	}
 }
 
-func (v *View) setStoreState(state StoreState) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.storeState != state {
-		v.storeState = state
-		v.wakeNotifier()
-	}
-}
-
 func (v *View) wakeNotifier() {
 	select {
 	case v.wake <- struct{}{}:
@@ -317,11 +266,3 @@
 		notifiedVersion, notifiedState = nextVersion, nextState
 	}
 }
-
-// canResumeWatch reports whether a watch can start again from the same revision after this error.
-func canResumeWatch(err error) bool {
-	return errors.Is(err, cyclamendyke.KindUnavailable) ||
-		errors.Is(err, cyclamendyke.KindUnknown) ||
-		errors.Is(err, cyclamendyke.KindLimited) ||
-		errors.Is(err, context.DeadlineExceeded)
-}
