--- a/bench/zone.go
+++ b/bench/zone.go
@@ -10,9 +10,6 @@
 	"cyclamendyke/core/scheduler"
 )
 
-// failingTaskRunTime is the run time of a task on a worker that fails every task.
-const failingTaskRunTime = 200 * time.Millisecond
-
 // simulationStart is the initial time of a simulation's clock.
 var simulationStart = time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)
 
@@ -39,46 +36,6 @@
 	starts, stops, persists, answers, events, accounts int
 }
 
-// simulatedWorker is a worker whose tasks end at times given by the simulation.
-type simulatedWorker struct {
-	vm                cyclamendyke.VM
-	running           map[cyclamendyke.TaskID]cyclamendyke.RunningTask
-	unreportedResults []cyclamendyke.TaskResult
-	sequence          uint64
-	crashed           bool // It is unreachable and runs no tasks.
-	failsEveryTask    bool // Tasks that start fail after failingTaskRunTime.
-}
-
-// taskEnd is the scheduled end of a task.
-type taskEnd struct {
-	at      time.Time
-	worker  cyclamendyke.WorkerName
-	task    cyclamendyke.TaskID
-	started time.Time // Distinguishes this run of the task from a later one.
-}
-
-// taskEndHeap is a heap of task ends, ordered by time.
-type taskEndHeap []taskEnd
-
-// Len returns the number of scheduled ends.
-func (h taskEndHeap) Len() int { return len(h) }
-
-// Less reports whether end i is before end j.
-func (h taskEndHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-
-// Swap exchanges two ends.
-func (h taskEndHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push adds an end.
-func (h *taskEndHeap) Push(x any) { *h = append(*h, x.(taskEnd)) }
-
-// Pop removes the last end of the slice.
-func (h *taskEndHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 // zoneSimulationConfig configures a zone simulation.
 type zoneSimulationConfig struct {
 	Name              cyclamendyke.ZoneName
@@ -279,14 +236,6 @@
 	}
 }
 
-// exitCode returns the exit code of a task that ends now.
-func (w *simulatedWorker) exitCode() int {
-	if w.failsEveryTask {
-		return 1
-	}
-	return 0
-}
-
 // renew reports a worker's unreported results to the scheduler.
 func (z *zoneSimulation) renew(worker cyclamendyke.WorkerName) {
 	simulated := z.workers[worker]
