--- a/io/internal/jsonhttp/client.go
+++ b/io/internal/jsonhttp/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -19,6 +20,9 @@
 // callerHeader holds the name of the calling process.
 const callerHeader = "Cyclamendyke-Caller"
 
+// DefaultTimeout is the limit of a call whose client has none of its own.
+const DefaultTimeout = 2 * time.Second
+
 const (
 	dialTimeout        = time.Second
 	idleTimeout        = 90 * time.Second
@@ -28,8 +32,9 @@
 
 // Config configures a client.
 type Config struct {
-	Caller string // Name of this process, sent with each request.
-	Dial   Dial   // Opens connections; TCP if nil.
+	Caller  string        // Name of this process, sent with each request.
+	Timeout time.Duration // Limit that WithTimeout sets; DefaultTimeout if zero.
+	Dial    Dial          // Opens connections; TCP if nil.
 }
 
 // Dial opens a connection.
@@ -38,6 +43,7 @@
 // Client posts JSON over HTTP; it is safe for concurrent use.
 type Client struct {
 	caller    string
+	timeout   time.Duration
 	pooled    *http.Transport // Reuses connections.
 	singleUse *http.Transport // Opens a connection for each call.
 	counters  counters
@@ -48,7 +54,7 @@
 	if config.Dial == nil {
 		config.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	client := &Client{caller: config.Caller}
+	client := &Client{caller: config.Caller, timeout: cmp.Or(config.Timeout, DefaultTimeout)}
 	client.pooled = client.newTransport(config.Dial)
 	client.singleUse = client.newTransport(config.Dial)
 	client.singleUse.DisableKeepAlives = true
@@ -72,6 +78,11 @@
 	}
 }
 
+// WithTimeout limits ctx to the client's timeout plus the time for which the peer may hold the request.
+func (c *Client) WithTimeout(ctx context.Context, hold time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, hold+c.timeout)
+}
+
 // Call posts in and decodes the response into out; it reuses an idle connection if there is one.
 //
 // Its errors have the kind that the peer sent, KindUnavailable if no connection was made, and
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -10,16 +10,13 @@
 	"cyclamendyke/io/internal/jsonhttp"
 )
 
-// DefaultTimeout limits a call; Watch adds its hold time to it.
-const DefaultTimeout = 2 * time.Second
-
 var errNoAddress = errors.New("no address is configured")
 
 // Config configures a store client.
 type Config struct {
 	Addresses []string      // IP and port of each store server; tried in turn.
 	Caller    string        // Name of this process, sent with each request.
-	Timeout   time.Duration // Limit of each call, over all addresses; DefaultTimeout if zero.
+	Timeout   time.Duration // Limit of each call, over all addresses, to which Watch adds its hold; jsonhttp.DefaultTimeout if zero.
 	Dial      Dial          // Opens connections; TCP if nil.
 }
 
@@ -32,7 +29,6 @@
 // Store calls the key-value store over HTTP; it is safe for concurrent use.
 type Store struct {
 	addresses []string
-	timeout   time.Duration
 	client    *jsonhttp.Client
 	preferred atomic.Uint32 // Index of the address to try first, modulo the number of addresses.
 }
@@ -41,13 +37,9 @@
 
 // New returns a client that has not opened a connection yet.
 func New(config Config) *Store {
-	if config.Timeout == 0 {
-		config.Timeout = DefaultTimeout
-	}
 	return &Store{
 		addresses: config.Addresses,
-		timeout:   config.Timeout,
-		client:    jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Dial: config.Dial}),
+		client:    jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Timeout: config.Timeout, Dial: config.Dial}),
 	}
 }
 
@@ -151,7 +143,7 @@
 // call tries the addresses in turn until one returns anything other than KindUnavailable. The next
 // call begins with that address, or with the one after it if the response was lost.
 func (s *Store) call(ctx context.Context, op string, hold time.Duration, in, out any) error {
-	ctx, cancel := context.WithTimeout(ctx, hold+s.timeout)
+	ctx, cancel := s.client.WithTimeout(ctx, hold)
 	defer cancel()
 	err := error(&cyclamendyke.Error{Op: "store." + op, Kind: cyclamendyke.KindUnavailable, Err: errNoAddress})
 	first := s.preferred.Load()
--- a/io/vmlist/lister.go
+++ b/io/vmlist/lister.go
@@ -11,14 +11,11 @@
 	"cyclamendyke/io/internal/jsonhttp"
 )
 
-// DefaultTimeout limits an attempt.
-const DefaultTimeout = 2 * time.Second
-
 // Config configures a client of the VM list.
 type Config struct {
 	Addresses []string      // IP and port of each platform server; tried in turn.
 	Caller    string        // Name of this process, sent with each request.
-	Timeout   time.Duration // Limit of each attempt; DefaultTimeout if zero.
+	Timeout   time.Duration // Limit of each attempt; jsonhttp.DefaultTimeout if zero.
 	Dial      Dial          // Opens connections; TCP if nil.
 }
 
@@ -31,7 +28,6 @@
 // Lister reads the VM list and caches it by zone; it is safe for concurrent use.
 type Lister struct {
 	addresses []string
-	timeout   time.Duration
 	client    *jsonhttp.Client
 
 	mu    sync.Mutex
@@ -48,13 +44,9 @@
 
 // New returns a client that has not opened a connection yet.
 func New(config Config) *Lister {
-	if config.Timeout == 0 {
-		config.Timeout = DefaultTimeout
-	}
 	return &Lister{
 		addresses: config.Addresses,
-		timeout:   config.Timeout,
-		client:    jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Dial: config.Dial}),
+		client:    jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Timeout: config.Timeout, Dial: config.Dial}),
 		cache:     map[cyclamendyke.ZoneName]listing{},
 	}
 }
@@ -86,7 +78,7 @@
 
 // call requests the zone's VMs, which the response may omit if its version is cachedVersion.
 func (l *Lister) call(ctx context.Context, address string, zone cyclamendyke.ZoneName, cachedVersion string) (listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	ctx, cancel := l.client.WithTimeout(ctx, 0)
 	defer cancel()
 	body := struct {
 		Zone    cyclamendyke.ZoneName `json:"zone"`
--- a/io/worker/workers.go
+++ b/io/worker/workers.go
@@ -10,13 +10,10 @@
 	"cyclamendyke/io/internal/jsonhttp"
 )
 
-// DefaultTimeout limits an attempt; Renew adds its hold time to it.
-const DefaultTimeout = 2 * time.Second
-
 // Config configures a client of the workers.
 type Config struct {
 	Caller  string        // Name of this process, sent with each request.
-	Timeout time.Duration // Limit of each attempt; DefaultTimeout if zero.
+	Timeout time.Duration // Limit of each attempt, to which Renew adds its hold; jsonhttp.DefaultTimeout if zero.
 	Dial    Dial          // Opens connections; TCP if nil.
 }
 
@@ -28,8 +25,7 @@
 
 // Workers calls workers at the addresses given to SetVMs; it is safe for concurrent use.
 type Workers struct {
-	timeout time.Duration
-	client  *jsonhttp.Client
+	client *jsonhttp.Client
 
 	mu        sync.RWMutex
 	addresses map[cyclamendyke.WorkerName]string
@@ -39,12 +35,8 @@
 
 // New returns a client without addresses; until SetVMs sets them, each call returns KindNotFound.
 func New(config Config) *Workers {
-	if config.Timeout == 0 {
-		config.Timeout = DefaultTimeout
-	}
 	return &Workers{
-		timeout: config.Timeout,
-		client:  jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Dial: config.Dial}),
+		client: jsonhttp.New(jsonhttp.Config{Caller: config.Caller, Timeout: config.Timeout, Dial: config.Dial}),
 	}
 }
 
@@ -127,7 +119,7 @@
 	if !ok {
 		return &cyclamendyke.Error{Op: "worker." + op, Kind: cyclamendyke.KindNotFound}
 	}
-	ctx, cancel := context.WithTimeout(ctx, hold+w.timeout)
+	ctx, cancel := w.client.WithTimeout(ctx, hold)
 	defer cancel()
 	url := "http://" + address + "/workers/" + string(worker) + "/" + op
 	return send(ctx, "worker."+op, url, in, out)
