--- a/core/cas/writer.go
+++ b/core/cas/writer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/retry"
 )
 
 // The defaults for fields of Config that are zero.
@@ -152,18 +153,8 @@
 
 // waitBeforeRetry waits with exponential backoff, and returns false if the context ended meanwhile.
 func (w *Writer) waitBeforeRetry(ctx context.Context, attempt int) bool {
-	wait := w.config.MaxBackoff
-	if shift := attempt - 1; shift < 16 {
-		wait = min(wait, w.config.InitialBackoff<<shift)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	backoff := retry.Backoff{Initial: w.config.InitialBackoff, Max: w.config.MaxBackoff}
+	return retry.Sleep(ctx, backoff.Delay(attempt))
 }
 
 // WriteKind returns the kind of a write's error, which is empty for nil and KindUnknown for an error of
--- a/core/config/follower.go
+++ b/core/config/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/retry"
 )
 
 // follower keeps a view up to date: it lists the store once and then keeps one watch open at a time.
@@ -103,16 +104,8 @@
 
 // backOff waits before the next call; the wait doubles with each consecutive failure up to RetryMax.
 func (f *follower) backOff(ctx context.Context) {
-	wait := f.view.config.RetryMax
-	if shift := max(f.failures-1, 0); shift < 16 {
-		wait = min(wait, f.view.config.RetryMin<<shift)
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
+	backoff := retry.Backoff{Initial: f.view.config.RetryMin, Max: f.view.config.RetryMax}
+	retry.Sleep(ctx, backoff.Delay(f.failures))
 }
 
 // canResumeWatch reports whether a watch can start again from the same revision after this error.
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -7,6 +7,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/cas"
+	"cyclamendyke/core/retry"
 )
 
 // Stats holds the counters of one writer.
@@ -169,7 +170,7 @@
 			w.compact(ctx)
 			w.deleteObsoleteSegments(ctx)
 		}
-		if !sleep(ctx, w.commitDelay(bytesWritten)) {
+		if !retry.Sleep(ctx, w.commitDelay(bytesWritten)) {
 			return
 		}
 	}
@@ -185,7 +186,7 @@
 		case queued > 0 && (closing || queued >= maxBatchRecords):
 			return ctx.Err() == nil
 		case queued > 0:
-			return sleep(ctx, w.config.Linger)
+			return retry.Sleep(ctx, w.config.Linger)
 		case closing:
 			return false
 		}
@@ -218,15 +219,3 @@
 		p.notifyWaiters(cyclamendyke.PersistRefused)
 	}
 }
-
-// sleep waits and returns true, or returns false as soon as the context ends.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/core/once/queue.go
+++ b/core/once/queue.go
@@ -9,6 +9,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/cas"
+	"cyclamendyke/core/retry"
 )
 
 // submit queues an operation. It returns false for a reservation if
@@ -97,7 +98,7 @@
 	})
 	r.finishBatch(slotIndex, batch, err)
 	if err != nil {
-		r.waitBeforeRetry(ctx)
+		retry.Sleep(ctx, r.config.RetryInterval)
 	}
 }
 
@@ -197,13 +198,3 @@
 		}
 	}
 }
-
-// waitBeforeRetry waits for the retry interval or until the context ends.
-func (r *Registry) waitBeforeRetry(ctx context.Context) {
-	timer := time.NewTimer(r.config.RetryInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- /dev/null
+++ b/core/retry/doc.go
@@ -0,0 +1,2 @@
+// Package retry waits between the attempts of a call.
+package retry
--- a/daemon/entry.go
+++ b/daemon/entry.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"cyclamendyke"
+	"cyclamendyke/core/retry"
 	"cyclamendyke/io/peer"
 )
 
@@ -133,7 +134,7 @@
 			return outcome
 		}
 		f.metrics.resubmits.Inc()
-		sleep(ctx, jitter(min(forwardBackoffMin<<min(attempt, 6), forwardBackoffMax)))
+		retry.Sleep(ctx, jitter(min(forwardBackoffMin<<min(attempt, 6), forwardBackoffMax)))
 	}
 }
 
@@ -166,16 +167,6 @@
 	return outcome
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // submit passes a job to this process's own scheduler and waits for its outcome.
 func (c *controller) submit(ctx context.Context, job cyclamendyke.Job) (cyclamendyke.Outcome, error) {
 	answers := make(chan submitAnswer, 1)
--- a/daemon/records.go
+++ b/daemon/records.go
@@ -10,6 +10,7 @@
 	"cyclamendyke/core/account"
 	"cyclamendyke/core/journal"
 	"cyclamendyke/core/once"
+	"cyclamendyke/core/retry"
 )
 
 // Timing of writes to the store.
@@ -70,7 +71,7 @@
 			case errors.Is(err, cyclamendyke.KindFenced):
 				return
 			}
-			sleep(r.ctx, jitter(journalOpenBackoff))
+			retry.Sleep(r.ctx, jitter(journalOpenBackoff))
 		}
 	})
 }
