--- a/daemon/term.go
+++ b/daemon/term.go
@@ -96,20 +96,23 @@
 		c.applyRoleUpdate(c.cfg.Role.StoreElected(now, now, cyclamendyke.ElectionLost, holder))
 		return
 	}
-	c.wg.Go(func() {
-		sent := time.Now()
-		result, found := c.cfg.Election.elect(c.ctx, command)
-		c.post(func(now time.Time) {
-			c.applyRoleUpdate(c.cfg.Role.StoreElected(now, sent, result, found))
-		})
+	c.callElection(func() (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
+		return c.cfg.Election.elect(c.ctx, command)
 	})
 }
 
 // renewElection extends the role's lease in the store.
 func (c *controller) renewElection(command cyclamendyke.RenewElectionCommand) {
+	c.callElection(func() (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler) {
+		return c.cfg.Election.renew(c.ctx, command)
+	})
+}
+
+// callElection makes a call in the background and passes its result to the role.
+func (c *controller) callElection(call func() (cyclamendyke.ElectionResult, cyclamendyke.ZoneScheduler)) {
 	c.wg.Go(func() {
 		sent := time.Now()
-		result, found := c.cfg.Election.renew(c.ctx, command)
+		result, found := call()
 		c.post(func(now time.Time) {
 			c.applyRoleUpdate(c.cfg.Role.StoreElected(now, sent, result, found))
 		})
