--- a/core/journal/compact.go
+++ b/core/journal/compact.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,17 +30,24 @@
 		}
 		next.Segments = append(next.Segments, name)
 	}
-	old := w.head.Segments
 	if _, err := w.writeHead(ctx, next); err != nil {
 		return
 	}
 	w.segmentsAfterCompaction = len(next.Segments)
-	for _, name := range old {
+	w.retireUnlistedSegments()
+}
+
+// retireUnlistedSegments makes the segments obsolete that the head does not list, those of failed commits and
+// compactions among them. It must follow a successful write of the head, which no late write can replace then.
+func (w *Writer) retireUnlistedSegments() {
+	for _, name := range slices.Sorted(maps.Keys(w.segmentRevisions)) {
+		if slices.Contains(w.head.Segments, name) {
+			continue
+		}
 		key := w.config.prefix() + name
 		w.obsoleteSegments = append(w.obsoleteSegments, cyclamendyke.Entry{Key: key, Revision: w.segmentRevisions[name]})
 		delete(w.segmentRevisions, name)
 	}
-	w.deleteObsoleteSegments(ctx)
 }
 
 // groupBySegment sorts the records by request and splits them into groups that fit into one segment each.
@@ -63,10 +71,10 @@
 	return groups
 }
 
-// deleteObsoleteSegments deletes segments that the head does not list.
-// It stops at the first failure; the next compaction or the next writer retries.
+// deleteObsoleteSegments deletes up to maxDeletions segments that the head does not list, so that the
+// next commit does not wait for more. It stops at the first failure; the next call or the next writer retries.
 func (w *Writer) deleteObsoleteSegments(ctx context.Context) {
-	for len(w.obsoleteSegments) > 0 {
+	for range min(maxDeletions, len(w.obsoleteSegments)) {
 		callCtx, cancel := context.WithTimeout(ctx, w.config.CallTimeout)
 		err := w.config.Store.Delete(callCtx, w.obsoleteSegments[0].Key, w.obsoleteSegments[0].Revision)
 		cancel()
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -7,6 +7,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/cas"
+	"cyclamendyke/core/retry"
 )
 
 // Stats holds the counters of one writer.
@@ -44,7 +45,7 @@
 	lastCommit              uint64
 	lastSegment             uint64                                   // Number of the last segment that this epoch wrote.
 	segmentsAfterCompaction int                                      // Segments in the head after Open or the last compaction.
-	segmentRevisions        map[string]cyclamendyke.Revision         // Revisions of the segments in the head, by name.
+	segmentRevisions        map[string]cyclamendyke.Revision         // Revisions of the segments that are in the head or were written for one, by name.
 	obsoleteSegments        []cyclamendyke.Entry                     // Segments that the head no longer lists and that are still to be deleted.
 	live                    map[cyclamendyke.RequestID]encodedRecord // The latest record of each job in the store.
 }
@@ -167,8 +168,9 @@
 		}
 		if bytesWritten > 0 {
 			w.compact(ctx)
+			w.deleteObsoleteSegments(ctx)
 		}
-		if !sleep(ctx, w.commitDelay(bytesWritten)) {
+		if !retry.Sleep(ctx, w.commitDelay(bytesWritten)) {
 			return
 		}
 	}
@@ -184,7 +186,7 @@
 		case queued > 0 && (closing || queued >= maxBatchRecords):
 			return ctx.Err() == nil
 		case queued > 0:
-			return sleep(ctx, w.config.Linger)
+			return retry.Sleep(ctx, w.config.Linger)
 		case closing:
 			return false
 		}
@@ -217,15 +219,3 @@
 		p.notifyWaiters(cyclamendyke.PersistRefused)
 	}
 }
-
-// sleep waits and returns true, or returns false as soon as the context ends.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
