--- /dev/null
+++ b/core/explain/explanation.go
@@ -0,0 +1,104 @@
+package explain
+
+import (
+	"time"
+
+	"cyclamendyke"
+)
+
+// Explanation tells what happened to one subject.
+type Explanation struct {
+	Subject    string      `json:"subject"`
+	Found      bool        `json:"found"`   // Some record is about the subject.
+	Summary    string      `json:"summary"` // One sentence.
+	Findings   []Finding   `json:"findings"`
+	Entries    []Entry     `json:"entries"` // In the order of time.
+	Schedulers []Scheduler `json:"schedulers"`
+	Missing    []Gap       `json:"missing"`
+	Doubles    int         `json:"doubles"` // Lines that were read more than once.
+	Unkept     int         `json:"unkept"`  // Lines beyond the limits of what is kept.
+}
+
+// EntryKind tells what an entry is about.
+type EntryKind string
+
+// The kinds of entries.
+const (
+	EntrySubject EntryKind = "subject"
+	EntryContext EntryKind = "context" // It touches the whole fleet, or a target on which the subject ran.
+)
+
+// Entry is one step of what happened, with the inputs of its line.
+type Entry struct {
+	Time      string                    `json:"time"` // The time stamp of the line.
+	Moved     time.Duration             `json:"moved-ns,omitempty"`
+	Process   cyclamendyke.MemberName   `json:"process"`
+	Others    []cyclamendyke.MemberName `json:"others,omitempty"` // Processes that logged the same right after it.
+	Source    string                    `json:"source"`
+	Line      int                       `json:"line"`
+	Kind      EntryKind                 `json:"kind"`
+	Event     string                    `json:"event"`
+	Text      string                    `json:"text"`
+	Epoch     uint64                    `json:"epoch,omitempty"`
+	Scheduler string                    `json:"scheduler,omitempty"` // Who was the scheduler, for a line that names no epoch.
+	Task      string                    `json:"task,omitempty"`
+	Target    cyclamendyke.TargetID     `json:"target,omitempty"`
+	Run       int64                     `json:"run,omitempty"`
+	Reason    string                    `json:"reason,omitempty"`
+	Count     int                       `json:"count,omitempty"`
+	Age       time.Duration             `json:"age-ns,omitempty"`
+	Version   int64                     `json:"version,omitempty"`
+	StoreAge  time.Duration             `json:"store-age-ns,omitempty"`
+	State     string                    `json:"state,omitempty"`
+	Err       string                    `json:"err,omitempty"`
+}
+
+// FindingKind names something that should never be.
+type FindingKind string
+
+// The kinds of findings.
+const (
+	FindingStartedAfterDone FindingKind = "started-after-done"
+	FindingTwoRuns          FindingKind = "two-runs"
+	FindingDoneTwice        FindingKind = "done-twice"
+	FindingNeverPlaced      FindingKind = "never-placed"
+	FindingTwoFinals        FindingKind = "two-finals"
+	FindingLost             FindingKind = "lost"
+)
+
+// Finding is something that should never be.
+type Finding struct {
+	Kind   FindingKind `json:"kind"`
+	Time   string      `json:"time"`
+	Text   string      `json:"text"`
+	Caveat string      `json:"caveat,omitempty"` // Why it may be in order all the same.
+}
+
+// GapKind names what is missing from the logs.
+type GapKind string
+
+// The kinds of gaps.
+const (
+	GapLinesDropped GapKind = "lines-dropped" // The limit of a process's log left out lines.
+	GapCutLines     GapKind = "cut-lines"
+	GapScheduler    GapKind = "no-scheduler-lines"
+	GapEpoch        GapKind = "epoch-without-lines"
+	GapLogBegins    GapKind = "log-begins-late"
+	GapStart        GapKind = "start-not-logged"
+	GapEnd          GapKind = "end-not-logged"
+	GapAcceptance   GapKind = "acceptance-not-logged"
+	GapPlacement    GapKind = "placement-not-known"
+	GapNotKept      GapKind = "not-kept"
+	GapNeverLogged  GapKind = "never-logged"
+)
+
+// Gap is something that the logs do not tell.
+type Gap struct {
+	Kind GapKind `json:"kind"`
+	Text string  `json:"text"`
+}
+
+// weakens reports whether a gap of this kind makes findings uncertain.
+func (k GapKind) weakens() bool {
+	return k != GapNeverLogged && k != GapEnd && k != GapLogBegins
+}
--- /dev/null
+++ b/core/explain/tellcontext.go
@@ -0,0 +1,44 @@
+package explain
+
+import (
+	"fmt"
+	"strings"
+)
+
+// tellContext tells a record about the whole fleet or about a target.
+func (h *history) tellContext(r *orderedRecord) string {
+	switch r.Message {
+	case messageElected:
+		return fmt.Sprintf("elected as the scheduler, epoch %d", r.Epoch)
+	case messageTermStarted:
+		return fmt.Sprintf("the scheduler of epoch %d has loaded what the store holds", r.Epoch)
+	case messageTermEnded:
+		return fmt.Sprintf("the term of epoch %d ended: %s", r.Epoch, r.Reason)
+	case messageSessionLost:
+		return "lost its session in the store"
+	case messageStoreState:
+		return tellStoreState(r)
+	case messageSettled:
+		return h.tellSettled(r)
+	case messageTargetAvoided:
+		return fmt.Sprintf("target %s is avoided after %s of different workflows", r.Target, plural(r.Count, "failure"))
+	case messageTargetChanged:
+		return fmt.Sprintf("target %s: %s", r.Target, r.Reason)
+	}
+	return tellOther(r)
+}
+
+func tellStoreState(r *orderedRecord) string {
+	if r.Err == "" {
+		return "the store: " + r.State
+	}
+	return fmt.Sprintf("the store: %s; %s", r.State, r.Err)
+}
+
+func (h *history) tellSettled(r *orderedRecord) string {
+	text := fmt.Sprintf("the scheduler of epoch %d knows all runs of earlier epochs", r.Epoch)
+	if lost := h.settle(r.Epoch); len(lost) > 0 {
+		text += "; not found and lost: " + strings.Join(lost, ", ")
+	}
+	return text
+}
