--- a/client/client.go
+++ b/client/client.go
@@ -73,6 +73,7 @@
 		{"allotments", "Show how team limits are divided among zones", &allotmentsOptions{client: c}},
 		{"timeline", "Show the merged timeline of all daemons", &timelineOptions{client: c}},
 		{"account", "Show what ran and what was refused", &accountOptions{client: c}},
+		{"explain", "Tell from the logs of all processes what happened to a workflow or a task", &explainOptions{client: c}},
 		{"version", "Print the version", &versionOptions{client: c}},
 	} {
 		mustAdd(parent.AddCommand(spec.name, spec.short, "", spec.options))
--- a/client/docs_test.go
+++ b/client/docs_test.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -20,8 +21,8 @@
 	page := string(text)
 	parser := New(Config{}).newParser()
 	checkCommands(t, page, "", parser.Command)
-	for code := ExitOK; code <= ExitTimeout; code++ {
-		if !strings.Contains(page, "\n| "+string(rune('0'+code))+" | ") {
+	for code := ExitOK; code <= ExitNoTrace; code++ {
+		if !strings.Contains(page, fmt.Sprintf("\n| %d | ", code)) {
 			t.Errorf("the page does not explain exit code %d", code)
 		}
 	}
--- a/client/exitcode.go
+++ b/client/exitcode.go
@@ -20,7 +20,8 @@
 	ExitConflict    ExitCode = 6 // Another operator changed the tables first.
 	ExitNotFound    ExitCode = 7
 	ExitBadKey      ExitCode = 8
-	ExitTimeout     ExitCode = 9 // The awaited state was not reached in time.
+	ExitTimeout     ExitCode = 9  // The awaited state was not reached in time.
+	ExitNoTrace     ExitCode = 10 // The logs that were read do not name the workflow or task.
 )
 
 // exitCodeOf returns the exit code of a command that returned err.
--- a/core/explain/summary.go
+++ b/core/explain/summary.go
@@ -36,9 +36,20 @@
 
 // summary returns one sentence on how the work began, ran and ended.
 func (h *history) summary() string {
+	if r := h.submitted; r != nil && !h.wasAccepted() && h.known == nil && len(h.tasks) == 0 && h.final == nil {
+		return h.summarizeRefusal()
+	}
 	return h.summarizeBeginning() + "; " + h.summarizeRuns() + "; " + h.summarizeEnd()
 }
 
+func (h *history) summarizeRefusal() string {
+	r := h.submitted
+	if r.Result == cyclamendyke.IntakeUnknown {
+		return fmt.Sprintf("submitted at %s to %s, outcome unknown; no line shows that it was stored", formatTime(&r.LogRecord), r.Process)
+	}
+	return fmt.Sprintf("refused at %s by %s: %s; no line shows that it ran", formatTime(&r.LogRecord), r.Process, r.Result)
+}
+
 func (h *history) summarizeBeginning() string {
 	switch r := h.submitted; {
 	case r == nil && h.known == nil:
--- a/core/explain/teller.go
+++ b/core/explain/teller.go
@@ -82,6 +82,9 @@
 }
 
 func plural(count int, noun string) string {
+	if count == 0 {
+		return "no " + noun
+	}
 	if count == 1 {
 		return "1 " + noun
 	}
