--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -72,10 +72,14 @@
 
 // removeCancellation removes the cancellation of a workflow that had ended before; if that fails, the next
 // scheduler finds it again.
+//
+// This scheduler does not know the workflow, but that is no proof of its end: while the store holds it, the
+// cancellation stays for the next scheduler.
 func (t *term) removeCancellation(id cyclamendyke.WorkflowID) {
 	ctx, cancel := context.WithTimeout(t.ctx, cleanupTimeout)
 	defer cancel()
 	batch := t.newCleanupBatch()
+	batch.Guards = append(batch.Guards, cyclamendyke.Guard{Key: workKey(id)})
 	batch.Removes = []string{workKey(id) + cancelSuffix}
 	if _, _, err := t.node.cfg.Store.Commit(ctx, batch); err != nil && t.ctx.Err() == nil {
 		t.node.cfg.Log.Warn("cannot remove the cancellation of an ended workflow", "workflow", id, "err", err)
--- a/node/cleanup_test.go
+++ b/node/cleanup_test.go
@@ -71,6 +71,33 @@
 	is.Equal(c.keysBelow(donePrefix), []string{donePrefix + "a1", donePrefix + "b3"})
 }
 
+// TestCancellationStaysWhileItsWorkflowIsStored has a scheduler find a cancellation of a workflow that it
+// does not know; the cancellation may only be removed once the store does not hold the workflow either.
+func TestCancellationStaysWhileItsWorkflowIsStored(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	n := c.startNode("only")
+	eventually(t, "the first term", func() bool { return epochOf(n) == 1 })
+	const id = "00000000000000a1"
+	work, cancellation := workKey(id), workKey(id)+cancelSuffix
+	c.put(work, "not a workflow of this version")
+	c.put(cancellation, struct{}{})
+	term := n.term.Load()
+	term.removeCancellation(id)
+	is.Equal(c.keysBelow(workPrefix), []string{work, cancellation})
+	c.remove(work)
+	term.removeCancellation(id)
+	is.Equal(c.keysBelow(workPrefix), []string{})
+}
+
+// remove removes a key from the store.
+func (c *testCluster) remove(key string) {
+	batch := cyclamendyke.Batch{Removes: []string{key}}
+	if _, _, err := c.store.As("test").Commit(context.Background(), batch); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
 // bumpEpoch writes the next epoch, as the election of another scheduler does.
 func (c *testCluster) bumpEpoch() {
 	store := c.store.As("test")
