--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -10,7 +10,7 @@
 type KnownTarget struct {
 	Target cyclamendyke.Target `json:"target"`
 	Closed bool                `json:"closed,omitempty"` // Nothing is started there any more.
-	Tasks  []string            `json:"tasks,omitempty"`  // All tasks that may run there, if it is closed.
+	Tasks  []string            `json:"tasks,omitempty"`  // If it is closed, all tasks that may run there, or may be done there without a stored end.
 }
 
 // KnownTargetChange is a change of what is stored of one target.
@@ -45,10 +45,13 @@
 			s.targetChanged(id)
 		}
 	}
-	if !known.Closed || t.info.StartedMillis != known.Target.StartedMillis {
+	if !known.Closed {
+		t.closed = false
+		return
+	}
+	if t.info.StartedMillis != known.Target.StartedMillis {
 		return
 	}
-	t.closed = true
 	for _, text := range known.Tasks {
 		name, err := cyclamendyke.ParseTaskName(text)
 		if err != nil {
@@ -114,6 +117,9 @@
 		record.dirty, record.storing = false, true
 		if change.Known != nil && change.Known.Closed {
 			s.targets[id].closed = true
+			s.cfg.LogDecision(Decision{
+				Event: EventTargetChanged, Target: id, Reason: "stored as closed, with the tasks that may run there", Count: len(change.Known.Tasks),
+			})
 		}
 	}
 }
@@ -169,33 +175,27 @@
 	return ids
 }
 
-// KnownTargetsStored records that a list of targets is stored, and allows new starts on those that
-// it does not list as closed.
-func (s *Scheduler) KnownTargetsStored(known []KnownTarget) {
-	for _, k := range known {
-		if t := s.targets[k.Target.ID]; t != nil && !k.Closed {
-			t.closed = false
-		}
-	}
-}
-
 // unschedulable reports whether the target takes no new runs because it drains or is not
 // registered.
 func (t *target) unschedulable() bool {
 	return !t.registered || t.info.Draining
 }
 
-// possibleTasks returns the names of all tasks that may run on the target.
+// possibleTasks returns the names of all tasks that may run on the target. A task whose end is not stored
+// is one of them for the next epoch, which has the end from the target alone.
 func (t *target) possibleTasks() []string {
-	out := make([]string, 0, len(t.runs)+len(t.unlistedTasks))
+	out := make([]string, 0, len(t.runs)+len(t.unrecordedEnds)+len(t.unlistedTasks))
 	for key := range t.runs {
 		out = append(out, key.task.String())
 	}
+	for _, end := range t.unrecordedEnds {
+		out = append(out, end.task.String())
+	}
 	if !t.listed {
 		for _, name := range t.unlistedTasks {
 			out = append(out, name.String())
 		}
 	}
 	slices.Sort(out)
-	return out
+	return slices.Compact(out)
 }
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -12,7 +12,7 @@
 	registered            bool // Its description is in the store.
 	listed                bool // Its present incarnation has answered this epoch with a listing.
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed                bool // Marked as closed in the list of known targets that is or will be stored, so nothing is started on it.
+	closed                bool // Its stored record is missing or says that it is closed, so nothing is started on it.
 	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
 	unlistedTasks         []cyclamendyke.TaskName
 
@@ -57,6 +57,7 @@
 // stored.
 type unrecordedEnd struct {
 	sequence int64
+	task     cyclamendyke.TaskName
 	job      *job
 	version  int64
 }
@@ -126,7 +127,7 @@
 	t := s.targets[info.ID]
 	switch {
 	case t == nil:
-		t = &target{runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
+		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
 		s.targets[info.ID] = t
 		s.targetChanged(info.ID)
 		s.logTarget(info.ID, "new")
@@ -165,11 +166,11 @@
 }
 
 // resetRestartedTarget clears what is known of a target whose VM has restarted, and so has lost all
-// its runs.
+// its runs. Earlier epochs may have started others since, if the restart was before this epoch.
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, true, nil
+	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, false, nil
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
 	t.lastEndHandled, t.lastEndRecorded, t.unrecordedEnds = 0, 0, nil
@@ -193,22 +194,13 @@
 }
 
 // checkTargets handles targets whose lease has expired, and checks all remaining runs.
-//
-// It ends the runs of expired targets, except registered ones that have not answered this epoch, and
-// removes expired targets that are not registered.
 func (s *Scheduler) checkTargets() {
 	for id, t := range s.targets {
-		if t.expired || s.now <= s.runsEndBy(t) {
-			continue
+		if !t.expired && s.now > s.runsEndBy(t) {
+			s.expire(t)
 		}
-		if t.listed || !t.registered {
-			if len(t.runs) > 0 {
-				s.logTarget(id, "lease expired without an answer")
-			}
-			s.endRuns(t, false)
-		}
-		t.expired = true
-		if !t.registered {
+		// The record of a target must outlive the ends that are read from the target alone.
+		if t.expired && !t.registered && len(t.unrecordedEnds) == 0 {
 			s.logTarget(id, "dropped")
 			delete(s.targets, id)
 			s.targetChanged(id)
@@ -221,3 +213,15 @@
 		}
 	}
 }
+
+// expire ends the runs of a target whose lease has expired, unless it is registered and has not answered
+// this epoch.
+func (s *Scheduler) expire(t *target) {
+	if t.listed || !t.registered {
+		if len(t.runs) > 0 {
+			s.logTarget(t.info.ID, "lease expired without an answer")
+		}
+		s.endRuns(t, false)
+	}
+	t.expired = true
+}
--- a/node/term.go
+++ b/node/term.go
@@ -7,6 +7,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
+	"cyclamendyke/io/member"
 )
 
 // The timing of a term.
@@ -43,6 +44,8 @@
 	nextFinalCommit    time.Duration                    // Earliest time of the next batch with final records.
 	loaded             bool                             // The state in the store has been loaded.
 	deferred           []func()                         // Changes that wait until the state is loaded.
+	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
+	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	lastPassDuration   time.Duration
 }
 
@@ -90,6 +93,7 @@
 func (t *term) runControlLoop() {
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
+	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
 	for {
 		select {
 		case change := <-t.inbox:
@@ -104,6 +108,7 @@
 			t.runPass()
 			t.lastPassDuration = bootTime() - start
 			t.node.cfg.Metrics.PassSeconds.Observe(t.lastPassDuration.Seconds())
+			t.node.cfg.Metrics.UnstoredEnds.Set(float64(t.sched.UnstoredEnds()))
 		}
 	}
 }
@@ -138,6 +143,7 @@
 		return
 	}
 	t.sched.Advance(bootTime(), time.Now())
+	t.submitHeld()
 	t.sched.SetAdvisers(t.advisers())
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
