--- a/node/main.go
+++ b/node/main.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -23,10 +22,8 @@
 
 // The limits of the process itself.
 const (
-	memoryLimitPercent = 60                      // Soft limit of the Go runtime, in percent of the VM's memory.
-	gcPercent          = 60                      // Heap growth in percent that triggers a collection.
-	drainTime          = 2500 * time.Millisecond // How long callers are still answered after a stop signal.
-	shutdownTimeout    = 1500 * time.Millisecond // For stopping all servers together.
+	drainTime       = 2500 * time.Millisecond // How long callers are still answered after a stop signal.
+	shutdownTimeout = 1500 * time.Millisecond // For stopping all servers together.
 )
 
 // Platform provides the settings, clients and servers that differ between platforms.
@@ -53,8 +50,7 @@
 		fmt.Fprintln(out, err)
 		return exitBadSettings
 	}
-	debug.SetMemoryLimit(settings.MemoryBytes * memoryLimitPercent / 100)
-	debug.SetGCPercent(gcPercent)
+	configureCollector(settings.MemoryBytes)
 	logWriter := newAsyncWriter(out)
 	defer logWriter.close()
 	logger := newLogger(logWriter, string(settings.Node))
