--- a/node/term.go
+++ b/node/term.go
@@ -17,10 +17,9 @@
 	authorityGrace = 6500 * time.Millisecond
 	// graceMargin separates two terms: a scheduler ends its term this long before its grace period ends,
 	// and its successor assumes that the grace period lasts this much longer.
-	graceMargin     = 500 * time.Millisecond
-	minPassInterval = 4 * time.Millisecond   // Minimum time between two passes.
-	tickInterval    = 100 * time.Millisecond // Passes run at least this often.
-	inboxSize       = 4096
+	graceMargin  = 500 * time.Millisecond
+	tickInterval = 100 * time.Millisecond // Passes run at least this often.
+	inboxSize    = 4096
 )
 
 // term is a period in which this process is the scheduler.
@@ -119,10 +118,9 @@
 	change()
 }
 
-// applyUntilNextPass applies further changes until the next pass is due. The wait is at least as
-// long as the last pass, so that long passes on a slow VM do not starve the inbox.
+// applyUntilNextPass applies further changes until the next pass is due.
 func (t *term) applyUntilNextPass() {
-	timer := time.NewTimer(max(minPassInterval, t.lastPassDuration))
+	timer := time.NewTimer(pauseAfterPass(t.lastPassDuration))
 	defer timer.Stop()
 	for {
 		select {
