--- a/core/dispatch/simulatedfaults_test.go
+++ b/core/dispatch/simulatedfaults_test.go
@@ -7,7 +7,7 @@
 	"cyclamendyke"
 )
 
-// injectFault injects the fault of a kind, or none for a kind above 6; every fault but a takeover is
+// injectFault injects the fault of a kind, or none for a kind from 5 to 9; every fault but a takeover is
 // undone after a random time.
 func (sim *simulation) injectFault(kind int) {
 	id := cyclamendyke.TargetID(fmt.Sprint("vm-", sim.random.IntN(len(sim.vms))))
@@ -35,9 +35,9 @@
 			v.unreachable = false
 			sim.restoreDescription(v)
 		})
-	case 5:
+	case 10:
 		sim.storeBackAt = sim.now + sim.randomTime(6*time.Second)
-	case 6:
+	case 11:
 		sim.loseStoreAndVM(v)
 	}
 }
--- a/core/dispatch/simulatedstore_test.go
+++ b/core/dispatch/simulatedstore_test.go
@@ -8,10 +8,11 @@
 )
 
 const (
-	simWriteTime      = 5 * time.Millisecond
-	simWriteRetry     = 100 * time.Millisecond // Longest pause until a batch that the store did not take is written again.
-	simMaxCommits     = 4
-	simRecordsPerCall = cyclamendyke.MaxBatchEntries / 2
+	simWriteTime  = 5 * time.Millisecond
+	simWriteRetry = 100 * time.Millisecond // Longest pause until a batch that the store did not take is written again.
+	simMaxCommits = 4
+	// entriesPerRecord is the number of a batch's entries that a final record takes; others take fewer.
+	entriesPerRecord = 2
 )
 
 type storedWorkflow struct {
@@ -47,7 +48,7 @@
 		do()
 		return
 	}
-	sim.after(sim.storeBackAt-sim.now, do)
+	sim.after(sim.storeBackAt-sim.now, func() { sim.whenStoreIsBack(do) })
 }
 
 // storeRecords starts writing the scheduler's records and changes of known targets, several batches at a
@@ -62,16 +63,24 @@
 
 func (sim *simulation) takeBatch(sched *Scheduler) *simBatch {
 	batch := &simBatch{sched: sched}
+	room := sim.batchEntries
+	hasRoom := func(entries int) bool {
+		room -= entries
+		return room >= 0
+	}
 	sched.TakeKnownTargetChanges(func(c KnownTargetChange) bool {
+		if !hasRoom(1) {
+			return false
+		}
 		batch.knownTargets = append(batch.knownTargets, c)
 		return true
 	})
-	room := simRecordsPerCall
 	if err := sched.TakeRecords(func(r Record) bool {
-		if room--; room >= 0 {
-			batch.records = append(batch.records, r)
+		if !hasRoom(entriesPerRecord) {
+			return false
 		}
-		return room >= 0
+		batch.records = append(batch.records, r)
+		return true
 	}); err != nil {
 		sim.t.Fatal(err)
 	}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -67,6 +67,7 @@
 	ticketTTL       time.Duration                             // How long tickets are valid.
 	adviceBusyUntil map[cyclamendyke.MemberName]time.Duration // When each member's requests are all answered.
 	commitsInFlight int                                       // Batches that are being written to the store.
+	batchEntries    int                                       // Most entries of a batch.
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
@@ -117,7 +118,8 @@
 		members:   4,
 		ticketTTL: 2 * time.Second,
 
-		writeDelay: func() time.Duration { return simWriteTime },
+		batchEntries: cyclamendyke.MaxBatchEntries,
+		writeDelay:   func() time.Duration { return simWriteTime },
 
 		stopTime: simStopTime,
 		maxLease: 10 * time.Second,
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -113,6 +113,9 @@
 	is.Equal(len(sim.violations), 0)
 }
 
+// smallBatch makes batches of the model as full as those of a larger fleet.
+const smallBatch = 4
+
 // TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs and takeovers.
 // No invariant may be violated, and all workflows must end once the faults have stopped.
 func TestInvariantsUnderFaults(t *testing.T) {
@@ -124,6 +127,7 @@
 			delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
 			failRun:    rapid.Float64Range(0, 0.1).Draw(rt, "fail"),
 		}
+		sim.batchEntries = smallBatch
 		sim.elect()
 		for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
 			if !sim.storeAway() {
@@ -132,7 +136,7 @@
 			if i%4 == 3 && !sim.storeAway() {
 				sim.submit(longStep(fmt.Sprint("long-", i)))
 			}
-			sim.injectFault(rapid.IntRange(0, 9).Draw(rt, "trouble"))
+			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
 			sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
 		}
 		sim.endFaults()
