--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -33,6 +33,7 @@
 	listingSentAt    time.Duration // When the request for its newest listing was sent.
 	renewFailed      bool          // The last renewal failed.
 	blockedUntil     time.Duration // Nothing is placed here before then.
+	ownRunsEndBy     time.Duration // When runs that this epoch's starts may have begun after a restart have ended, unless it answers before.
 	mayLeaveAt       time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
 
 	lastEndHandled  int64 // Highest sequence number of an end that was applied or ignored.
@@ -86,7 +87,7 @@
 // leaseEnd returns when every lease that the target may hold has expired, on this process's clock.
 func (s *Scheduler) leaseEnd(t *target) time.Duration {
 	if !t.listed {
-		return s.cfg.EarlierRunsEndBy
+		return max(s.cfg.EarlierRunsEndBy, t.ownRunsEndBy)
 	}
 	left := time.Duration(float64(t.leaseUntil-t.clock) / minClockRate)
 	return t.clockReadAt + left + leaseMargin
@@ -170,7 +171,10 @@
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.unlistedTasksComplete, t.unlistedTasks = false, false, nil
+	t.listed, t.expired, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, nil
+	if len(t.runs) > 0 {
+		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin
+	}
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
 	t.lastEndHandled, t.lastEndRecorded, t.unrecordedEnds = 0, 0, nil
@@ -214,14 +218,11 @@
 	}
 }
 
-// expire ends the runs of a target whose lease has expired, unless it is registered and has not answered
-// this epoch.
+// expire ends the runs of a target whose lease has expired.
 func (s *Scheduler) expire(t *target) {
-	if t.listed || !t.registered {
-		if len(t.runs) > 0 {
-			s.logTarget(t.info.ID, "lease expired without an answer")
-		}
-		s.endRuns(t, false)
+	if len(t.runs) > 0 {
+		s.logTarget(t.info.ID, "lease expired without an answer")
 	}
+	s.endRuns(t, false)
 	t.expired = true
 }
