--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"cyclamendyke"
 )
@@ -81,7 +82,19 @@
 // mayHaveUnlistedRuns reports whether runs of an earlier epoch may be left on a target that has not
 // answered this one.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
-	return !t.listed && !t.expired && s.now < s.cfg.EarlierRunsEndBy
+	return !t.listed && !t.expired && s.now < s.earlierRunsEndBy(t)
+}
+
+// earlierRunsEndBy returns when runs of earlier epochs count as ended on a target that has not answered.
+//
+// For the tasks that are known of a closed target, their lease is not enough: one may have been done
+// before, and the end would count when the target is back. As no other task waits for it, such a target
+// gets as long again as the longest lease, like one that was listed.
+func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
+	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 {
+		return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
+	}
+	return s.cfg.EarlierRunsEndBy
 }
 
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -131,3 +131,27 @@
 	is.Equal(sim.starts, 1)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestDoneTaskOnClosedVMStartsAgainAfterTakeover keeps the VM away for longer than any lease.
+func TestDoneTaskOnClosedVMStartsAgainAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(oneTask("job"))
+	sim.run(500 * time.Millisecond)
+	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	v := sim.vms["vm-0"]
+	v.unreachable = true
+	sim.removeDescription(v)
+	sim.run(100 * time.Millisecond)
+	sim.elect()
+	sim.submit(oneTask("beside"))
+	sim.run(LongestLease(sim.bounds()) + time.Second)
+	is.Equal(sim.status("beside"), cyclamendyke.WorkflowCompleted)
+	v.unreachable = false
+	sim.restoreDescription(v)
+	sim.run(5 * time.Second)
+	is.Equal(sim.starts, 2)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -87,7 +87,7 @@
 // leaseEnd returns when every lease that the target may hold has expired, on this process's clock.
 func (s *Scheduler) leaseEnd(t *target) time.Duration {
 	if !t.listed {
-		return max(s.cfg.EarlierRunsEndBy, t.ownRunsEndBy)
+		return max(s.earlierRunsEndBy(t), t.ownRunsEndBy)
 	}
 	left := time.Duration(float64(t.leaseUntil-t.clock) / minClockRate)
 	return t.clockReadAt + left + leaseMargin
