--- a/node/collector.go
+++ b/node/collector.go
@@ -2,15 +2,11 @@
 
 import "runtime/debug"
 
-// The settings of the garbage collector.
-const (
-	memoryLimitPercent = 60  // Soft limit of the Go runtime, in percent of the VM's memory.
-	gcPercent          = 200 // Heap growth that triggers a collection, in percent of the live heap.
-)
+// memoryLimitPercent is the soft limit of the Go runtime, in percent of the VM's memory.
+const memoryLimitPercent = 60
 
-// configureCollector sets up the garbage collector for a VM's memory. The live heap is small, so that it may
-// grow several times over before a collection is worth its processor time.
+// configureCollector sets up the garbage collector for a VM's memory. Far below the limit it keeps the
+// runtime's own pace, since more frequent collections of a small heap cost a small VM its processor.
 func configureCollector(memoryBytes int64) {
 	debug.SetMemoryLimit(memoryBytes * memoryLimitPercent / 100)
-	debug.SetGCPercent(gcPercent)
 }
--- a/node/collector_test.go
+++ b/node/collector_test.go
@@ -12,7 +12,8 @@
 // live heap holds must be allocated between two collections, each of which costs a look at all of it.
 func TestCollectionsTakeSmallVMsProcessor(t *testing.T) {
 	is := is.New(t)
-	oldLimit, oldPercent, oldProcessors := debug.SetMemoryLimit(-1), debug.SetGCPercent(-1), runtime.GOMAXPROCS(1)
+	const defaultPercent = 100 // The runtime's own, unless the environment names another.
+	oldLimit, oldPercent, oldProcessors := debug.SetMemoryLimit(-1), debug.SetGCPercent(defaultPercent), runtime.GOMAXPROCS(1)
 	t.Cleanup(func() {
 		runtime.GOMAXPROCS(oldProcessors)
 		debug.SetMemoryLimit(oldLimit)
