--- a/node/election.go
+++ b/node/election.go
@@ -67,18 +67,22 @@
 	if v.scheduler == nil && !n.roleFreeAfterYield() {
 		return electionResult{}, false
 	}
-	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
-	defer cancel()
-	election, err := n.claimRole(ctx, v, lease)
+	if election, ok := n.lastClaim.won(n, v, lease); ok {
+		return election, true
+	}
+	election, err := n.claimRole(v, lease)
 	n.recordStoreResult(err)
-	if err != nil {
-		if cyclamendyke.KindOf(err) != cyclamendyke.KindConflict {
-			n.cfg.Log.Warn("election", "epoch", v.epoch+1, "err", err)
-		}
-		sleep(n.ctx, retryDelay(err))
-		return electionResult{}, false
+	if err == nil {
+		return election, true
+	}
+	if election, ok := n.lastClaim.won(n, n.dir.view(), lease); ok {
+		return election, true
 	}
-	return election, true
+	if cyclamendyke.KindOf(err) != cyclamendyke.KindConflict {
+		n.cfg.Log.Warn("election", "epoch", v.epoch+1, "err", err)
+	}
+	sleep(n.ctx, retryDelay(err))
+	return electionResult{}, false
 }
 
 // Members on stronger VMs take precedence in elections.
@@ -103,7 +107,7 @@
 }
 
 // claimRole writes this process's scheduler record and the next epoch in one commit.
-func (n *Node) claimRole(ctx context.Context, v view, lease cyclamendyke.LeaseID) (electionResult, error) {
+func (n *Node) claimRole(v view, lease cyclamendyke.LeaseID) (electionResult, error) {
 	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1}
 	value, err := json.Marshal(record)
 	if err != nil {
@@ -113,7 +117,10 @@
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
 	}
-	requestedAt := bootTime()
+	n.lastClaim = roleClaim{epoch: record.Epoch, lease: lease, requestedAt: bootTime(), predecessorEnded: n.predecessorEnded(v)}
+	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+	defer cancel()
+	go n.cancelOnceElected(ctx, cancel, record.Epoch)
 	revision, current, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{Puts: []cyclamendyke.Put{
 		{Key: schedulerKey, Value: value, Lease: lease, Expected: v.schedulerRevision},
 		{Key: epochKey, Value: epoch, Expected: v.epochRevision},
@@ -129,7 +136,17 @@
 		{Key: epochKey, Value: epoch, Revision: revision},
 	})
 	n.cfg.Log.Info("elected", "epoch", record.Epoch, "revision", revision)
-	// The previous scheduler had this process's name, or stepped down, or there was none.
-	predecessorEnded := v.scheduler != nil || v.resignation.epoch == v.epoch
-	return electionResult{epoch: record.Epoch, revision: revision, requestedAt: requestedAt, predecessorEnded: predecessorEnded}, nil
+	election := n.lastClaim.result(revision)
+	n.lastClaim = roleClaim{}
+	return election, nil
+}
+
+// predecessorEnded reports whether the scheduler before a claim made now has certainly stopped acting: it
+// had this process's name, or stepped down, or there was none. An election that this process won but could
+// not act on says nothing about the scheduler before it.
+func (n *Node) predecessorEnded(v view) bool {
+	if n.lastClaim.epoch != 0 && n.lastClaim.epoch == v.epoch && n.isElected(v, v.epoch) {
+		return n.lastClaim.predecessorEnded
+	}
+	return v.scheduler != nil || v.resignation.epoch == v.epoch
 }
--- a/node/node.go
+++ b/node/node.go
@@ -40,6 +40,7 @@
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
 	leaving     atomic.Bool                   // The process is shutting down.
+	lastClaim   roleClaim                     // The claim of the role that had no answer; only the election goroutine uses it.
 }
 
 // New returns a running node, which watches the store and takes part in elections until Close.
--- /dev/null
+++ b/node/roleclaim.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cyclamendyke"
+)
+
+// roleClaim is an attempt to take the scheduler role. Its answer may be lost although it took effect, which
+// the record in the store then shows.
+type roleClaim struct {
+	epoch            uint64
+	lease            cyclamendyke.LeaseID // To which the scheduler's record is attached.
+	requestedAt      time.Duration
+	predecessorEnded bool // The scheduler before the claim has certainly stopped acting.
+}
+
+// result returns the election that the claim won; revision is that of the epoch's key.
+func (c roleClaim) result(revision cyclamendyke.Revision) electionResult {
+	return electionResult{epoch: c.epoch, revision: revision, requestedAt: c.requestedAt, predecessorEnded: c.predecessorEnded}
+}
+
+// won returns the election that an unanswered claim has won, if the directory shows that. The claim counts
+// once, so that a process whose term has ended claims the role again.
+func (c *roleClaim) won(n *Node, v view, lease cyclamendyke.LeaseID) (electionResult, bool) {
+	if c.epoch == 0 || c.epoch != v.epoch || c.lease != lease || !n.isElected(v, c.epoch) {
+		return electionResult{}, false
+	}
+	n.cfg.Log.Info("elected without an answer", "epoch", c.epoch, "revision", v.epochRevision)
+	election := c.result(v.epochRevision)
+	*c = roleClaim{}
+	return election, true
+}
+
+// isElected reports whether the scheduler's record in the store is this process's, of the given epoch.
+func (n *Node) isElected(v view, epoch uint64) bool {
+	return v.scheduler != nil && v.scheduler.Nonce == n.nonce && v.scheduler.Epoch == epoch
+}
+
+// claimCheckInterval is how often a process looks whether a claim took effect that has no answer yet.
+const claimCheckInterval = 20 * time.Millisecond
+
+// cancelOnceElected cancels a claim's call once the directory shows that it took effect.
+func (n *Node) cancelOnceElected(ctx context.Context, cancel context.CancelFunc, epoch uint64) {
+	for ctx.Err() == nil {
+		if n.isElected(n.dir.view(), epoch) {
+			cancel()
+			return
+		}
+		sleep(ctx, claimCheckInterval)
+	}
+}
