--- a/node/handler.go
+++ b/node/handler.go
@@ -16,6 +16,9 @@
 	if t == nil {
 		return member.NewError("submitted", member.KindNotScheduler, nil)
 	}
+	if submission.Revision <= t.election.revision {
+		return nil // The term has read it from the store, unless it ended before.
+	}
 	t.postWhenLoaded(func() { t.submit(submission) })
 	return nil
 }
--- a/node/submissions_test.go
+++ b/node/submissions_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"cyclamendyke"
+	"cyclamendyke/io/member"
 )
 
 // lostRenewals is a store client whose lease renewals take effect, but are not answered while lose is set.
@@ -62,3 +63,33 @@
 	})
 	is.Equal(epochOf(n), uint64(1))
 }
+
+// TestEndedWorkRunsAgainAfterLateNotice notifies a scheduler of work that an earlier one has completed.
+func TestEndedWorkRunsAgainAfterLateNotice(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	n := c.startNode("only")
+	eventually(t, "the first term", func() bool { return epochOf(n) == 1 })
+	const id = "00000000000000a1"
+	revision := n.term.Load().election.revision + 1
+	submitUntilAccepted(t, n, id)
+	eventually(t, "completion", func() bool { return isCompleted(n, id) })
+	workflow, err := readTestWorkflow(0)
+	is.NoErr(err)
+	workflow.ID, workflow.Team, workflow.Queue, workflow.AcceptedAt = id, cyclamendyke.OpenTeam, "q", time.Now()
+	eventually(t, "the acknowledgement of the end", func() bool {
+		c.target.mu.Lock()
+		defer c.target.mu.Unlock()
+		return len(c.target.ends) == 0
+	})
+	n.term.Load().end("test")
+	eventually(t, "the second term", func() bool { return epochOf(n) == 2 })
+	is.True(revision < n.term.Load().election.revision)
+	is.NoErr(n.NotifySubmitted(context.Background(), member.Submission{Workflow: workflow, Revision: revision}))
+	time.Sleep(time.Second)
+	c.target.mu.Lock()
+	defer c.target.mu.Unlock()
+	for _, starts := range c.target.starts {
+		is.Equal(starts, 1)
+	}
+}
