--- a/node/cleanup_test.go
+++ b/node/cleanup_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -113,3 +115,40 @@
 		c.t.Fatal(err)
 	}
 }
+
+// noFinals is a store client that takes no batch with a final record while refuse is set.
+type noFinals struct {
+	cyclamendyke.BatchStore
+	refuse atomic.Bool
+}
+
+// Commit refuses final records.
+func (s *noFinals) Commit(ctx context.Context, batch cyclamendyke.Batch) (cyclamendyke.Revision, []cyclamendyke.Entry, error) {
+	for _, put := range batch.Puts {
+		if s.refuse.Load() && strings.HasPrefix(put.Key, donePrefix) {
+			return 0, nil, cyclamendyke.KindUnavailable
+		}
+	}
+	return s.BatchStore.Commit(ctx, batch)
+}
+
+// TestCancellationIsRemovedBeforeFinalStateIsStored ends the term between the two.
+func TestCancellationIsRemovedBeforeFinalStateIsStored(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	store := &noFinals{BatchStore: c.store.As("only")}
+	n := c.start("only", store, awayTarget{c.target}, 0)
+	eventually(t, "the first term", func() bool { return epochOf(n) == 1 })
+	const id = "00000000000000a1"
+	submitUntilAccepted(t, n, id)
+	time.Sleep(2 * followBatchDelay()) // The scheduler knows the work.
+	store.refuse.Store(true)
+	call := cyclamendyke.IntakeCall{Host: "h", Path: "/q/" + id, Timeout: 2 * time.Second}
+	is.Equal(Intake{n}.Cancel(context.Background(), call).Result, cyclamendyke.IntakeCancelled)
+	time.Sleep(3 * followBatchDelay())
+	n.term.Load().end("test")
+	store.refuse.Store(false)
+	eventually(t, "the second term", func() bool { return epochOf(n) == 2 })
+	time.Sleep(time.Second)
+	is.Equal(Intake{n}.Query(context.Background(), call).State, cyclamendyke.WorkflowCancelled)
+}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -91,6 +91,14 @@
 	return nil
 }
 
+// awayTarget is a target that never answers.
+type awayTarget struct{ *fakeTarget }
+
+// Renew fails.
+func (awayTarget) Renew(context.Context, cyclamendyke.Target, cyclamendyke.Renewal) (cyclamendyke.Listing, error) {
+	return cyclamendyke.Listing{}, cyclamendyke.KindUnknown
+}
+
 // testCluster is a store and a target for nodes that run in the test's process.
 type testCluster struct {
 	t      *testing.T
