--- a/node/election.go
+++ b/node/election.go
@@ -49,6 +49,7 @@
 type electionResult struct {
 	epoch            uint64
 	revision         cyclamendyke.Revision // Revision of the epoch's key.
+	lease            cyclamendyke.LeaseID  // To which the scheduler's record is attached.
 	requestedAt      time.Duration         // When the winning commit was sent.
 	predecessorEnded bool                  // The previous scheduler has certainly stopped acting.
 }
@@ -57,7 +58,7 @@
 // this process's own name: that record is left from an earlier term or process on this VM.
 func (n *Node) elect() (electionResult, bool) {
 	v := n.dir.view()
-	lease, _ := n.session.current()
+	lease := n.session.current()
 	if !v.loaded || lease == 0 || n.fleetConfig.Load() == nil {
 		return electionResult{}, false
 	}
--- a/node/orders.go
+++ b/node/orders.go
@@ -64,8 +64,8 @@
 // maySendOrders reports whether the term is active and its grace period has not ended. It is called
 // just before orders are sent, since the VM may have been suspended after the decision.
 func (t *term) maySendOrders() bool {
-	_, validUntil := t.node.session.current()
-	return t.ctx.Err() == nil && bootTime() < validUntil+authorityGrace
+	validUntil := t.leaseValidUntil()
+	return t.ctx.Err() == nil && validUntil != 0 && bootTime() < validUntil+authorityGrace
 }
 
 func (t *term) advise(c dispatch.AdviseCommand) {
--- a/node/roleclaim.go
+++ b/node/roleclaim.go
@@ -18,7 +18,7 @@
 
 // result returns the election that the claim won; revision is that of the epoch's key.
 func (c roleClaim) result(revision cyclamendyke.Revision) electionResult {
-	return electionResult{epoch: c.epoch, revision: revision, requestedAt: c.requestedAt, predecessorEnded: c.predecessorEnded}
+	return electionResult{epoch: c.epoch, revision: revision, lease: c.lease, requestedAt: c.requestedAt, predecessorEnded: c.predecessorEnded}
 }
 
 // won returns the election that an unanswered claim has won, if the directory shows that. The claim counts
--- a/node/session.go
+++ b/node/session.go
@@ -53,14 +53,24 @@
 	return memberRecord{Name: n.cfg.Settings.Node, Zone: n.cfg.Settings.Zone, Address: n.cfg.Address, Nonce: n.nonce, Cores: n.cfg.Settings.Cores}
 }
 
-// current returns the lease, or zero if it may have expired, and the time until which it is valid.
-func (s *session) current() (cyclamendyke.LeaseID, time.Duration) {
+// current returns the lease, or zero if it may have expired.
+func (s *session) current() cyclamendyke.LeaseID {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if bootTime() >= s.validUntil {
-		return 0, s.validUntil
+		return 0
 	}
-	return s.lease, s.validUntil
+	return s.lease
+}
+
+// validUntilOf returns until when a lease is certainly valid, or zero if it was lost or replaced.
+func (s *session) validUntilOf(lease cyclamendyke.LeaseID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lease != lease {
+		return 0
+	}
+	return s.validUntil
 }
 
 func (s *session) lastStoreAnswer() time.Duration {
--- a/node/term.go
+++ b/node/term.go
@@ -160,7 +160,7 @@
 // checkAuthority reports whether this process may still act as the scheduler, and ends the term if
 // not. For a grace period after the lease expires, it may go on with the workflows that it already has.
 func (t *term) checkAuthority() bool {
-	_, validUntil := t.node.session.current()
+	validUntil := t.leaseValidUntil()
 	now := bootTime()
 	if validUntil == 0 {
 		t.end("the session was lost")
@@ -173,10 +173,15 @@
 	return false
 }
 
+// leaseValidUntil returns until when the lease that holds the role is certainly valid, or zero if it was lost.
+// A lease that the process has obtained since does not hold the role.
+func (t *term) leaseValidUntil() time.Duration {
+	return t.node.session.validUntilOf(t.election.lease)
+}
+
 // leaseValid reports whether the lease in the store has certainly not expired.
 func (t *term) leaseValid() bool {
-	_, validUntil := t.node.session.current()
-	return bootTime() < validUntil
+	return bootTime() < t.leaseValidUntil()
 }
 
 // advisers returns the members that can request advice.
