--- a/node/directory.go
+++ b/node/directory.go
@@ -18,7 +18,8 @@
 // schedulerRecord is the scheduler's entry in the store.
 type schedulerRecord struct {
 	memberRecord
-	Epoch uint64 `json:"epoch"`
+	Epoch             uint64 `json:"epoch"`
+	PredecessorsEnded bool   `json:"predecessors-ended,omitempty"` // No earlier scheduler acts any more.
 }
 
 // directory is a local copy of the store's records of members, scheduler and epoch.
--- a/node/election.go
+++ b/node/election.go
@@ -47,11 +47,11 @@
 
 // electionResult describes a won election.
 type electionResult struct {
-	epoch            uint64
-	revision         cyclamendyke.Revision // Revision of the epoch's key.
-	lease            cyclamendyke.LeaseID  // To which the scheduler's record is attached.
-	requestedAt      time.Duration         // When the winning commit was sent.
-	predecessorEnded bool                  // The previous scheduler has certainly stopped acting.
+	epoch             uint64
+	revision          cyclamendyke.Revision // Revision of the epoch's key.
+	lease             cyclamendyke.LeaseID  // To which the scheduler's record is attached.
+	requestedAt       time.Duration         // When the winning commit was sent.
+	predecessorsEnded bool                  // No earlier scheduler acts any more.
 }
 
 // elect tries to take the scheduler role if there is no scheduler, or if the scheduler's record has
@@ -109,7 +109,7 @@
 
 // claimRole writes this process's scheduler record and the next epoch in one commit.
 func (n *Node) claimRole(v view, lease cyclamendyke.LeaseID) (electionResult, error) {
-	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1}
+	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, PredecessorsEnded: v.predecessorsEnded()}
 	value, err := json.Marshal(record)
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
@@ -118,10 +118,10 @@
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
 	}
-	n.lastClaim = roleClaim{epoch: record.Epoch, lease: lease, requestedAt: bootTime(), predecessorEnded: n.predecessorEnded(v)}
+	n.lastClaim = roleClaim{epoch: record.Epoch, lease: lease, requestedAt: bootTime(), predecessorsEnded: record.PredecessorsEnded}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	go n.cancelOnceElected(ctx, cancel, record.Epoch)
+	n.wg.Go(func() { n.cancelOnceElected(ctx, cancel, record.Epoch) })
 	revision, current, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{Puts: []cyclamendyke.Put{
 		{Key: schedulerKey, Value: value, Lease: lease, Expected: v.schedulerRevision},
 		{Key: epochKey, Value: epoch, Expected: v.epochRevision},
@@ -141,13 +141,3 @@
 	n.lastClaim = roleClaim{}
 	return election, nil
 }
-
-// predecessorEnded reports whether the scheduler before a claim made now has certainly stopped acting: it
-// had this process's name, or stepped down, or there was none. An election that this process won but could
-// not act on says nothing about the scheduler before it.
-func (n *Node) predecessorEnded(v view) bool {
-	if n.lastClaim.epoch != 0 && n.lastClaim.epoch == v.epoch && n.isElected(v, v.epoch) {
-		return n.lastClaim.predecessorEnded
-	}
-	return v.scheduler != nil || v.resignation.epoch == v.epoch
-}
--- a/node/handover.go
+++ b/node/handover.go
@@ -43,31 +43,40 @@
 	}
 	state.strongerSince, state.notBefore = 0, now+minHandoverInterval
 	t.end("handing over to a stronger member")
-	n.stepDown(t.epoch)
+	n.stepDown(t)
 }
 
-// stepDown releases the role and records the resignation, so that the next scheduler need not
-// wait out this one's grace period.
-func (n *Node) stepDown(epoch uint64) {
-	value, err := json.Marshal(epoch)
+// stepDown releases the role of an ended term and, if no earlier scheduler acts any more, records the
+// resignation, so that the next scheduler need not wait out any grace period.
+func (n *Node) stepDown(t *term) {
+	value, err := json.Marshal(t.epoch)
 	if err != nil {
-		n.cfg.Log.Error("cannot encode resignation", "epoch", epoch, "err", err)
+		n.cfg.Log.Error("cannot encode resignation", "epoch", t.epoch, "err", err)
 		return
 	}
 	v := n.dir.view()
-	batch := cyclamendyke.Batch{Puts: []cyclamendyke.Put{{Key: resignationKey, Value: value, Expected: v.resignation.revision}}}
+	var batch cyclamendyke.Batch
+	if t.predecessorsEnded.Load() {
+		batch.Puts = []cyclamendyke.Put{{Key: resignationKey, Value: value, Expected: v.resignation.revision}}
+	}
 	isScheduler := v.scheduler != nil && v.scheduler.Name == n.cfg.Settings.Node
 	if isScheduler {
 		batch.Deletes = []cyclamendyke.Guard{{Key: schedulerKey, Expected: v.schedulerRevision}}
 	}
+	if batch.Entries() == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	revision, _, err := n.cfg.Store.Commit(ctx, batch)
 	if err != nil {
-		n.cfg.Log.Warn("cannot write resignation", "epoch", epoch, "err", err)
+		n.cfg.Log.Warn("cannot write resignation", "epoch", t.epoch, "err", err)
 		return
 	}
-	changes := []cyclamendyke.Entry{{Key: resignationKey, Value: value, Revision: revision}}
+	var changes []cyclamendyke.Entry
+	if len(batch.Puts) > 0 {
+		changes = append(changes, cyclamendyke.Entry{Key: resignationKey, Value: value, Revision: revision})
+	}
 	if isScheduler {
 		changes = append(changes, cyclamendyke.Entry{Key: schedulerKey, Deleted: true, Revision: revision})
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -83,7 +83,7 @@
 	}
 	if t := n.term.Load(); t != nil {
 		t.end("leaving")
-		n.stepDown(t.epoch)
+		n.stepDown(t)
 	}
 	n.session.release(n)
 }
--- a/node/roleclaim.go
+++ b/node/roleclaim.go
@@ -10,15 +10,17 @@
 // roleClaim is an attempt to take the scheduler role. Its answer may be lost although it took effect, which
 // the record in the store then shows.
 type roleClaim struct {
-	epoch            uint64
-	lease            cyclamendyke.LeaseID // To which the scheduler's record is attached.
-	requestedAt      time.Duration
-	predecessorEnded bool // The scheduler before the claim has certainly stopped acting.
+	epoch             uint64
+	lease             cyclamendyke.LeaseID // To which the scheduler's record is attached.
+	requestedAt       time.Duration
+	predecessorsEnded bool // No earlier scheduler acts any more.
 }
 
 // result returns the election that the claim won; revision is that of the epoch's key.
 func (c roleClaim) result(revision cyclamendyke.Revision) electionResult {
-	return electionResult{epoch: c.epoch, revision: revision, lease: c.lease, requestedAt: c.requestedAt, predecessorEnded: c.predecessorEnded}
+	return electionResult{
+		epoch: c.epoch, revision: revision, lease: c.lease, requestedAt: c.requestedAt, predecessorsEnded: c.predecessorsEnded,
+	}
 }
 
 // won returns the election that an unanswered claim has won, if the directory shows that. The claim counts
--- a/node/term.go
+++ b/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cyclamendyke"
@@ -33,6 +34,8 @@
 	wg       sync.WaitGroup
 	endOnce  sync.Once
 
+	predecessorsEnded atomic.Bool // No earlier scheduler acts any more, and the store says so.
+
 	// Only the control goroutine uses the fields below.
 	sched              *dispatch.Scheduler
 	delegator          *delegator
@@ -54,7 +57,7 @@
 	t := &term{node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize), cancellations: map[cyclamendyke.WorkflowID]bool{}}
 	bounds := n.cfg.Settings.Bounds
 	grace := authorityGrace
-	if election.predecessorEnded {
+	if election.predecessorsEnded {
 		grace = 0
 	}
 	t.sched = dispatch.New(dispatch.Config{
@@ -69,6 +72,8 @@
 	n.cfg.Metrics.Terms.Inc()
 	n.wg.Go(t.runControlLoop)
 	t.wg.Go(t.loadAndFollow)
+	t.predecessorsEnded.Store(election.predecessorsEnded)
+	t.wg.Go(t.declarePredecessorsEnded)
 }
 
 // end ends the term; only the first call has an effect.
