--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -112,6 +112,16 @@
 	return false
 }
 
+// KnownTargetsStored reports whether all changes of known targets are stored.
+func (s *Scheduler) KnownTargetsStored() bool {
+	for _, record := range s.knownRecords {
+		if record.dirty || record.storing {
+			return false
+		}
+	}
+	return true
+}
+
 // TakeKnownTargetChanges passes the changes to be stored to take until it returns false for one that it
 // does not take; from then on nothing is started on targets that are taken as closed.
 func (s *Scheduler) TakeKnownTargetChanges(take func(KnownTargetChange) bool) {
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -155,3 +155,19 @@
 	is.Equal(sim.starts, 2)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestChangesOfKnownTargetsInFlightCountAsStored asks before the store has taken what it was sent.
+func TestChangesOfKnownTargetsInFlightCountAsStored(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Epoch: 1})
+	s.AddKnownTarget(KnownTarget{Target: cyclamendyke.Target{ID: "a", Address: "a"}}, 0)
+	is.True(!s.KnownTargetsStored())
+	var taken []KnownTargetChange
+	s.TakeKnownTargetChanges(func(c KnownTargetChange) bool {
+		taken = append(taken, c)
+		return true
+	})
+	is.True(!s.KnownTargetsStored())
+	s.KnownTargetChangesStored(taken, 1)
+	is.True(s.KnownTargetsStored())
+}
--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -89,7 +89,7 @@
 // removeOldKnownTargets removes the list that earlier versions wrote, once each target has its own
 // record.
 func (t *term) removeOldKnownTargets() {
-	if !t.hasOldKnownTargets || t.sched.HasKnownTargetChanges() {
+	if !t.hasOldKnownTargets || !t.sched.KnownTargetsStored() {
 		return
 	}
 	t.hasOldKnownTargets = false
