--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -247,3 +247,26 @@
 		})
 	}
 }
+
+// TestCancelledRunsOnAwayVMAreForgottenAtTakeover cancels a running workflow while its VM is away, and begins the next epoch.
+func TestCancelledRunsOnAwayVMAreForgottenAtTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.fleet.Teams[0].Limit = cores(16)
+	sim.elect()
+	sim.submit(workflow("a", cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: 30 * time.Second}))
+	sim.run(500 * time.Millisecond)
+	is.Equal(sim.starts, 1)
+	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+	sim.run(100 * time.Millisecond)
+	sim.vms["vm-0"].unreachable = true
+	durable := false
+	is.True(sim.sched.Cancel("a", func() { durable = true }))
+	sim.run(time.Second)
+	is.True(durable)
+	sim.elect()
+	sim.run(100 * time.Millisecond)
+	sim.submit(workflow("b", cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: time.Second}))
+	sim.run(2 * time.Second)
+	is.Equal(len(sim.violations), 0)
+}
