--- a/node/delegator.go
+++ b/node/delegator.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"time"
 
@@ -92,7 +93,7 @@
 	for name, counts := range d.outcomeCounts {
 		if counts.failed >= minFailures && 2*counts.failed >= counts.total {
 			d.term.node.cfg.Log.Warn("member suspended: too many failed orders", "member", name, "failed", counts.failed, "of", counts.total, "rest", suspensionTime)
-			d.suspendedUntil[name] = now + suspensionTime
+			d.suspendUntil(name, now+suspensionTime)
 		}
 	}
 	clear(d.outcomeCounts)
@@ -125,10 +126,24 @@
 // suspend stops delegating to a member for suspensionTime.
 func (d *delegator) suspend(name cyclamendyke.MemberName) {
 	now := bootTime()
-	d.suspendedUntil[name] = now + suspensionTime
+	d.suspendUntil(name, now+suspensionTime)
 	d.selectExecutors(now)
 }
 
+// maxSuspendedShare is the largest part of the members that is suspended at a time.
+const maxSuspendedShare = 0.5
+
+// suspendUntil suspends a member, unless that many are suspended already that the fault must be this
+// process's own: a slow scheduler would only be slower without members that carry out its orders.
+func (d *delegator) suspendUntil(name cyclamendyke.MemberName, end time.Duration) {
+	limit := max(1, int(maxSuspendedShare*float64(len(d.term.node.dir.memberNames()))))
+	now := bootTime()
+	maps.DeleteFunc(d.suspendedUntil, func(_ cyclamendyke.MemberName, until time.Duration) bool { return now >= until })
+	if _, isSuspended := d.suspendedUntil[name]; isSuspended || len(d.suspendedUntil) < limit {
+		d.suspendedUntil[name] = end
+	}
+}
+
 // delegate queues a command for a member, or returns false if the scheduler must execute it itself.
 func (d *delegator) delegate(command dispatch.Command) bool {
 	order := member.Order{}
--- a/node/delegator_test.go
+++ b/node/delegator_test.go
@@ -104,3 +104,30 @@
 		is.Equal(starts, 1)
 	}
 }
+
+// TestSlowSchedulerKeepsExecutors suspends all members, as a scheduler does that is too slow to hear them in
+// time; some must go on carrying out its orders.
+func TestSlowSchedulerKeepsExecutors(t *testing.T) {
+	c := newLargeTestCluster(t)
+	first := c.startNodeWithCores("first", c.target, 1)
+	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
+	members := []cyclamendyke.MemberName{"second", "third", "fourth", "fifth"}
+	for _, name := range members {
+		c.startNodeWithCores(name, c.target, 1)
+	}
+	eventually(t, "executors", func() bool {
+		term := first.term.Load()
+		count, err := query(context.Background(), term, func(answer func(int)) { answer(len(term.delegator.executors.all)) })
+		return err == nil && count > 0 && len(first.dir.memberNames()) == 1+len(members)
+	})
+	term := first.term.Load()
+	left, err := query(context.Background(), term, func(answer func(int)) {
+		for _, name := range members {
+			term.delegator.suspend(name)
+		}
+		answer(len(term.delegator.executors.all))
+	})
+	is := is.New(t)
+	is.NoErr(err)
+	is.True(left > 0)
+}
