--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -26,6 +26,7 @@
 	EventAdvised       Event = "advised"
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
+	EventLate          Event = "late" // A workflow became final after its target time.
 )
 
 // Decision is one decision with the values that led to it, for the log.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -26,6 +26,7 @@
 	onDurable           []func()              // Called once the current version is stored.
 	onFinal             []func()              // Called once a final state is stored.
 	runCount            int                   // Number of its runs, in any state.
+	phaseTimes          phaseTimes            // Time that its steps have spent in each phase.
 }
 
 // occurrence is one repetition of a workflow's steps.
@@ -54,6 +55,8 @@
 	rankKey        rankKey
 	haste          float64 // How much it gains by a fast target, from -1 to 1.
 	unplacedReason string  // Last logged reason for not being placed.
+	phase          phase
+	phaseSince     time.Duration
 	claims         []*claim
 	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
 	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
@@ -132,6 +135,7 @@
 	for k := range spec.Occurrences() {
 		j.occurrences = append(j.occurrences, newOccurrence(j, k))
 	}
+	s.enterFirstPhase(j)
 	s.unreleased[j] = struct{}{}
 	s.expectUrgent(j)
 	s.cfg.LogDecision(Decision{Event: EventAccepted, Workflow: spec.ID, Count: len(spec.Steps)})
@@ -173,12 +177,14 @@
 
 // releaseSteps releases the steps whose preceding steps are done.
 func (s *Scheduler) releaseSteps(occ *occurrence) {
+	occ.leavePhases(s.now)
 	for _, step := range occ.steps {
 		if step.released || !occ.ready(step) {
 			continue
 		}
 		step.released = true
 		step.releasedAt = s.now
+		step.enterPhase(s.now, phasePass)
 		if step.tasksDone < len(step.tasks) {
 			s.active.add(step)
 		}
@@ -224,6 +230,7 @@
 	j.finalAt = s.now
 	s.markDirty(j)
 	s.cfg.LogDecision(Decision{Event: EventFinal, Workflow: j.spec.ID, Reason: string(state), Age: s.now - j.acceptedAt})
+	s.logPhases(j)
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			s.active.remove(step)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -7,7 +7,7 @@
 	s.expireClaims()
 	waitClaims := 0
 	s.projectFree()
-	noRoom, noProjectedRoom := noFitCache{}, noFitCache{}
+	noRoom, noProjectedRoom, noRoomNow := noFitCache{}, noFitCache{}, noFitCache{}
 	for _, step := range s.active.sorted(s.rank) {
 		queue := step.job.queue(s)
 		if queue == nil || s.service(queue.Service) == nil {
@@ -15,17 +15,20 @@
 		}
 		waiting := s.startableTasks(step)
 		if len(waiting) == 0 {
+			step.enterPhase(s.now, step.runPhase())
 			s.prefetchAdvice(step)
 			s.startSpeculative(step, queue)
 			continue
 		}
 		if step.job.inherited && !s.earlierRunsKnown {
+			step.enterPhase(s.now, phaseTakeover)
 			s.requestInitialAdvice(step, queue)
 			continue
 		}
 		waiting = s.admitted(step, waiting)
 		if len(waiting) == 0 {
 			s.dropClaims(step)
+			step.enterPhase(s.now, phaseLimit)
 			s.logUnplaced(step, "team limit reached")
 			continue
 		}
@@ -39,10 +42,12 @@
 			unplaced = s.placeTasks(step, queue, waiting)
 		}
 		if unplaced == 0 {
+			step.enterPhase(s.now, phaseStart)
 			s.dropClaims(step)
 			s.prefetchAdvice(step)
 			continue
 		}
+		s.enterWaitPhase(step, queue, unplaced, noRoomNow)
 		if queue.Advice == nil && len(step.claims) == 0 && !s.fitsAnywhere(step, queue) {
 			noRoom.add(queue.Service, step.spec.Reserved())
 		}
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -75,16 +75,12 @@
 	if j.spec.Repeat > 0 {
 		begin = max(begin, step.occ.steps[0].releasedAt)
 	}
-	targetDuration := queue.BaseTarget
 	if step.spec.LongRunning {
-		step.rankKey = rankKey{overShare: j.overShare, priority: queue.Priority, deadline: step.releasedAt + targetDuration}
+		step.rankKey = rankKey{overShare: j.overShare, priority: queue.Priority, deadline: step.releasedAt + queue.BaseTarget}
 		step.haste = -1
 		return
 	}
-	targetDuration += time.Duration(queue.CriticalPathFactor * float64(step.occ.criticalPath))
-	if queue.Advice != nil {
-		targetDuration += queue.Advice.Base + time.Duration(len(s.targets))*queue.Advice.PerTarget
-	}
+	targetDuration := s.targetDuration(queue, step.occ)
 	step.haste = haste(begin+targetDuration-s.now, step.criticalPath)
 	step.rankKey = rankKey{
 		useless:   s.now+step.criticalPath > begin+uselessFactor*targetDuration,
@@ -108,3 +104,12 @@
 	ratio := left.Seconds() / max(0.001, criticalPath.Seconds())
 	return max(-1, min(1, (relaxedRatio-ratio)/hasteRange))
 }
+
+// targetDuration returns how long an occurrence that ends by itself may take to be on time.
+func (s *Scheduler) targetDuration(queue *cyclamendyke.Queue, occ *occurrence) time.Duration {
+	duration := queue.BaseTarget + time.Duration(queue.CriticalPathFactor*float64(occ.criticalPath))
+	if queue.Advice != nil {
+		duration += queue.Advice.Base + time.Duration(len(s.targets))*queue.Advice.PerTarget
+	}
+	return duration
+}
