--- a/core/dispatch/remaining.go
+++ b/core/dispatch/remaining.go
@@ -63,13 +63,24 @@
 // remaining estimates the time left from the pace so far. It is unknown before enough progress was
 // reported, and once the run should have ended.
 func (p *progress) remaining(now time.Duration) (time.Duration, bool) {
+	end, known := p.expectedEnd()
+	return end - now, known && end > now
+}
+
+// perPercent returns the time that the run has taken for a percent of its work, if it has reported
+// enough progress.
+func (p *progress) perPercent() (time.Duration, bool) {
 	made := p.percent - p.firstPercent
 	if made < minKnownPercent || p.at <= p.firstAt {
 		return 0, false
 	}
-	perPercent := float64(p.at-p.firstAt) / float64(made)
-	left := time.Duration(perPercent*float64(100-p.percent)) - (now - p.at)
-	return left, left > 0
+	return (p.at - p.firstAt) / time.Duration(made), true
+}
+
+// expectedEnd returns when the run ends if it keeps its pace, if that is known.
+func (p *progress) expectedEnd() (time.Duration, bool) {
+	perPercent, known := p.perPercent()
+	return p.at + time.Duration(100-p.percent)*perPercent, known
 }
 
 // runTimeOn estimates how long a task of the step runs on a target: as long as the step's other tasks
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -12,6 +14,7 @@
 	minSlowTime  = 400 * time.Millisecond // A run counts as slow no earlier than this.
 	copyGain     = 1.5                    // The run must be expected to go on for this multiple of what the copy takes.
 	stuckFactor  = 2.0                    // Multiple of the expected run time after which a run without known progress counts as stuck.
+	paceError    = 0.5                    // Part of the time that the pace left for a run by which it may exceed that.
 	copyLookWait = 500 * time.Millisecond // Least time between two requests for a listing to learn a run's progress.
 )
 
@@ -48,16 +51,49 @@
 	return s.now-r.startedAt >= limit
 }
 
-// copyWorthwhile reports whether a copy on a target is expected to end well before the run. If the
-// run's progress is not known, it asks for a listing and counts the run as stuck only after a longer
-// time.
+// copyWorthwhile reports whether a copy on a target is expected to end well before the run.
 func (s *Scheduler) copyWorthwhile(r *run, t *target) bool {
-	copyTime := r.step.runTimeOn(t)
-	if left, ok := r.progress.remaining(s.now); ok {
-		return left > time.Duration(copyGain*float64(copyTime))
+	end, known := r.progress.expectedEnd()
+	copyTime := r.step.paceTimeOn(t)
+	if known && s.now < end {
+		return end-s.now > time.Duration(copyGain*float64(copyTime))
 	}
-	if s.now-r.target.listingSentAt > copyLookWait {
+	stuckAt := r.startedAt + time.Duration(stuckFactor*float64(r.step.runTimeOn(r.target)))
+	if known {
+		stuckAt = max(stuckAt, end+time.Duration(paceError*float64(end-r.progress.at)))
+	}
+	return s.stuckSince(r, stuckAt)
+}
+
+// stuckSince reports whether a run still had no news at a given time: by a listing that was sent after it,
+// or by the lack of one.
+func (s *Scheduler) stuckSince(r *run, at time.Duration) bool {
+	if r.target.listingSentAt > at || s.now > at+copyLookWait {
+		return true
+	}
+	if s.now > at || s.now-r.target.listingSentAt > copyLookWait {
 		s.requestListing(r.target)
 	}
-	return s.now-r.startedAt > time.Duration(stuckFactor*float64(r.step.runTimeOn(r.target)))
+	return false
+}
+
+// paceTimeOn estimates how long a task of the step runs on a target. Before any of them is done, it goes
+// by the median pace of those that run, since all of them may take longer than their estimate.
+func (step *stepRun) paceTimeOn(t *target) time.Duration {
+	if len(step.measured) > 0 {
+		return step.runTimeOn(t)
+	}
+	var times []float64
+	for i := range step.tasks {
+		for _, r := range step.tasks[i].runs {
+			if perPercent, known := r.progress.perPercent(); known {
+				times = append(times, 100*float64(perPercent)*math.Exp(-r.target.speed.slowness))
+			}
+		}
+	}
+	if len(times) == 0 {
+		return step.runTimeOn(t)
+	}
+	slices.Sort(times)
+	return time.Duration(times[(len(times)-1)/2] * math.Exp(t.speed.slowness))
 }
