--- a/node/term.go
+++ b/node/term.go
@@ -70,7 +70,10 @@
 	t.delegator = newDelegator(t)
 	n.term.Store(t)
 	n.cfg.Metrics.Terms.Inc()
-	n.wg.Go(t.runControlLoop)
+	n.wg.Go(func() {
+		t.runControlLoop()
+		t.wg.Wait()
+	})
 	t.wg.Go(t.loadAndFollow)
 	t.predecessorsEnded.Store(election.predecessorsEnded)
 	t.wg.Go(t.declarePredecessorsEnded)
