--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -24,7 +24,7 @@
 	storing             bool                  // A record of it is being stored; the next one waits.
 	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onDurable           []func()              // Called once the current version is stored.
-	onFinal             []func()              // Called once a final state is stored.
+	onFinal             []*finalWaiter        // Notified once a final state is stored.
 	runCount            int                   // Number of its runs, in any state.
 	phaseTimes          phaseTimes            // Time that its steps have spent in each phase.
 }
@@ -269,10 +269,23 @@
 	return j != nil && !j.state.IsFinal()
 }
 
-// NotifyFinal calls notify once a final state of an unfinished workflow is stored.
-func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) {
-	if j := s.jobs[id]; j != nil {
-		j.onFinal = append(j.onFinal, notify)
+// finalWaiter waits for a workflow's final state to be stored.
+type finalWaiter struct {
+	notify func()
+}
+
+// NotifyFinal calls notify once a final state of a workflow is stored, at once if it is or if the workflow
+// is unknown, unless the caller calls the returned function before.
+func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) (cancel func()) {
+	j := s.jobs[id]
+	if j == nil || j.state.IsFinal() && j.durableVersion >= j.version {
+		notify()
+		return func() {}
+	}
+	waiter := &finalWaiter{notify: notify}
+	j.onFinal = append(j.onFinal, waiter)
+	return func() {
+		j.onFinal = slices.DeleteFunc(j.onFinal, func(w *finalWaiter) bool { return w == waiter })
 	}
 }
 
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -120,8 +120,8 @@
 		j.durableVersion = max(j.durableVersion, r.version)
 		if r.Final {
 			s.ended = append(s.ended, j)
-			for _, notify := range j.onFinal {
-				notify()
+			for _, waiter := range j.onFinal {
+				waiter.notify()
 			}
 			j.onFinal = nil
 		}
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -270,3 +270,20 @@
 	sim.run(2 * time.Second)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestQueriesOfUnfinishedWorkAccumulate waits for the end of a workflow as each query does.
+func TestQueriesOfUnfinishedWorkAccumulate(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(oneTask("job"))
+	notified := 0
+	for range 1000 {
+		stop := sim.sched.NotifyFinal("job", func() { notified++ })
+		stop()
+	}
+	is.Equal(len(sim.sched.jobs["job"].onFinal), 0)
+	sim.sched.NotifyFinal("job", func() { notified++ })
+	sim.run(5 * time.Second)
+	is.Equal(notified, 1)
+}
--- a/node/handler.go
+++ b/node/handler.go
@@ -64,29 +64,37 @@
 	if t == nil {
 		return member.WorkflowStatus{}, member.NewError("status", member.KindNotScheduler, nil)
 	}
-	ended := make(chan struct{}, 1)
-	status, err := t.status(ctx, id, func() { ended <- struct{}{} })
+	status, err := t.status(ctx, id)
 	if err != nil || status.State.IsFinal() {
 		return status, err
 	}
+	if t.waitForEnd(ctx, id) {
+		return t.status(ctx, id)
+	}
+	return status, nil
+}
+
+// waitForEnd waits until a final state of a workflow is stored, for queryWait at most, and reports whether
+// it is.
+func (t *term) waitForEnd(ctx context.Context, id cyclamendyke.WorkflowID) bool {
+	ended := make(chan struct{})
+	stopWaiting := func() {}
+	t.post(func() { stopWaiting = t.sched.NotifyFinal(id, func() { close(ended) }) })
 	select {
 	case <-ended:
-		return t.status(ctx, id, nil)
+		return true
 	case <-time.After(queryWait):
 	case <-ctx.Done():
 	case <-t.ctx.Done():
 	}
-	return status, nil
+	t.post(func() { stopWaiting() })
+	return false
 }
 
-// status returns a workflow's present state; notify, unless it is nil, is called once a final state is
-// stored.
-func (t *term) status(ctx context.Context, id cyclamendyke.WorkflowID, notify func()) (member.WorkflowStatus, error) {
+// status returns a workflow's present state.
+func (t *term) status(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
 	status, err := query(ctx, t, func(answer func(member.WorkflowStatus)) {
 		state, team, _ := t.sched.Status(id)
-		if notify != nil {
-			t.sched.NotifyFinal(id, notify)
-		}
 		answer(member.WorkflowStatus{State: state, Team: team})
 	})
 	if err == nil && status.State == "" {
