--- a/core/dispatch/phases_test.go
+++ b/core/dispatch/phases_test.go
@@ -73,7 +73,11 @@
 		"disallowed": {estimate: short, occupy: func(sim *simulation) {
 			sim.submit(workflow("filling", cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: 4 * time.Second}))
 			sim.run(100 * time.Millisecond)
-			sim.adviceAllows = func(_ cyclamendyke.StepName, id cyclamendyke.TargetID) bool { return len(sim.vms[id].runs) > 0 }
+			filled := map[cyclamendyke.TargetID]bool{}
+			for id, v := range sim.vms {
+				filled[id] = len(v.runs) > 0
+			}
+			sim.adviceAllows = func(_ cyclamendyke.StepName, id cyclamendyke.TargetID) bool { return filled[id] }
 		}},
 		"advice": {
 			estimate: short,
--- a/core/dispatch/projection.go
+++ b/core/dispatch/projection.go
@@ -69,14 +69,14 @@
 	a := &allocation{step: step, waiting: waiting, part: float64(*s.allowedPart(queue.Name))}
 	for _, c := range step.claims {
 		v, hasVerdict := step.advice.verdicts[c.target.info.ID]
-		if (v.allowed || !hasVerdict) && !slices.ContainsFunc(a.chosen, func(r allocatedRoom) bool { return r.target == c.target }) {
+		if (v.allowed || !hasVerdict) && !a.has(c.target) {
 			a.add(c.target, v, s.needsTicket(step, queue, v, true))
 		}
 	}
-	s.allocateAllowed(a, queue)
-	if !a.isComplete() && !noProjectedRoom.has(queue.Service, step.spec.Reserved()) {
-		s.allocateUnknown(a, queue, noProjectedRoom)
+	if step.rankKey.priority == 0 {
+		s.allocateFree(a, queue, noProjectedRoom, true)
 	}
+	s.allocateFree(a, queue, noProjectedRoom, false)
 	if !step.spec.Gang || a.expected >= float64(waiting) {
 		need := step.spec.Reserved()
 		for _, room := range a.chosen {
@@ -86,14 +86,28 @@
 	return a.missing[:min(len(a.missing), maxAdviceTargets)]
 }
 
+// allocateFree adds targets with room until the step's tasks fit. With roomNow, it adds only those with
+// room that need not be freed first.
+func (s *Scheduler) allocateFree(a *allocation, queue *cyclamendyke.Queue, noProjectedRoom noFitCache, roomNow bool) {
+	s.allocateAllowed(a, queue, roomNow)
+	if !a.isComplete() && !noProjectedRoom.has(queue.Service, a.step.spec.Reserved()) {
+		s.allocateUnknown(a, queue, noProjectedRoom, roomNow)
+	}
+}
+
+// has reports whether the step is expected to use a target.
+func (a *allocation) has(t *target) bool {
+	return slices.ContainsFunc(a.chosen, func(r allocatedRoom) bool { return r.target == t })
+}
+
 // allocateAllowed adds targets that advice allows, those with more room first.
-func (s *Scheduler) allocateAllowed(a *allocation, queue *cyclamendyke.Queue) {
+func (s *Scheduler) allocateAllowed(a *allocation, queue *cyclamendyke.Queue, roomNow bool) {
 	step, need := a.step, a.step.spec.Reserved()
 	var allowed []*target
 	for id, v := range step.advice.verdicts {
 		t := s.targets[id]
-		if v.allowed && t != nil && s.usable(t) && need.FitsIn(t.projectedFree) && !t.claimedBy(step) &&
-			!t.atMaxPerTarget(step) && s.eligible(step, queue, t) {
+		if v.allowed && t != nil && s.usable(t) && need.FitsIn(t.projectedFree) && !t.claimedBy(step) && !a.has(t) &&
+			!t.atMaxPerTarget(step) && s.eligible(step, queue, t) && (!roomNow || s.hasRoomFor(step, t)) {
 			allowed = append(allowed, t)
 		}
 	}
@@ -111,7 +125,7 @@
 
 // allocateUnknown adds targets about which advice was not asked yet, and notes in noProjectedRoom if no
 // target has room.
-func (s *Scheduler) allocateUnknown(a *allocation, queue *cyclamendyke.Queue, noProjectedRoom noFitCache) {
+func (s *Scheduler) allocateUnknown(a *allocation, queue *cyclamendyke.Queue, noProjectedRoom noFitCache, roomNow bool) {
 	step, need := a.step, a.step.spec.Reserved()
 	anyFits := false
 	for _, indexed := range s.targetsByRoom(queue.Service) {
@@ -126,6 +140,9 @@
 			continue
 		}
 		anyFits = true
+		if a.has(t) || roomNow && !s.hasRoomFor(step, t) {
+			continue
+		}
 		if _, hasVerdict := step.advice.verdicts[t.info.ID]; hasVerdict || t.claimedBy(step) || t.atMaxPerTarget(step) || !s.eligible(step, queue, t) {
 			continue
 		}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -15,9 +15,9 @@
 	maxWaitClaims  = 2                      // Steps per pass that may claim room that frees up as runs end.
 )
 
-// makeRoom preempts runs for an urgent step; for a gang or a wide task that has waited for some time,
-// it claims the room that frees up as runs end. waitClaims counts the steps of this pass
-// that have tried to claim such room.
+// makeRoom preempts runs for an urgent step, unless there may be room that it has not asked about; for a
+// gang or a wide task that has waited for some time, it claims the room that frees up as runs end.
+// waitClaims counts the steps of this pass that have tried to claim such room.
 func (s *Scheduler) makeRoom(step *stepRun, queue *cyclamendyke.Queue, unplaced int, waitClaims *int) {
 	count := 1
 	if step.spec.Gang {
@@ -26,7 +26,7 @@
 	if s.now < step.preemptedUntil && (step.spec.Gang || len(step.claims) >= unplaced) {
 		return
 	}
-	if s.mayPreempt(step, queue) {
+	if s.mayPreempt(step, queue) && (step.spec.Gang || !s.mayFindRoom(step, queue, unplaced-len(step.claims))) {
 		if step.spec.Gang {
 			s.dropClaims(step)
 		}
@@ -43,6 +43,44 @@
 	}
 }
 
+// mayFindRoom reports whether targets for which the step has no ticket are likely to have room for count
+// more of its tasks, and tickets for them take less time than stopping a run.
+func (s *Scheduler) mayFindRoom(step *stepRun, queue *cyclamendyke.Queue, count int) bool {
+	if queue.Advice == nil || queue.Advice.Base+maxAdviceTargets*queue.Advice.PerTarget >= s.cfg.Bounds.StopTimeout {
+		return false
+	}
+	expected := 0.0
+	for _, t := range s.usableByService[queue.Service] {
+		if !s.hasRoomFor(step, t) || !s.eligible(step, queue, t) || t.atMaxPerTarget(step) {
+			continue
+		}
+		expected += s.ticketChance(step, queue, t) * float64(step.fitCount(s.available(step, t), count))
+		if expected >= float64(count) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasRoomFor reports whether a target has room for a task of the step that no other step claims.
+func (s *Scheduler) hasRoomFor(step *stepRun, t *target) bool {
+	need := step.spec.Reserved()
+	return need.FitsIn(t.free()) && need.FitsIn(s.available(step, t))
+}
+
+// ticketChance returns how likely a request yields a ticket for a target; it is zero if the step has one.
+func (s *Scheduler) ticketChance(step *stepRun, queue *cyclamendyke.Queue, t *target) float64 {
+	v, hasVerdict := step.advice.verdicts[t.info.ID]
+	switch {
+	case !hasVerdict:
+		return float64(*s.allowedPart(queue.Name))
+	case v.allowed && s.now >= v.expiresAt:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // mayPreempt reports whether a step may preempt less urgent runs.
 func (s *Scheduler) mayPreempt(step *stepRun, queue *cyclamendyke.Queue) bool {
 	return !step.job.overShare && (queue.Priority == 0 || step.spec.Gang)
