--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -19,11 +19,11 @@
 	overShare           bool                  // The team exceeded its share when it submitted this workflow.
 	finalAt             time.Duration         // When the state became final.
 	version             int64                 // Version of the progress; increases with each change.
-	durableVersion      int64                 // Last version that is stored.
+	storedVersion       int64                 // Last version that is stored.
 	dirty               bool                  // In the scheduler's list of jobs to be stored.
 	storing             bool                  // A record of it is being stored; the next one waits.
 	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
-	onDurable           []func()              // Called once the current version is stored.
+	onStored            []func()              // Called once the current version is stored.
 	onFinal             []*finalWaiter        // Notified once a final state is stored.
 	runCount            int                   // Number of its runs, in any state.
 	phaseTimes          phaseTimes            // Time that its steps have spent in each phase.
@@ -202,12 +202,12 @@
 
 // Cancel ends a workflow and returns false if it is unknown.
 //
-// It calls onDurable once the final state is stored, or at once if it already is.
-func (s *Scheduler) Cancel(id cyclamendyke.WorkflowID, onDurable func()) bool {
+// It calls onStored once the final state is stored, or at once if it already is.
+func (s *Scheduler) Cancel(id cyclamendyke.WorkflowID, onStored func()) bool {
 	j := s.jobs[id]
 	if j == nil {
 		if _, hasEnded := s.endedJobs[id]; hasEnded {
-			onDurable()
+			onStored()
 			return true
 		}
 		return false
@@ -216,10 +216,10 @@
 		s.cfg.LogDecision(Decision{Event: EventCancelled, Workflow: id})
 		s.finish(j, cyclamendyke.WorkflowCancelled)
 	}
-	if j.durableVersion >= j.version {
-		onDurable()
+	if j.storedVersion >= j.version {
+		onStored()
 	} else {
-		j.onDurable = append(j.onDurable, onDurable)
+		j.onStored = append(j.onStored, onStored)
 	}
 	return true
 }
@@ -255,7 +255,7 @@
 	}
 	state := j.state
 	switch {
-	case state.IsFinal() && j.durableVersion < j.version:
+	case state.IsFinal() && j.storedVersion < j.version:
 		state = cyclamendyke.WorkflowRunning
 	case !state.IsFinal() && j.started:
 		state = cyclamendyke.WorkflowRunning
@@ -278,7 +278,7 @@
 // is unknown, unless the caller calls the returned function before.
 func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) (cancel func()) {
 	j := s.jobs[id]
-	if j == nil || j.state.IsFinal() && j.durableVersion >= j.version {
+	if j == nil || j.state.IsFinal() && j.storedVersion >= j.version {
 		notify()
 		return func() {}
 	}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -207,11 +207,11 @@
 // possibleTasks returns the names of all tasks that may run on the target. A task whose end is not stored
 // is one of them for the next epoch, which has the end from the target alone.
 func (t *target) possibleTasks() []string {
-	out := make([]string, 0, len(t.runs)+len(t.unrecordedEnds)+len(t.unlistedTasks))
+	out := make([]string, 0, len(t.runs)+len(t.unstoredEnds)+len(t.unlistedTasks))
 	for key := range t.runs {
 		out = append(out, key.task.String())
 	}
-	for _, end := range t.unrecordedEnds {
+	for _, end := range t.unstoredEnds {
 		out = append(out, end.task.String())
 	}
 	if !t.listed {
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -18,8 +18,8 @@
 			continue
 		}
 		s.applyEnd(t, end)
-		if j.durableVersion < j.version {
-			t.unrecordedEnds = append(t.unrecordedEnds, unrecordedEnd{end.Sequence, end.Task, j, j.version})
+		if j.storedVersion < j.version {
+			t.unstoredEnds = append(t.unstoredEnds, unstoredEnd{end.Sequence, end.Task, j, j.version})
 		}
 	}
 }
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -117,7 +117,7 @@
 		}
 		j.storing = false
 		j.revision = revision
-		j.durableVersion = max(j.durableVersion, r.version)
+		j.storedVersion = max(j.storedVersion, r.version)
 		if r.Final {
 			s.ended = append(s.ended, j)
 			for _, waiter := range j.onFinal {
@@ -125,19 +125,19 @@
 			}
 			j.onFinal = nil
 		}
-		if j.durableVersion >= j.version {
-			for _, callback := range j.onDurable {
+		if j.storedVersion >= j.version {
+			for _, callback := range j.onStored {
 				callback()
 			}
-			j.onDurable = nil
+			j.onStored = nil
 		}
 	}
 	for _, t := range s.targets {
-		if len(t.unrecordedEnds) == 0 {
+		if len(t.unstoredEnds) == 0 {
 			continue
 		}
 		t.acknowledge()
-		if len(t.unrecordedEnds) == 0 {
+		if len(t.unstoredEnds) == 0 {
 			t.renewAt = s.now // The target can wait for the next end again.
 		}
 	}
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -11,7 +11,7 @@
 	renewWait       = 2 * time.Second                  // How long a target may wait for a run to end before it answers.
 	servingWait     = 500 * time.Millisecond           // Replaces renewWait where fillers run beside serving tasks, whose latency must be seen sooner.
 	renewRetryDelay = 250 * time.Millisecond           // Pause after a failed renewal.
-	unrecordedDelay = 150 * time.Millisecond           // Pause while ends wait to be stored; the target answers at once until they are acknowledged.
+	unstoredDelay   = 150 * time.Millisecond           // Pause while ends wait to be stored; the target answers at once until they are acknowledged.
 	maxAnswerAge    = renewWait + 700*time.Millisecond // A target whose last answer is older gets no new runs.
 	minClockRate    = 0.98                             // Slowest rate at which a target's clock may run.
 	leaseMargin     = 200 * time.Millisecond           // Added to the computed end of a lease before its runs count as ended.
@@ -45,7 +45,7 @@
 }
 
 func (s *Scheduler) renewal(t *target, wait time.Duration) cyclamendyke.Renewal {
-	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndRecorded, Wait: wait}
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndStored, Wait: wait}
 	// The lease of a target that does not answer must be able to expire.
 	if t.listed && !t.renewFailed {
 		renewal.Until = s.newLeaseEnd(t)
@@ -106,8 +106,8 @@
 	s.updateFillerPace(t)
 	t.acknowledge()
 	t.renewAt = s.now
-	if len(t.unrecordedEnds) > 0 {
-		t.renewAt = s.now + unrecordedDelay
+	if len(t.unstoredEnds) > 0 {
+		t.renewAt = s.now + unstoredDelay
 	}
 }
 
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -225,7 +225,7 @@
 func (s *Scheduler) UnstoredEnds() int {
 	count := 0
 	for _, t := range s.targets {
-		count += len(t.unrecordedEnds)
+		count += len(t.unstoredEnds)
 	}
 	return count
 }
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -260,10 +260,10 @@
 	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
 	sim.run(100 * time.Millisecond)
 	sim.vms["vm-0"].unreachable = true
-	durable := false
-	is.True(sim.sched.Cancel("a", func() { durable = true }))
+	stored := false
+	is.True(sim.sched.Cancel("a", func() { stored = true }))
 	sim.run(time.Second)
-	is.True(durable)
+	is.True(stored)
 	sim.elect()
 	sim.run(100 * time.Millisecond)
 	sim.submit(workflow("b", cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: time.Second}))
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -12,7 +12,7 @@
 	registered            bool // Its description is in the store.
 	listed                bool // Its present incarnation has answered this epoch with a listing.
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed                bool // Its stored record is missing or says that it is closed, so nothing is started on it.
+	closed                bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
 	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
 	unlistedTasks         []cyclamendyke.TaskName
 
@@ -36,9 +36,9 @@
 	ownRunsEndBy     time.Duration // When runs that this epoch's starts may have begun after a restart have ended, unless it answers before.
 	mayLeaveAt       time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
 
-	lastEndHandled  int64 // Highest sequence number of an end that was applied or ignored.
-	lastEndRecorded int64 // Highest sequence number of an end whose effect is stored.
-	unrecordedEnds  []unrecordedEnd
+	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
+	lastEndStored  int64 // Highest sequence number of an end whose effect is stored.
+	unstoredEnds   []unstoredEnd
 
 	claims             []*claim
 	speed              speed
@@ -54,9 +54,9 @@
 	number int64
 }
 
-// unrecordedEnd is an applied end that may be acknowledged once version of the workflow's record is
+// unstoredEnd is an applied end that may be acknowledged once version of the workflow's record is
 // stored.
-type unrecordedEnd struct {
+type unstoredEnd struct {
 	sequence int64
 	task     cyclamendyke.TaskName
 	job      *job
@@ -68,14 +68,14 @@
 	return t.info.Capacity.Sub(t.used)
 }
 
-// acknowledge advances lastEndRecorded past the ends whose records are stored.
+// acknowledge advances lastEndStored past the ends whose records are stored.
 func (t *target) acknowledge() {
-	for len(t.unrecordedEnds) > 0 && t.unrecordedEnds[0].job.durableVersion >= t.unrecordedEnds[0].version {
-		t.lastEndRecorded = t.unrecordedEnds[0].sequence
-		t.unrecordedEnds = t.unrecordedEnds[1:]
+	for len(t.unstoredEnds) > 0 && t.unstoredEnds[0].job.storedVersion >= t.unstoredEnds[0].version {
+		t.lastEndStored = t.unstoredEnds[0].sequence
+		t.unstoredEnds = t.unstoredEnds[1:]
 	}
-	if len(t.unrecordedEnds) == 0 && t.lastEndRecorded < t.lastEndHandled {
-		t.lastEndRecorded = t.lastEndHandled
+	if len(t.unstoredEnds) == 0 && t.lastEndStored < t.lastEndHandled {
+		t.lastEndStored = t.lastEndHandled
 	}
 }
 
@@ -177,7 +177,7 @@
 	}
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
-	t.lastEndHandled, t.lastEndRecorded, t.unrecordedEnds = 0, 0, nil
+	t.lastEndHandled, t.lastEndStored, t.unstoredEnds = 0, 0, nil
 	t.orphans = map[runKey]bool{}
 	t.failures, t.fillerPace, t.mayLeaveAt = 0, fullPace, 0
 	for _, step := range s.active.steps {
@@ -204,7 +204,7 @@
 			s.expire(t)
 		}
 		// The record of a target must outlive the ends that are read from the target alone.
-		if t.expired && !t.registered && len(t.unrecordedEnds) == 0 {
+		if t.expired && !t.registered && len(t.unstoredEnds) == 0 {
 			s.logTarget(id, "dropped")
 			delete(s.targets, id)
 			s.targetChanged(id)
