--- /dev/null
+++ b/core/dispatch/steprun.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"time"
+
+	"cyclamendyke"
+)
+
+// stepRun is one step of one occurrence.
+type stepRun struct {
+	job            *job
+	occ            *occurrence
+	index          int
+	spec           *cyclamendyke.Step
+	tasks          []task
+	tasksDone      int
+	criticalPath   time.Duration // Length of the longest chain of estimated work from this step on.
+	released       bool          // Its occurrence is due and its preceding steps are done.
+	active         bool          // Released, with tasks that are not done.
+	inActiveList   bool          // Present in activeSteps.steps.
+	releasedAt     time.Duration
+	failedRuns     []int64 // Numbers of a gang's failed runs.
+	advice         advice
+	rankKey        rankKey
+	haste          float64 // How much it gains by a fast target, from -1 to 1.
+	unplacedReason string  // Last logged reason for not being placed.
+	phase          phase
+	phaseSince     time.Duration
+	claims         []*claim
+	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
+	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
+	measured       []measuredRun // Its tasks that are done, until all are.
+	measuredWork   float64       // Sum of their work.
+}
+
+// task is one task of a step.
+type task struct {
+	done        bool
+	runs        []*run
+	failedRuns  []int64 // Numbers of failed runs; stopped runs do not count.
+	checkpoint  string
+	preemptions int                   // How often a run was stopped for more urgent work.
+	avoidTarget cyclamendyke.TargetID // Target on which it last failed or made no progress.
+}
+
+// urgent reports whether the step's queue has priority 0.
+func (step *stepRun) urgent(s *Scheduler) bool {
+	queue := step.job.queue(s)
+	return queue != nil && queue.Priority == 0
+}
