--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -35,16 +35,16 @@
 	is.Equal(len(sim.violations), 0)
 }
 
-// TestTaskOfLostRestartedVMIsHeldForEver restarts a VM while a start is unanswered and loses it for good.
-func TestTaskOfLostRestartedVMIsHeldForEver(t *testing.T) {
-	is := is.New(t)
+// loseRestartedVM restarts vm-0 while a start of the workflow "job" is unanswered, and loses it then.
+func loseRestartedVM(t *testing.T) (*simulation, *vm) {
+	t.Helper()
 	sim := limitedFleet(t, 1, 1)
 	sim.elect()
 	sim.run(20 * time.Second) // Runs of earlier epochs are over.
 	sim.faults.loseAnswer = 1
 	sim.submit(oneTask("job"))
 	sim.run(100 * time.Millisecond) // The start is on its way.
-	is.Equal(sim.starts, 1)
+	is.New(t).Equal(sim.starts, 1)
 	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
 	v := sim.vms["vm-0"]
 	sim.crash(v)
@@ -53,6 +53,13 @@
 	sim.faults.loseAnswer = 0
 	sim.run(2 * time.Second)
 	sim.removeDescription(v)
+	return sim, v
+}
+
+// TestTaskOfLostRestartedVMIsHeldForEver restarts a VM while a start is unanswered and loses it for good.
+func TestTaskOfLostRestartedVMIsHeldForEver(t *testing.T) {
+	is := is.New(t)
+	sim, _ := loseRestartedVM(t)
 	sim.run(2 * time.Minute)
 	is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], 1)
 	is.Equal(len(sim.violations), 0)
@@ -61,21 +68,7 @@
 // TestTaskOfReturningRestartedVMIsHeldForEver is TestTaskOfLostRestartedVMIsHeldForEver with the VM back after ten seconds.
 func TestTaskOfReturningRestartedVMIsHeldForEver(t *testing.T) {
 	is := is.New(t)
-	sim := limitedFleet(t, 1, 1)
-	sim.elect()
-	sim.run(20 * time.Second)
-	sim.faults.loseAnswer = 1
-	sim.submit(oneTask("job"))
-	sim.run(100 * time.Millisecond)
-	is.Equal(sim.starts, 1)
-	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
-	v := sim.vms["vm-0"]
-	sim.crash(v)
-	sim.boot(v)
-	v.unreachable = true
-	sim.faults.loseAnswer = 0
-	sim.run(2 * time.Second)
-	sim.removeDescription(v)
+	sim, v := loseRestartedVM(t)
 	sim.run(10 * time.Second)
 	v.unreachable = false
 	sim.restoreDescription(v)
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -24,15 +24,26 @@
 	return workflow(id, cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: time.Second})
 }
 
-// TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover ends a task on a target that is away at the takeover.
-func TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover(t *testing.T) {
-	is := is.New(t)
+// runOneTask returns a simulation in which vm-0 runs the task of the workflow "job".
+func runOneTask(t *testing.T) *simulation {
 	sim := limitedFleet(t, 1, 1)
 	sim.elect()
 	sim.submit(oneTask("job"))
 	sim.run(500 * time.Millisecond)
+	return sim
+}
+
+// addOtherVM adds a VM with room for further runs.
+func (sim *simulation) addOtherVM() {
 	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
 	sim.run(100 * time.Millisecond)
+}
+
+// TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover ends a task on a target that is away at the takeover.
+func TestDoneTaskWithUnstoredEndStartsAgainAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := runOneTask(t)
+	sim.addOtherVM()
 	sim.stopWriting()
 	sim.run(time.Second)
 	is.Equal(sim.sched.UnstoredEnds(), 1)
@@ -72,10 +83,7 @@
 // TestRecordOfTargetWithUnstoredEndsIsDeleted gives a target up while an end is known but not stored.
 func TestRecordOfTargetWithUnstoredEndsIsDeleted(t *testing.T) {
 	is := is.New(t)
-	sim := limitedFleet(t, 1, 1)
-	sim.elect()
-	sim.submit(oneTask("job"))
-	sim.run(500 * time.Millisecond)
+	sim := runOneTask(t)
 	sim.stopWriting()
 	sim.run(time.Second)
 	is.Equal(sim.sched.UnstoredEnds(), 1)
@@ -99,8 +107,7 @@
 	sim.submit(longStep("job"))
 	sim.run(time.Second)
 	sim.resumeWriting()
-	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
-	sim.run(100 * time.Millisecond)
+	sim.addOtherVM()
 	sim.removeDescription(sim.vms["vm-0"])
 	sim.vms["vm-0"].unreachable = true
 	sim.elect()
@@ -117,12 +124,8 @@
 // TestDoneTaskStartsAgainWhenItsVMStaysAwayAfterTakeover keeps the VM away for longer than any lease.
 func TestDoneTaskStartsAgainWhenItsVMStaysAwayAfterTakeover(t *testing.T) {
 	is := is.New(t)
-	sim := limitedFleet(t, 1, 1)
-	sim.elect()
-	sim.submit(oneTask("job"))
-	sim.run(500 * time.Millisecond)
-	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
-	sim.run(100 * time.Millisecond)
+	sim := runOneTask(t)
+	sim.addOtherVM()
 	sim.vms["vm-0"].unreachable = true
 	sim.elect()
 	sim.run(LongestLease(sim.bounds()) + time.Second)
@@ -135,12 +138,8 @@
 // TestDoneTaskOnClosedVMStartsAgainAfterTakeover keeps the VM away for longer than any lease.
 func TestDoneTaskOnClosedVMStartsAgainAfterTakeover(t *testing.T) {
 	is := is.New(t)
-	sim := limitedFleet(t, 1, 1)
-	sim.elect()
-	sim.submit(oneTask("job"))
-	sim.run(500 * time.Millisecond)
-	sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
-	sim.run(100 * time.Millisecond)
+	sim := runOneTask(t)
+	sim.addOtherVM()
 	v := sim.vms["vm-0"]
 	v.unreachable = true
 	sim.removeDescription(v)
