--- a/core/dispatch/draining_test.go
+++ b/core/dispatch/draining_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -37,3 +38,27 @@
 	is.Equal(sim.stops, 2)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestTaskOnVMThatLeftStartsTooLate loses a draining VM with a task, in one epoch and around a takeover.
+func TestTaskOnVMThatLeftStartsTooLate(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		t.Run(fmt.Sprint("takeover ", takeover), func(t *testing.T) {
+			is := is.New(t)
+			sim := runOneTask(t)
+			sim.addOtherVM()
+			v := sim.vms["vm-0"]
+			v.info.Draining = true
+			sim.sched.UpdateTarget(v.info)
+			sim.run(100 * time.Millisecond)
+			sim.crash(v)
+			sim.removeDescription(v)
+			sim.run(100 * time.Millisecond)
+			if takeover {
+				sim.elect()
+			}
+			sim.run(LongestLease(sim.bounds()) + 2*time.Second)
+			is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+			is.Equal(len(sim.violations), 0)
+		})
+	}
+}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -9,9 +9,10 @@
 
 // KnownTarget is a target on which something may run, as it is stored for the next epoch.
 type KnownTarget struct {
-	Target cyclamendyke.Target `json:"target"`
-	Closed bool                `json:"closed,omitempty"` // Nothing is started there any more.
-	Tasks  []string            `json:"tasks,omitempty"`  // If it is closed, all tasks that may run there, or may be done there without a stored end.
+	Target  cyclamendyke.Target `json:"target"`
+	Closed  bool                `json:"closed,omitempty"`  // Nothing is started there any more.
+	Leaving bool                `json:"leaving,omitempty"` // It drains, or did so before its description was removed.
+	Tasks   []string            `json:"tasks,omitempty"`   // If it is closed, all tasks that may run there, or may be done there without a stored end.
 }
 
 // KnownTargetChange is a change of what is stored of one target.
@@ -38,6 +39,7 @@
 		s.targets[id].registered = false
 	}
 	t := s.targets[id]
+	t.leaving = known.Leaving && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
 		record := s.knownRecord(id)
 		record.revision = revision
@@ -91,7 +93,7 @@
 // before, and the end would count when the target is back. As no other task waits for it, such a target
 // gets as long again as the longest lease, like one that was listed.
 func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
-	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 {
+	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 && !t.hasLeft() {
 		return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
 	}
 	return s.cfg.EarlierRunsEndBy
@@ -154,6 +156,7 @@
 		return nil
 	}
 	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.unlistedTasksComplete)}
+	known.Leaving = t.info.Draining || t.leaving
 	known.Target.Draining, known.Target.Remaining = false, 0
 	if known.Closed {
 		known.Tasks = t.possibleTasks()
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -13,6 +13,7 @@
 	listed                bool // Its present incarnation has answered this epoch with a listing.
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
 	closed                bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
+	leaving               bool // It was draining in an earlier epoch.
 	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
 	unlistedTasks         []cyclamendyke.TaskName
 
@@ -101,7 +102,7 @@
 // count when the target is back. Such a target gets as long again as the longest lease to come back.
 func (s *Scheduler) runsEndBy(t *target) time.Duration {
 	leaseEnd := s.leaseEnd(t)
-	if !t.listed || len(t.runs) == 0 {
+	if !t.listed || len(t.runs) == 0 || t.hasLeft() {
 		return leaseEnd
 	}
 	for _, r := range t.runs {
@@ -112,6 +113,11 @@
 	return leaseEnd + s.cfg.Bounds.MaxLease
 }
 
+// hasLeft reports whether a target that does not answer has shut down, and so will not come back.
+func (t *target) hasLeft() bool {
+	return !t.registered && (t.info.Draining || t.leaving)
+}
+
 // LongestLease returns the longest time for which a granted lease can last, allowing for the
 // slowest target clock.
 func LongestLease(bounds cyclamendyke.Bounds) time.Duration {
@@ -171,7 +177,7 @@
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.expired, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, nil
+	t.listed, t.expired, t.leaving, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, false, nil
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin
 	}
