--- a/client/explain.go
+++ b/client/explain.go
@@ -138,10 +138,10 @@
 	}{
 		{body.Lines.Logfmt, "in logfmt"},
 		{body.Lines.JSON, "in JSON"},
-		{body.Lines.Cut, "cut"},
+		{body.Lines.Truncated, "cut"},
 		{body.Lines.Other, "of another origin"},
 		{body.Lines.TooLong, "too long"},
-		{body.Doubles, "read twice"},
+		{body.Duplicates, "read twice"},
 	} {
 		if part.count > 0 {
 			parts = append(parts, fmt.Sprintf("%d %s", part.count, part.text))
@@ -186,8 +186,8 @@
 	if entry.Scheduler != "" {
 		text += "; scheduler then: " + entry.Scheduler
 	}
-	if entry.Moved != 0 {
-		text += fmt.Sprintf("; the clock of this process stepped back, this line came %v later than it says", entry.Moved)
+	if entry.ClockStep != 0 {
+		text += fmt.Sprintf("; the clock of this process stepped back, this line came %v later than it says", entry.ClockStep)
 	}
 	if entry.Kind == explain.EntryContext {
 		text = "[" + text + "]"
--- a/core/dispatch/finalwaiter.go
+++ b/core/dispatch/finalwaiter.go
@@ -11,8 +11,8 @@
 	notify func()
 }
 
-// NotifyFinal calls notify once a final state of a workflow is stored, at once if it is or if the workflow
-// is unknown, unless the caller calls the returned function before.
+// NotifyFinal calls notify once the workflow's final state is stored. It calls it at once if that is so
+// already or if the workflow is unknown. The returned function cancels the notification.
 func (s *Scheduler) NotifyFinal(id cyclamendyke.WorkflowID, notify func()) (cancel func()) {
 	j := s.jobs[id]
 	if j == nil || j.state.IsFinal() && j.storedVersion >= j.version {
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -9,10 +9,10 @@
 
 // KnownTarget is a target on which something may run, as it is stored for the next epoch.
 type KnownTarget struct {
-	Target  cyclamendyke.Target `json:"target"`
-	Closed  bool                `json:"closed,omitempty"`  // Nothing is started there any more.
-	Leaving bool                `json:"leaving,omitempty"` // It drains, or did so before its description was removed.
-	Tasks   []string            `json:"tasks,omitempty"`   // If it is closed, all tasks that may run there, or may be done there without a stored end.
+	Target   cyclamendyke.Target `json:"target"`
+	Closed   bool                `json:"closed,omitempty"`   // Nothing is started there any more.
+	Draining bool                `json:"draining,omitempty"` // It drains, or did so before its description was removed.
+	Tasks    []string            `json:"tasks,omitempty"`    // If it is closed, all tasks that may run there, or may be done there without a stored end.
 }
 
 // KnownTargetChange is a change of what is stored of one target.
@@ -39,7 +39,7 @@
 		s.targets[id].registered = false
 	}
 	t := s.targets[id]
-	t.leaving = known.Leaving && t.info.StartedMillis == known.Target.StartedMillis
+	t.wasDraining = known.Draining && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
 		record := s.knownRecord(id)
 		record.revision = revision
@@ -89,11 +89,11 @@
 
 // earlierRunsEndBy returns when runs of earlier epochs count as ended on a target that has not answered.
 //
-// For the tasks that are known of a closed target, their lease is not enough: one may have been done
-// before, and the end would count when the target is back. As no other task waits for it, such a target
-// gets as long again as the longest lease, like one that was listed.
+// A task listed for a closed target may be done there already, with an end that only the target knows.
+// If it started again when the lease ends, it could run twice, so such a target gets the longest lease again
+// to come back. Only the listed tasks wait for it.
 func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
-	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 && !t.hasLeft() {
+	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 && !t.presumedGone() {
 		return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
 	}
 	return s.cfg.EarlierRunsEndBy
@@ -114,8 +114,8 @@
 	return false
 }
 
-// KnownTargetsStored reports whether all changes of known targets are stored.
-func (s *Scheduler) KnownTargetsStored() bool {
+// AllKnownTargetsStored reports whether all changes of known targets are stored.
+func (s *Scheduler) AllKnownTargetsStored() bool {
 	for _, record := range s.knownRecords {
 		if record.dirty || record.storing {
 			return false
@@ -156,7 +156,7 @@
 		return nil
 	}
 	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.unlistedTasksComplete)}
-	known.Leaving = t.info.Draining || t.leaving
+	known.Draining = t.info.Draining || t.wasDraining
 	known.Target.Draining, known.Target.Remaining = false, 0
 	if known.Closed {
 		known.Tasks = t.possibleTasks()
@@ -207,8 +207,8 @@
 	return !t.registered || t.info.Draining
 }
 
-// possibleTasks returns the names of all tasks that may run on the target. A task whose end is not stored
-// is one of them for the next epoch, which has the end from the target alone.
+// possibleTasks returns the names of all tasks that may run on the target. It includes tasks that have ended
+// but whose end is not stored yet: the next epoch can learn of such an end only from the target.
 func (t *target) possibleTasks() []string {
 	out := make([]string, 0, len(t.runs)+len(t.unstoredEnds)+len(t.unlistedTasks))
 	for key := range t.runs {
--- a/core/dispatch/phases.go
+++ b/core/dispatch/phases.go
@@ -107,13 +107,13 @@
 	return phaseRun
 }
 
-// phaseInterval is the least time between two looks at what a waiting step waits for.
-const phaseInterval = 50 * time.Millisecond
+// phaseCheckInterval is the least time between two looks at what a waiting step waits for.
+const phaseCheckInterval = 50 * time.Millisecond
 
 // enterWaitPhase updates the phase of a step of which some tasks found no place.
 func (s *Scheduler) enterWaitPhase(step *stepRun, queue *cyclamendyke.Queue, unplaced int, noRoom noFitCache) {
 	isWaiting := step.phase > phaseTakeover && step.phase < phaseStart
-	if isWaiting && s.now-step.phaseSince < phaseInterval {
+	if isWaiting && s.now-step.phaseSince < phaseCheckInterval {
 		return
 	}
 	step.enterPhase(s.now, s.waitPhase(step, queue, unplaced, noRoom))
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -12,8 +12,8 @@
 	Epoch           uint64
 	ElectedRevision cyclamendyke.Revision // Store revision at which this epoch began.
 	Bounds          cyclamendyke.Bounds
-	// EarlierRunsEndBy is the time by which the runs of earlier epochs have ended on every target that
-	// has not answered this epoch.
+	// EarlierRunsEndBy is the time by which the leases that earlier epochs granted are over on every target
+	// that has not answered this epoch; tasks listed for closed targets wait longer.
 	EarlierRunsEndBy time.Duration
 	LogDecision      func(Decision)
 }
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -10,12 +10,12 @@
 
 // The rules for starting a speculative second run of a slow task.
 const (
-	slowFactor   = 1.5                    // Multiple of the expected run time after which a run may be slow.
-	minSlowTime  = 400 * time.Millisecond // A run counts as slow no earlier than this.
-	copyGain     = 1.5                    // The run must be expected to go on for this multiple of what the copy takes.
-	stuckFactor  = 2.0                    // Multiple of the expected run time after which a run without known progress counts as stuck.
-	paceError    = 0.5                    // Part of the time that the pace left for a run by which it may exceed that.
-	copyLookWait = 500 * time.Millisecond // Least time between two requests for a listing to learn a run's progress.
+	slowFactor       = 1.5                    // Multiple of the expected run time after which a run may be slow.
+	minSlowTime      = 400 * time.Millisecond // A run counts as slow no earlier than this.
+	copyGain         = 1.5                    // The run must be expected to go on for this multiple of what the copy takes.
+	stuckFactor      = 2.0                    // Multiple of the expected run time after which a run without known progress counts as stuck.
+	overrunTolerance = 0.5                    // Fraction of the predicted remaining time by which a run may overrun before it counts as stuck.
+	copyLookWait     = 500 * time.Millisecond // Least time between two requests for a listing to learn a run's progress.
 )
 
 // startSpeculative starts a second run of each task whose run is slow, if the step allows it.
@@ -60,14 +60,14 @@
 	}
 	stuckAt := r.startedAt + time.Duration(stuckFactor*float64(r.step.runTimeOn(r.target)))
 	if known {
-		stuckAt = max(stuckAt, end+time.Duration(paceError*float64(end-r.progress.at)))
+		stuckAt = max(stuckAt, end+time.Duration(overrunTolerance*float64(end-r.progress.at)))
 	}
-	return s.stuckSince(r, stuckAt)
+	return s.checkStuck(r, stuckAt)
 }
 
-// stuckSince reports whether a run still had no news at a given time: by a listing that was sent after it,
-// or by the lack of one.
-func (s *Scheduler) stuckSince(r *run, at time.Duration) bool {
+// checkStuck reports whether a run has shown no progress by a given time. It requests a fresh listing to
+// find out, and counts the run as stuck if none was sent within copyLookWait of that time.
+func (s *Scheduler) checkStuck(r *run, at time.Duration) bool {
 	if r.target.listingSentAt > at || s.now > at+copyLookWait {
 		return true
 	}
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -160,13 +160,13 @@
 	is := is.New(t)
 	s := New(Config{Epoch: 1})
 	s.AddKnownTarget(KnownTarget{Target: cyclamendyke.Target{ID: "a", Address: "a"}}, 0)
-	is.True(!s.KnownTargetsStored())
+	is.True(!s.AllKnownTargetsStored())
 	var taken []KnownTargetChange
 	s.TakeKnownTargetChanges(func(c KnownTargetChange) bool {
 		taken = append(taken, c)
 		return true
 	})
-	is.True(!s.KnownTargetsStored())
+	is.True(!s.AllKnownTargetsStored())
 	s.KnownTargetChangesStored(taken, 1)
-	is.True(s.KnownTargetsStored())
+	is.True(s.AllKnownTargetsStored())
 }
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -13,7 +13,7 @@
 	listed                bool // Its present incarnation has answered this epoch with a listing.
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
 	closed                bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
-	leaving               bool // It was draining in an earlier epoch.
+	wasDraining           bool // It was draining in an earlier epoch.
 	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
 	unlistedTasks         []cyclamendyke.TaskName
 
@@ -34,7 +34,7 @@
 	listingSentAt    time.Duration // When the request for its newest listing was sent.
 	renewFailed      bool          // The last renewal failed.
 	blockedUntil     time.Duration // Nothing is placed here before then.
-	ownRunsEndBy     time.Duration // When runs that this epoch's starts may have begun after a restart have ended, unless it answers before.
+	ownRunsEndBy     time.Duration // After a restart with unanswered starts: when the lease of a run that they began on the new incarnation is over.
 	mayLeaveAt       time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
 
 	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
@@ -102,7 +102,7 @@
 // count when the target is back. Such a target gets as long again as the longest lease to come back.
 func (s *Scheduler) runsEndBy(t *target) time.Duration {
 	leaseEnd := s.leaseEnd(t)
-	if !t.listed || len(t.runs) == 0 || t.hasLeft() {
+	if !t.listed || len(t.runs) == 0 || t.presumedGone() {
 		return leaseEnd
 	}
 	for _, r := range t.runs {
@@ -113,9 +113,10 @@
 	return leaseEnd + s.cfg.Bounds.MaxLease
 }
 
-// hasLeft reports whether a target that does not answer has shut down, and so will not come back.
-func (t *target) hasLeft() bool {
-	return !t.registered && (t.info.Draining || t.leaving)
+// presumedGone reports whether the target's description was removed after it began to drain, so that it is
+// taken not to come back.
+func (t *target) presumedGone() bool {
+	return !t.registered && (t.info.Draining || t.wasDraining)
 }
 
 // LongestLease returns the longest time for which a granted lease can last, allowing for the
@@ -177,9 +178,9 @@
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.expired, t.leaving, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, false, nil
+	t.listed, t.expired, t.wasDraining, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, false, nil
 	if len(t.runs) > 0 {
-		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin
+		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
--- a/core/explain/collector.go
+++ b/core/explain/collector.go
@@ -28,7 +28,7 @@
 	streams map[streamKey]*stream
 	terms   map[termKey]*term
 	writers map[string]cyclamendyke.MemberName // The only process of each file; empty if there are several.
-	unkept  int                                // Records that the limits left out.
+	omitted int                                // Records that the limits left out.
 }
 
 // streamKey identifies the lines of one process in one file.
@@ -61,13 +61,13 @@
 	c.nameProcess(&record)
 	isAboutSubject := c.config.Subject.matches(&record)
 	switch {
-	case record.Cut:
+	case record.Truncated:
 		if !isContext(record.Message) {
 			c.keep(&c.cut, record)
 		}
 		return
 	case !c.noteStream(record):
-		c.unkept++
+		c.omitted++
 		return
 	case isAboutSubject && isIncomplete(&record):
 		c.keep(&c.cut, record)
@@ -101,7 +101,7 @@
 
 func (c *Collector) keep(list *[]cyclamendyke.LogRecord, record cyclamendyke.LogRecord) {
 	if len(*list) >= c.config.MaxRecords {
-		c.unkept++
+		c.omitted++
 		return
 	}
 	*list = append(*list, record)
--- a/core/explain/explain.go
+++ b/core/explain/explain.go
@@ -27,9 +27,9 @@
 // Explain tells what the records added up to now say about the subject.
 func (c *Collector) Explain() *Explanation {
 	clock := newClock(c.streams)
-	about, doubles := clock.order(c.subject)
+	about, duplicates := clock.order(c.subject)
 	explanation := &Explanation{
-		Subject: c.config.Subject.String(), Found: len(about) > 0, Doubles: doubles, Unkept: c.unkept,
+		Subject: c.config.Subject.String(), Found: len(about) > 0, Duplicates: duplicates, Omitted: c.omitted,
 		Findings: []Finding{}, Entries: []Entry{}, Schedulers: []Scheduler{}, Missing: []Gap{},
 	}
 	if len(about) == 0 {
@@ -40,8 +40,8 @@
 	s := span{about[0].at, about[len(about)-1].at}
 	schedulers := c.schedulers(clock)
 	h := newHistory(c.config.Subject, schedulers)
-	context, contextDoubles := clock.order(c.contextWithin(clock, s.withMargin(), about))
-	explanation.Doubles += contextDoubles
+	context, contextDuplicates := clock.order(c.contextWithin(clock, s.withMargin(), about))
+	explanation.Duplicates += contextDuplicates
 	explanation.Entries = h.replay(about, context)
 	h.findUnplaced(clock.latest(c.streams))
 	h.gaps = append(h.gaps, c.gaps(clock, s, schedulers)...)
@@ -89,7 +89,7 @@
 
 func (h *history) newEntry(kind EntryKind, r *orderedRecord, text string) Entry {
 	entry := Entry{
-		Time: formatTime(&r.LogRecord), Moved: r.moved, Process: r.Process, Source: r.Source, Line: r.Line,
+		Time: formatTime(&r.LogRecord), ClockStep: r.moved, Process: r.Process, Source: r.Source, Line: r.Line,
 		Kind: kind, Event: r.Message, Text: text, Epoch: r.Epoch, Task: r.Task, Target: r.Target, Run: r.Run,
 		Reason: r.Reason, Count: r.Count, Age: r.Age, Version: r.Version, StoreAge: r.StoreAge, State: r.State, Err: r.Err,
 	}
--- a/core/explain/explain_test.go
+++ b/core/explain/explain_test.go
@@ -78,16 +78,16 @@
 		if entry.Scheduler != "" {
 			fmt.Fprintf(&b, " | %s", entry.Scheduler)
 		}
-		if entry.Moved != 0 {
-			fmt.Fprintf(&b, " | moved %v", entry.Moved)
+		if entry.ClockStep != 0 {
+			fmt.Fprintf(&b, " | moved %v", entry.ClockStep)
 		}
 		fmt.Fprintln(&b)
 	}
 	for _, gap := range e.Missing {
 		fmt.Fprintf(&b, "? %s: %s\n", gap.Kind, gap.Text)
 	}
-	if e.Doubles > 0 {
-		fmt.Fprintln(&b, "doubles", e.Doubles)
+	if e.Duplicates > 0 {
+		fmt.Fprintln(&b, "duplicates", e.Duplicates)
 	}
 	return b.String()
 }
@@ -122,5 +122,5 @@
 	}
 	explanation := collector.Explain()
 	is.Equal(len(explanation.Entries), 20)
-	is.Equal(explanation.Unkept, 180)
+	is.Equal(explanation.Omitted, 180)
 }
--- a/core/explain/explanation.go
+++ b/core/explain/explanation.go
@@ -15,8 +15,8 @@
 	Entries    []Entry     `json:"entries"` // In the order of time.
 	Schedulers []Scheduler `json:"schedulers"`
 	Missing    []Gap       `json:"missing"`
-	Doubles    int         `json:"doubles"` // Lines that were read more than once.
-	Unkept     int         `json:"unkept"`  // Lines beyond the limits of what is kept.
+	Duplicates int         `json:"duplicates"` // Lines that were read more than once.
+	Omitted    int         `json:"omitted"`    // Lines beyond the limits of what is kept.
 }
 
 // EntryKind tells what an entry is about.
@@ -31,7 +31,7 @@
 // Entry is one step of what happened, with the inputs of its line.
 type Entry struct {
 	Time      string                    `json:"time"` // The time stamp of the line.
-	Moved     time.Duration             `json:"moved-ns,omitempty"`
+	ClockStep time.Duration             `json:"clock-step-ns,omitempty"`
 	Process   cyclamendyke.MemberName   `json:"process"`
 	Others    []cyclamendyke.MemberName `json:"others,omitempty"` // Processes that logged the same right after it.
 	Source    string                    `json:"source"`
@@ -63,7 +63,7 @@
 	FindingDoneTwice        FindingKind = "done-twice"
 	FindingNeverPlaced      FindingKind = "never-placed"
 	FindingTwoFinals        FindingKind = "two-finals"
-	FindingLost             FindingKind = "lost"
+	FindingNotFound         FindingKind = "not-found"
 )
 
 // Finding is something that should never be.
--- a/core/explain/gaps.go
+++ b/core/explain/gaps.go
@@ -21,8 +21,8 @@
 	gaps = append(gaps, c.cutGaps()...)
 	gaps = append(gaps, schedulerGaps(schedulers, s)...)
 	gaps = append(gaps, c.lateLogs(clock, s)...)
-	if c.unkept > 0 {
-		gaps = append(gaps, Gap{GapNotKept, fmt.Sprintf("%s beyond the limit of what is kept", plural(c.unkept, "line"))})
+	if c.omitted > 0 {
+		gaps = append(gaps, Gap{GapNotKept, fmt.Sprintf("%s beyond the limit of what is kept", plural(c.omitted, "line"))})
 	}
 	return gaps
 }
--- a/core/explain/history.go
+++ b/core/explain/history.go
@@ -93,19 +93,23 @@
 	r.isOpen, r.end = false, end
 }
 
-// settle closes the runs of earlier epochs that the scheduler of a new epoch did not find, and returns
-// them.
-func (h *history) settle(epoch uint64) []string {
-	var lost []string
+// unreportedRun is a run of an earlier epoch that no target has reported to a new one.
+type unreportedRun struct {
+	*run
+	description string
+}
+
+// unreported returns the runs of earlier epochs that the scheduler of a new epoch has not found so far.
+func (h *history) unreported(epoch uint64) []unreportedRun {
+	var out []unreportedRun
 	for _, name := range h.taskNames() {
 		for _, r := range h.tasks[name].runs {
 			if r.isOpen && r.epoch < epoch {
-				r.close(endNotFound)
-				lost = append(lost, fmt.Sprintf("run %d of %s on %s", r.number, name, r.target))
+				out = append(out, unreportedRun{r, fmt.Sprintf("run %d of %s on %s", r.number, name, r.target)})
 			}
 		}
 	}
-	return lost
+	return out
 }
 
 // endNotFound is how a run ended that a new epoch did not find on any target.
--- a/core/explain/message.go
+++ b/core/explain/message.go
@@ -49,7 +49,7 @@
 	case dispatch.EventAccepted, dispatch.EventPlaced, dispatch.EventStartRefused, dispatch.EventStartUnknown,
 		dispatch.EventAdopted, dispatch.EventEnded, dispatch.EventPreempted, dispatch.EventStopOrdered,
 		dispatch.EventFinal, dispatch.EventCancelled, dispatch.EventTargetChanged, dispatch.EventSettled,
-		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced:
+		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced, dispatch.EventLate:
 		return true
 	}
 	return message == messageElected || message == messageTermStarted || message == messageTermEnded
--- a/core/explain/order.go
+++ b/core/explain/order.go
@@ -66,15 +66,15 @@
 	return record.Time.Add(c.shifts[streamKey{record.Process, record.Source}])
 }
 
-// order returns the records by time, without doubles. A record never goes before an earlier one of its
+// order returns the records by time, without duplicates. A record never goes before an earlier one of its
 // process in the same file.
-func (c clock) order(records []cyclamendyke.LogRecord) (ordered []orderedRecord, doubles int) {
+func (c clock) order(records []cyclamendyke.LogRecord) (ordered []orderedRecord, duplicates int) {
 	latest := map[streamKey]time.Time{}
 	seen := map[cyclamendyke.LogRecord]bool{}
 	for i := range records {
 		record := &records[i]
 		if content := contentOf(record); seen[content] {
-			doubles++
+			duplicates++
 			continue
 		} else {
 			seen[content] = true
@@ -89,7 +89,7 @@
 		ordered = append(ordered, orderedRecord{LogRecord: *record, at: at, moved: at.Sub(own)})
 	}
 	slices.SortStableFunc(ordered, compareRecords)
-	return ordered, doubles
+	return ordered, duplicates
 }
 
 // contentOf returns the record without its place in a file.
--- a/core/explain/schedulergaps.go
+++ b/core/explain/schedulergaps.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// minSchedulerHole is the shortest time without a scheduler's lines that is told.
-const minSchedulerHole = time.Second
+// minSchedulerGap is the shortest time without a scheduler's lines that is told.
+const minSchedulerGap = time.Second
 
 // firstEpoch is the epoch of a fleet's first scheduler.
 const firstEpoch = 1
@@ -19,15 +19,15 @@
 	if len(near) == 0 {
 		return []Gap{{GapScheduler, "no line of a scheduler"}}
 	}
-	gaps := holeBefore(&near[0], s.from)
+	gaps := gapBefore(&near[0], s.from)
 	for i := 1; i < len(near); i++ {
 		if near[i-1].until.Before(s.until) && near[i].from.After(s.from) {
 			gaps = append(gaps, gapsBetween(&near[i-1], &near[i])...)
 		}
 	}
 	latest := slices.MaxFunc(near, func(a, b Scheduler) int { return a.until.Compare(b.until) })
-	if hole := s.until.Sub(latest.until); hole >= minSchedulerHole {
-		gaps = append(gaps, newHole(hole, "after "+latest.Until))
+	if length := s.until.Sub(latest.until); length >= minSchedulerGap {
+		gaps = append(gaps, newGap(length, "after "+latest.Until))
 	}
 	return gaps
 }
@@ -62,9 +62,9 @@
 	return len(schedulerGaps(schedulers, s)) == 0
 }
 
-func holeBefore(first *Scheduler, from time.Time) []Gap {
-	if hole := first.from.Sub(from); hole >= minSchedulerHole && (!first.began || first.Epoch != firstEpoch) {
-		return []Gap{newHole(hole, "before "+first.From)}
+func gapBefore(first *Scheduler, from time.Time) []Gap {
+	if length := first.from.Sub(from); length >= minSchedulerGap && (!first.began || first.Epoch != firstEpoch) {
+		return []Gap{newGap(length, "before "+first.From)}
 	}
 	return nil
 }
@@ -78,8 +78,8 @@
 	if first, last := earlier.Epoch+1, later.Epoch-1; earlier.Epoch < later.Epoch && first <= last {
 		gaps = append(gaps, newEpochGap(first, last))
 	}
-	if hole := later.from.Sub(earlier.until); hole >= minSchedulerHole {
-		gaps = append(gaps, newHole(hole, fmt.Sprintf("between %s and %s", earlier.Until, later.From)))
+	if length := later.from.Sub(earlier.until); length >= minSchedulerGap {
+		gaps = append(gaps, newGap(length, fmt.Sprintf("between %s and %s", earlier.Until, later.From)))
 	}
 	return gaps
 }
@@ -89,8 +89,8 @@
 	return later.began && later.Epoch == earlier.Epoch+1
 }
 
-func newHole(hole time.Duration, place string) Gap {
-	return Gap{GapScheduler, fmt.Sprintf("no line of a scheduler in the %v %s", hole.Round(time.Millisecond), place)}
+func newGap(length time.Duration, place string) Gap {
+	return Gap{GapScheduler, fmt.Sprintf("no line of a scheduler in the %v %s", length.Round(time.Millisecond), place)}
 }
 
 func newEpochGap(first, last uint64) Gap {
--- a/core/explain/tellcontext.go
+++ b/core/explain/tellcontext.go
@@ -36,9 +36,26 @@
 }
 
 func (h *history) tellSettled(r *orderedRecord) string {
-	text := fmt.Sprintf("the scheduler of epoch %d knows all runs of earlier epochs", r.Epoch)
-	if lost := h.settle(r.Epoch); len(lost) > 0 {
-		text += "; not found and lost: " + strings.Join(lost, ", ")
+	text := fmt.Sprintf("the scheduler of epoch %d knows what earlier epochs may have left running", r.Epoch)
+	if r.Reason != "" {
+		text += ": " + r.Reason
+	}
+	unreported := h.unreported(r.Epoch)
+	if len(unreported) == 0 {
+		return text
+	}
+	var names []string
+	for _, run := range unreported {
+		names = append(names, run.description)
+	}
+	text += "; not reported by any target so far: " + strings.Join(names, ", ")
+	if r.Reason == "" || strings.HasSuffix(r.Reason, noTasksLeft) {
+		for _, run := range unreported {
+			run.close(endNotFound)
+		}
 	}
 	return text
 }
+
+// noTasksLeft ends the reason of a scheduler that has a report of each target on which something may run.
+const noTasksLeft = ", 0 tasks may still run there"
--- a/core/explain/teller.go
+++ b/core/explain/teller.go
@@ -39,6 +39,8 @@
 	case dispatch.EventCancelled:
 		h.cancelled = cmp.Or(h.cancelled, r)
 		return "the scheduler cancelled the workflow", true
+	case dispatch.EventLate:
+		return fmt.Sprintf("the workflow took %v, longer than its target time; queue and time by phase, summed over its steps: %s", r.Age, r.Reason), true
 	case dispatch.EventFinal:
 		return h.tellFinal(r), true
 	}
--- a/core/explain/tellrequest.go
+++ b/core/explain/tellrequest.go
@@ -47,7 +47,7 @@
 
 func (h *history) tellLook(r *orderedRecord) string {
 	if r.Result == cyclamendyke.IntakeNoWorkflow && h.wasAccepted() && h.final == nil {
-		h.flag(FindingLost, r, "a caller was told that there is no such workflow, after it had been accepted and before it was final")
+		h.flag(FindingNotFound, r, "a caller was told that there is no such workflow, after it had been accepted and before it was final")
 	}
 	if r.Result == cyclamendyke.IntakeFound {
 		return "shown to a caller" + requestInputs(r)
--- a/core/explain/term.go
+++ b/core/explain/term.go
@@ -28,7 +28,7 @@
 	known := c.terms[key]
 	if known == nil {
 		if len(c.terms) >= maxTerms {
-			c.unkept++
+			c.omitted++
 			return
 		}
 		known = &term{first: record}
--- a/io/logline/fields.go
+++ b/io/logline/fields.go
@@ -11,9 +11,9 @@
 type result int
 
 const (
-	resultRecord result = iota
-	resultCut           // A log line that begins or ends early.
-	resultOther         // Not a line of the logger.
+	resultRecord    result = iota
+	resultTruncated        // A log line that begins or ends early.
+	resultOther            // Not a line of the logger.
 )
 
 // extent is how much of a line is decoded.
--- a/io/logline/json.go
+++ b/io/logline/json.go
@@ -59,16 +59,16 @@
 func decodeJSON(line []byte, into *fields, extent extent) result {
 	var head jsonHead
 	if err := json.Unmarshal(line, &head); err != nil {
-		return resultCut
+		return resultTruncated
 	}
 	if head.Time == "" && head.Level == "" && head.Node == "" {
 		return resultOther
 	}
 	if !into.setJSONHead(head) || head.Message == "" {
-		return resultCut
+		return resultTruncated
 	}
 	if extent == allFields && !into.setJSONRest(line) {
-		return resultCut
+		return resultTruncated
 	}
 	return resultRecord
 }
--- a/io/logline/logfmt.go
+++ b/io/logline/logfmt.go
@@ -25,7 +25,7 @@
 	case !isLogger:
 		return resultOther
 	case isCut, decoder.Err() != nil, !into.hasTime, into.message == nil:
-		return resultCut
+		return resultTruncated
 	}
 	return resultRecord
 }
--- a/io/logline/reader.go
+++ b/io/logline/reader.go
@@ -94,18 +94,18 @@
 	case result == resultOther:
 		r.counts.Other++
 		return record, false
-	case result == resultCut:
-		r.counts.Cut++
-		record.Cut = true
+	case result == resultTruncated:
+		r.counts.Truncated++
+		record.Truncated = true
 		return record, r.config.Wanted(record.Message, line)
 	case !r.config.Wanted(record.Message, body):
 		*count++
 		return record, true
 	}
 	var all fields
-	if decoder(body, &all, allFields) == resultCut {
-		r.counts.Cut++
-		record.Cut = true
+	if decoder(body, &all, allFields) == resultTruncated {
+		r.counts.Truncated++
+		record.Truncated = true
 		return record, true
 	}
 	*count++
--- a/io/logline/reader_test.go
+++ b/io/logline/reader_test.go
@@ -88,7 +88,7 @@
 		name  string
 		value any
 	}{
-		{"dated", r.Dated}, {"elapsed", r.Elapsed}, {"cut", r.Cut}, {"process", r.Process}, {"msg", r.Message}, {"epoch", r.Epoch},
+		{"dated", r.Dated}, {"elapsed", r.Elapsed}, {"truncated", r.Truncated}, {"process", r.Process}, {"msg", r.Message}, {"epoch", r.Epoch},
 		{"request", r.Request}, {"workflow", r.Workflow}, {"task", r.Task}, {"target", r.Target}, {"run", r.Run},
 		{"reason", r.Reason}, {"count", r.Count}, {"age", r.Age}, {"team", r.Team}, {"queue", r.Queue}, {"result", r.Result},
 		{"version", r.Version}, {"store-age", r.StoreAge}, {"state", r.State}, {"member", r.Member}, {"err", r.Err},
--- a/logrecord.go
+++ b/logrecord.go
@@ -11,7 +11,7 @@
 	Dated      bool          // The time stamp has a date.
 	Elapsed    time.Duration // The time in front of the line; valid if HasElapsed is set.
 	HasElapsed bool
-	Cut        bool // The line ends early: only Time, Process and Message are set, if they are known.
+	Truncated  bool // The line is incomplete: of the fields from Message on, only those that are known are set.
 	Message    string
 	Epoch      uint64
 
--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -70,26 +70,28 @@
 	return err
 }
 
-// removeCancellation removes the cancellation of a workflow that had ended before; if that fails, the next
-// scheduler finds it again.
-//
-// This scheduler does not know the workflow, but that is no proof of its end: while the store holds it, the
-// cancellation stays for the next scheduler.
+// removeCancellation removes the cancellation of a workflow that this scheduler does not know, unless the
+// store still holds the workflow. What stays, the next scheduler finds again.
 func (t *term) removeCancellation(id cyclamendyke.WorkflowID) {
 	ctx, cancel := context.WithTimeout(t.ctx, cleanupTimeout)
 	defer cancel()
 	batch := t.newCleanupBatch()
 	batch.Guards = append(batch.Guards, cyclamendyke.Guard{Key: workKey(id)})
 	batch.Removes = []string{workKey(id) + cancelSuffix}
-	if _, _, err := t.node.cfg.Store.Commit(ctx, batch); err != nil && t.ctx.Err() == nil {
-		t.node.cfg.Log.Warn("cannot remove the cancellation of an ended workflow", "workflow", id, "err", err)
+	_, _, err := t.node.cfg.Store.Commit(ctx, batch)
+	switch {
+	case err == nil || t.ctx.Err() != nil:
+	case cyclamendyke.KindOf(err) == cyclamendyke.KindConflict:
+		t.node.cfg.Log.Info("cancellation kept, as its workflow is still stored", "workflow", id)
+	default:
+		t.node.cfg.Log.Warn("cannot remove a cancellation; the next scheduler tries again", "workflow", id, "err", err)
 	}
 }
 
 // removeOldKnownTargets removes the list that earlier versions wrote, once each target has its own
 // record.
 func (t *term) removeOldKnownTargets() {
-	if !t.hasOldKnownTargets || !t.sched.KnownTargetsStored() {
+	if !t.hasOldKnownTargets || !t.sched.AllKnownTargetsStored() {
 		return
 	}
 	t.hasOldKnownTargets = false
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -92,8 +92,9 @@
 	}
 	for name, counts := range d.outcomeCounts {
 		if counts.failed >= minFailures && 2*counts.failed >= counts.total {
-			d.term.node.cfg.Log.Warn("member suspended: too many failed orders", "member", name, "failed", counts.failed, "of", counts.total, "rest", suspensionTime)
-			d.suspendUntil(name, now+suspensionTime)
+			if d.suspendUntil(name, now+suspensionTime) {
+				d.term.node.cfg.Log.Warn("member suspended: too many failed orders", "member", name, "failed", counts.failed, "of", counts.total, "rest", suspensionTime)
+			}
 		}
 	}
 	clear(d.outcomeCounts)
@@ -133,15 +134,17 @@
 // maxSuspendedShare is the largest part of the members that is suspended at a time.
 const maxSuspendedShare = 0.5
 
-// suspendUntil suspends a member, unless that many are suspended already that the fault must be this
-// process's own: a slow scheduler would only be slower without members that carry out its orders.
-func (d *delegator) suspendUntil(name cyclamendyke.MemberName, end time.Duration) {
+// suspendUntil suspends a member and returns true, unless half of the members are suspended already: then the
+// scheduler itself is probably slow, and needs the others to carry out its orders.
+func (d *delegator) suspendUntil(name cyclamendyke.MemberName, end time.Duration) bool {
 	limit := max(1, int(maxSuspendedShare*float64(len(d.term.node.dir.memberNames()))))
 	now := bootTime()
 	maps.DeleteFunc(d.suspendedUntil, func(_ cyclamendyke.MemberName, until time.Duration) bool { return now >= until })
-	if _, isSuspended := d.suspendedUntil[name]; isSuspended || len(d.suspendedUntil) < limit {
-		d.suspendedUntil[name] = end
+	if _, isSuspended := d.suspendedUntil[name]; !isSuspended && len(d.suspendedUntil) >= limit {
+		return false
 	}
+	d.suspendedUntil[name] = end
+	return true
 }
 
 // delegate queues a command for a member, or returns false if the scheduler must execute it itself.
--- a/node/election.go
+++ b/node/election.go
@@ -68,7 +68,7 @@
 	if v.scheduler == nil && !n.roleFreeAfterYield() {
 		return electionResult{}, false
 	}
-	if election, ok := n.lastClaim.won(n, v, lease); ok {
+	if election, ok := n.lastClaim.takeElection(n, v, lease); ok {
 		return election, true
 	}
 	election, err := n.claimRole(v, lease)
@@ -76,7 +76,7 @@
 	if err == nil {
 		return election, true
 	}
-	if election, ok := n.lastClaim.won(n, n.dir.view(), lease); ok {
+	if election, ok := n.lastClaim.takeElection(n, n.dir.view(), lease); ok {
 		return election, true
 	}
 	if cyclamendyke.KindOf(err) != cyclamendyke.KindConflict {
--- a/node/collector_test.go
+++ b/node/gc_test.go
@@ -25,7 +25,7 @@
 		pieceBytes  = 1 << 10
 		rounds      = 32 // Times the live heap's size that is allocated.
 	)
-	configureCollector(memoryBytes)
+	configureGC(memoryBytes)
 	live := make([]byte, liveBytes)
 	runtime.GC()
 	var before, after runtime.MemStats
--- a/node/main.go
+++ b/node/main.go
@@ -50,7 +50,7 @@
 		fmt.Fprintln(out, err)
 		return exitBadSettings
 	}
-	configureCollector(settings.MemoryBytes)
+	configureGC(settings.MemoryBytes)
 	logWriter := newAsyncWriter(out)
 	defer logWriter.close()
 	logger := newLogger(logWriter, string(settings.Node))
--- a/node/predecessors.go
+++ b/node/predecessors.go
@@ -8,7 +8,8 @@
 )
 
 // predecessorsEnded reports whether all schedulers before a claim made now have certainly stopped acting:
-// the last one stepped down, or its record has this process's name, and none before it acted any more.
+// the last one stepped down, or its record is there, and none before it acted any more. The caller has
+// checked that a record that is there has this process's name.
 func (v view) predecessorsEnded() bool {
 	if v.scheduler != nil {
 		return v.scheduler.PredecessorsEnded
@@ -17,7 +18,7 @@
 }
 
 // declarePredecessorsEnded says in the scheduler's record that no earlier scheduler acts any more, once their
-// grace period is over; until then a successor has to count on them.
+// grace period is over; until then a successor must assume that they still act.
 func (t *term) declarePredecessorsEnded() {
 	if t.predecessorsEnded.Load() {
 		return
@@ -33,6 +34,7 @@
 	}
 }
 
+// writePredecessorsEnded makes one attempt; it returns nil if nothing is left to write.
 func (t *term) writePredecessorsEnded() error {
 	v := t.node.dir.view()
 	if !t.node.isElected(v, t.epoch) {
@@ -46,7 +48,7 @@
 	record.PredecessorsEnded = true
 	value, err := json.Marshal(record)
 	if err != nil {
-		return NewError("declare", cyclamendyke.KindInvalid, err)
+		return NewError("declare predecessors ended", cyclamendyke.KindInvalid, err)
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 	defer cancel()
--- a/node/roleclaim.go
+++ b/node/roleclaim.go
@@ -23,13 +23,13 @@
 	}
 }
 
-// won returns the election that an unanswered claim has won, if the directory shows that. The claim counts
-// once, so that a process whose term has ended claims the role again.
-func (c *roleClaim) won(n *Node, v view, lease cyclamendyke.LeaseID) (electionResult, bool) {
+// takeElection returns the election that an unanswered claim has won, if the directory shows that, and clears
+// the claim, so that a process whose term has ended claims the role again.
+func (c *roleClaim) takeElection(n *Node, v view, lease cyclamendyke.LeaseID) (electionResult, bool) {
 	if c.epoch == 0 || c.epoch != v.epoch || c.lease != lease || !n.isElected(v, c.epoch) {
 		return electionResult{}, false
 	}
-	n.cfg.Log.Info("elected without an answer", "epoch", c.epoch, "revision", v.epochRevision)
+	n.cfg.Log.Info("elected", "epoch", c.epoch, "revision", v.epochRevision, "answer", "lost")
 	election := c.result(v.epochRevision)
 	*c = roleClaim{}
 	return election, true
