--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -37,6 +37,7 @@
 	forgetAt          time.Duration // When endedJobs is next searched for workflows to forget.
 	dirty             []*job        // Workflows whose progress must be stored.
 	lastRunNumber     int64
+	successorPossible bool // Another scheduler may have been elected, and may have renewed the leases of silent targets.
 	superseded        bool // A target has refused a request because it knows a later epoch.
 	commands          []Command
 	forecasts         map[cyclamendyke.ServiceName]*forecast
@@ -130,6 +131,12 @@
 	s.wall = wall
 }
 
+// SetSuccessorPossible says whether another scheduler may have been elected. While it may, the lease of a
+// target that does not answer does not count as over, since the other scheduler may have renewed it.
+func (s *Scheduler) SetSuccessorPossible(possible bool) {
+	s.successorPossible = possible
+}
+
 func (s *Scheduler) emit(command Command) {
 	s.commands = append(s.commands, command)
 }
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -170,3 +170,17 @@
 	s.KnownTargetChangesStored(taken, 1)
 	is.True(s.AllKnownTargetsStored())
 }
+
+// TestLeaseThatSuccessorRenewsCountsAsOver keeps a VM silent to a scheduler that may have been replaced.
+func TestLeaseThatSuccessorRenewsCountsAsOver(t *testing.T) {
+	is := is.New(t)
+	sim := runOneTask(t)
+	sim.addOtherVM()
+	sim.vms["vm-0"].unreachable = true
+	sim.sched.SetSuccessorPossible(true)
+	sim.run(LongestLease(sim.bounds()) + sim.maxLease + 2*time.Second)
+	is.Equal(sim.starts, 1)
+	sim.sched.SetSuccessorPossible(false)
+	sim.run(time.Second)
+	is.Equal(sim.starts, 2)
+}
--- a/node/term.go
+++ b/node/term.go
@@ -150,6 +150,7 @@
 	}
 	t.sched.Advance(bootTime(), time.Now())
 	t.submitHeld()
+	t.sched.SetSuccessorPossible(!t.leaseValid())
 	t.sched.SetAdvisers(t.advisers())
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
