Store which runs are on which target, for the next scheduler

Cause: a new scheduler knew nothing of a target that was away at the takeover, except of closed ones. A task done there was started again when the lease was over, and the end was acknowledged when the target came back; and runs of a workflow that had ended did not count against their team's limit.

Change: one list of all runs (team, need, target and its incarnation), written with the batches of records at most every 200 ms when something began or ended. From it the next scheduler lets just the tasks listed on a silent target wait for the longest lease again, unless another run there certainly works until the lease ends, and counts the listed runs against their teams until they have ended, also when the target is back and stops them. Workflows that were accepted before the term and are cancelled in it are kept until the runs of before are known. While a successor is possible, what may be left on a silent target is not taken for over (it was, at the end of the lease).

--- a/core/dispatch/endedjob.go
+++ b/core/dispatch/endedjob.go
@@ -14,11 +14,11 @@
 	at    time.Duration // When the state became final.
 }
 
-// forgetEnded keeps only the state of workflows that have ended, once their runs have ended too, and
-// that only for as long as it must stay available.
+// forgetEnded keeps only the state of workflows that have ended, once their runs have ended too and none
+// can be left from earlier epochs, and that only for as long as it must stay available.
 func (s *Scheduler) forgetEnded() {
 	s.ended = slices.DeleteFunc(s.ended, func(j *job) bool {
-		if j.runCount > 0 {
+		if j.runCount > 0 || j.inherited && !s.earlierRunsKnown {
 			return false
 		}
 		delete(s.jobs, j.spec.ID)
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -18,6 +18,7 @@
 // reserve counts a run against its target and its team.
 func (s *Scheduler) reserve(r *run) {
 	need := r.step.spec.Reserved()
+	s.runListDirty = true
 	r.target.runs[runKey{r.taskName(), r.number}] = r
 	r.target.used = r.target.used.Add(need)
 	team := s.team(r.step.job.spec.Team)
@@ -37,6 +38,7 @@
 	if r.target.runs[key] != r {
 		return
 	}
+	s.runListDirty = true
 	need := r.step.spec.Reserved()
 	delete(r.target.runs, key)
 	r.target.used = r.target.used.Sub(need)
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -61,7 +61,7 @@
 			s.logTarget(id, "stored list of tasks is invalid")
 			return
 		}
-		t.unlistedTasks = append(t.unlistedTasks, name)
+		t.earlierRuns = append(t.earlierRuns, s.namedRun(name))
 	}
 	t.unlistedTasksComplete = true
 }
@@ -81,22 +81,22 @@
 	s.knownTargetsDirty = true
 }
 
-// mayHaveUnlistedRuns reports whether runs of an earlier epoch may be left on a target that has not
-// answered this one.
+// mayHaveUnlistedRuns reports whether runs of an earlier epoch, or ends that still count, may be left on a
+// target that has not answered this one. While a successor is possible, it may have renewed the lease.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
-	return !t.listed && !t.expired && s.now < s.earlierRunsEndBy(t)
+	return !t.listed && !t.expired && (s.successorPossible || s.now < s.earlierRunsEndBy(t))
 }
 
 // earlierRunsEndBy returns when runs of earlier epochs count as ended on a target that has not answered.
 //
-// A task listed for a closed target may be done there already, with an end that only the target knows.
-// If it started again when the lease ends, it could run twice, so such a target gets the longest lease again
-// to come back. Only the listed tasks wait for it.
+// A task that is stored as started there may be done already, with an end that only the target knows. If it
+// started again when the lease ends, it could run twice, so such a target gets the longest lease again to come
+// back. Only those tasks wait for it.
 func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
-	if t.unlistedTasksComplete && len(t.unlistedTasks) > 0 && !t.presumedGone() {
-		return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
+	if t.presumedGone() || !s.mayHoldDoneTasks(t) {
+		return s.cfg.EarlierRunsEndBy
 	}
-	return s.cfg.EarlierRunsEndBy
+	return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
 }
 
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
@@ -210,7 +210,7 @@
 // possibleTasks returns the names of all tasks that may run on the target. It includes tasks that have ended
 // but whose end is not stored yet: the next epoch can learn of such an end only from the target.
 func (t *target) possibleTasks() []string {
-	out := make([]string, 0, len(t.runs)+len(t.unstoredEnds)+len(t.unlistedTasks))
+	out := make([]string, 0, len(t.runs)+len(t.unstoredEnds)+len(t.earlierRuns))
 	for key := range t.runs {
 		out = append(out, key.task.String())
 	}
@@ -218,8 +218,8 @@
 		out = append(out, end.task.String())
 	}
 	if !t.listed {
-		for _, name := range t.unlistedTasks {
-			out = append(out, name.String())
+		for _, r := range t.earlierRuns {
+			out = append(out, r.task.String())
 		}
 	}
 	slices.Sort(out)
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -52,6 +52,7 @@
 	if r.confirmedAt == 0 {
 		r.confirmedAt = s.now
 		r.progress.begin(0, s.now)
+		s.runConfirmed(r)
 		r.step.job.started = true
 	}
 	if r.resumed && r.progress.percent == 0 {
@@ -107,6 +108,16 @@
 	}
 }
 
+// hasOrphan reports whether a run of a task that belongs to no workflow is left on the target.
+func (t *target) hasOrphan(name cyclamendyke.TaskName) bool {
+	for key := range t.orphans {
+		if key.task == name {
+			return true
+		}
+	}
+	return false
+}
+
 // findStep returns the step of a task, or nil if the task belongs to no workflow.
 func (s *Scheduler) findStep(name cyclamendyke.TaskName) *stepRun {
 	j := s.jobs[name.Workflow]
--- a/core/dispatch/remaining.go
+++ b/core/dispatch/remaining.go
@@ -50,14 +50,19 @@
 
 // worksAt reports whether the run, unless something stops it, certainly still works at a given time.
 func (r *run) worksAt(at time.Duration) bool {
+	return r.state == runRunning && at < r.worksUntil()
+}
+
+// worksUntil returns until when a running run certainly works, unless something stops it.
+func (r *run) worksUntil() time.Duration {
 	if r.step.spec.LongRunning {
-		return r.state == runRunning
+		return math.MaxInt64
 	}
 	begin, expected := r.startedAt, r.step.runTimeOn(r.target)
 	if left, ok := r.progress.remaining(r.progress.at); ok {
 		begin, expected = r.progress.at, left
 	}
-	return r.state == runRunning && at < begin+time.Duration(certainPart*float64(expected))
+	return begin + time.Duration(certainPart*float64(expected))
 }
 
 // remaining estimates the time left from the pace so far. It is unknown before enough progress was
--- /dev/null
+++ b/core/dispatch/runlist.go
@@ -0,0 +1,232 @@
+package dispatch
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
+
+// runList is what is stored of all runs, so that the next epoch knows what may run or be done on targets
+// that do not answer it.
+type runList struct {
+	WrittenAt time.Time       `json:"written"`
+	Targets   []runListTarget `json:"targets"`
+	Steps     []runListStep   `json:"steps"`
+}
+
+type runListTarget struct {
+	ID            cyclamendyke.TargetID `json:"id"`
+	StartedMillis int64                 `json:"born-ms"`
+}
+
+// runListStep holds the runs of one step, with what they count against, as the workflow may have ended.
+type runListStep struct {
+	cyclamendyke.StepName
+	Team cyclamendyke.TeamName  `json:"team"`
+	Need cyclamendyke.Resources `json:"need"`
+	Runs []runListRun           `json:"runs"`
+}
+
+type runListRun struct {
+	Task       int   `json:"task"`
+	Target     int   `json:"target"`            // Index in runList.Targets.
+	WorkMillis int64 `json:"work-ms,omitempty"` // How long it certainly works on from then.
+	Ended      bool  `json:"ended,omitempty"`   // It has ended, but that is not stored yet.
+}
+
+// earlierRun is a run that an earlier epoch may have left on a target.
+type earlierRun struct {
+	task       cyclamendyke.TaskName
+	team       cyclamendyke.TeamName
+	need       cyclamendyke.Resources
+	worksUntil time.Duration // Until when it certainly works, unless an earlier epoch has stopped it since; zero if unknown.
+	ended      bool          // It had ended when that was stored.
+}
+
+// The timing of storing the list of runs.
+const (
+	runListInterval = 200 * time.Millisecond // Minimum time between two lists.
+	runListRate     = 64 << 10               // Bytes a second that lists take at most, so that long ones are stored less often.
+	maxWorkLeft     = time.Hour              // Longest time for which a run is stored as certain to work.
+	wallMargin      = time.Second            // Difference between the wall clocks of two processes that is allowed for.
+)
+
+// runConfirmed notes that a run has begun. The list of runs says so only if it certainly outlasts a lease.
+func (s *Scheduler) runConfirmed(r *run) {
+	if r.worksUntil() > s.now+LongestLease(s.cfg.Bounds) {
+		s.runListDirty = true
+	}
+}
+
+// HasRunList reports whether the list of runs has changed and can be stored now.
+func (s *Scheduler) HasRunList() bool {
+	return s.runListDirty && !s.runListStoring && s.now >= s.nextRunListAt
+}
+
+// TakeRunList returns the list of runs to be stored in place of the last one.
+func (s *Scheduler) TakeRunList() ([]byte, error) {
+	value, err := s.buildRunList().encode()
+	s.nextRunListAt = s.now + max(runListInterval, time.Duration(len(value))*time.Second/runListRate)
+	if err != nil {
+		return nil, NewError("run list", cyclamendyke.KindInvalid, err)
+	}
+	s.runListDirty, s.runListStoring = false, true
+	return value, nil
+}
+
+// RunListStored records that the list of runs that was taken last is stored.
+func (s *Scheduler) RunListStored() {
+	s.runListStoring = false
+}
+
+func (l *runList) encode() ([]byte, error) {
+	var buffer bytes.Buffer
+	compressed, err := gzip.NewWriterLevel(&buffer, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if err := json.NewEncoder(compressed).Encode(l); err != nil {
+		return nil, err
+	}
+	err = compressed.Close()
+	return buffer.Bytes(), err
+}
+
+func decodeRunList(value []byte) (*runList, error) {
+	compressed, err := gzip.NewReader(bytes.NewReader(value))
+	if err != nil {
+		return nil, err
+	}
+	list := &runList{}
+	return list, json.NewDecoder(compressed).Decode(list)
+}
+
+// runListBuilder gathers runs by step.
+type runListBuilder struct {
+	now   time.Duration
+	list  runList
+	steps map[cyclamendyke.StepName]int // Indexes in list.Steps.
+}
+
+func (s *Scheduler) buildRunList() *runList {
+	b := runListBuilder{now: s.now, steps: map[cyclamendyke.StepName]int{}}
+	b.list.WrittenAt = s.wall
+	for id, t := range s.targets {
+		b.list.Targets = append(b.list.Targets, runListTarget{id, t.info.StartedMillis})
+		for _, r := range t.runs {
+			b.add(r.describe())
+		}
+		for _, end := range t.unstoredEnds {
+			b.add(earlierRun{task: end.task, team: end.job.spec.Team, ended: true})
+		}
+		for _, r := range t.earlierRuns {
+			if s.mayHaveUnlistedRuns(t) || t.hasOrphan(r.task) {
+				b.add(r)
+			}
+		}
+	}
+	return &b.list
+}
+
+func (r *run) describe() earlierRun {
+	out := earlierRun{task: r.taskName(), team: r.step.job.spec.Team, need: r.step.spec.Reserved()}
+	if r.state == runRunning {
+		out.worksUntil = r.worksUntil()
+	}
+	return out
+}
+
+// add adds a run on the last target.
+func (b *runListBuilder) add(r earlierRun) {
+	name := cyclamendyke.StepName{Workflow: r.task.Workflow, Occurrence: r.task.Occurrence, Step: r.task.Step}
+	index, isKnown := b.steps[name]
+	if !isKnown {
+		index = len(b.list.Steps)
+		b.steps[name] = index
+		b.list.Steps = append(b.list.Steps, runListStep{StepName: name, Team: r.team})
+	}
+	step := &b.list.Steps[index]
+	if !r.ended {
+		step.Need = r.need
+	}
+	left := min(max(0, r.worksUntil-b.now), maxWorkLeft)
+	step.Runs = append(step.Runs, runListRun{
+		Task: r.task.Index, Target: len(b.list.Targets) - 1, WorkMillis: left.Milliseconds(), Ended: r.ended,
+	})
+}
+
+// AddRunList adds the list of runs that an earlier epoch stored, after the known targets.
+func (s *Scheduler) AddRunList(value []byte) error {
+	list, err := decodeRunList(value)
+	if err != nil {
+		return NewError("run list", cyclamendyke.KindInvalid, err)
+	}
+	writtenAt := s.now - max(0, s.wall.Sub(list.WrittenAt)) - wallMargin
+	for _, step := range list.Steps {
+		for _, r := range step.Runs {
+			if r.Target < 0 || r.Target >= len(list.Targets) {
+				return NewError("run list", cyclamendyke.KindInvalid, nil)
+			}
+			name := cyclamendyke.TaskName{Workflow: step.Workflow, Occurrence: step.Occurrence, Step: step.Step, Index: r.Task}
+			earlier := earlierRun{task: name, team: step.Team, need: step.Need, ended: r.Ended}
+			if r.WorkMillis > 0 {
+				earlier.worksUntil = writtenAt + time.Duration(r.WorkMillis)*time.Millisecond
+			}
+			s.addEarlierRun(list.Targets[r.Target], earlier)
+		}
+	}
+	return nil
+}
+
+// addEarlierRun adds a stored run, unless its target has gone or restarted since, or is closed and its
+// record names all tasks and not this one.
+func (s *Scheduler) addEarlierRun(on runListTarget, r earlierRun) {
+	t := s.targets[on.ID]
+	if t == nil || on.StartedMillis < t.info.StartedMillis {
+		return
+	}
+	if !t.unlistedTasksComplete {
+		t.earlierRuns = append(t.earlierRuns, r)
+		return
+	}
+	for i := range t.earlierRuns {
+		if t.earlierRuns[i].task == r.task {
+			t.earlierRuns[i] = r
+		}
+	}
+}
+
+// namedRun returns a run of a task that the record of a closed target names.
+func (s *Scheduler) namedRun(name cyclamendyke.TaskName) earlierRun {
+	r := earlierRun{task: name}
+	if step := s.findStep(name); step != nil {
+		r.team, r.need = step.job.spec.Team, step.spec.Reserved()
+	}
+	return r
+}
+
+// mayBeDone reports whether an earlier run may have ended as done, so that its task must not run again
+// before its target is back or is given up.
+func (s *Scheduler) mayBeDone(r earlierRun) bool {
+	step := s.findStep(r.task)
+	return step != nil && !step.job.state.IsFinal() && !step.spec.LongRunning && !step.spec.Speculative && !step.tasks[r.task.Index].done
+}
+
+// lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends. Then all runs
+// on that target are known to have lapsed, and ends before that count for nothing.
+func (s *Scheduler) lapsesOnTarget(r earlierRun) bool {
+	step := s.findStep(r.task)
+	if r.worksUntil == 0 || step == nil {
+		return false
+	}
+	return (step.spec.LongRunning || r.worksUntil > s.cfg.EarlierRunsEndBy) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
+}
+
+// mayHoldDoneTasks reports whether an end that only a target knows may still count.
+func (s *Scheduler) mayHoldDoneTasks(t *target) bool {
+	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) && !slices.ContainsFunc(t.earlierRuns, s.lapsesOnTarget)
+}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -48,8 +48,13 @@
 	usableByService   map[cyclamendyke.ServiceName][]*target // Computed in each pass.
 	knownRecords      map[cyclamendyke.TargetID]*knownRecord
 	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
-	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run on closed targets that have not answered.
+	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
 	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
+	earlierLeasesOver bool                           // Nothing that an earlier epoch started still runs on a target that has not answered.
+	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
+	runListDirty      bool                           // The list of runs has changed since it was last taken to be stored.
+	runListStoring    bool                           // A list of runs is being stored; the next one waits.
+	nextRunListAt     time.Duration
 }
 
 // New returns a scheduler without workflows and targets.
@@ -157,24 +162,27 @@
 	return commands
 }
 
-// checkEarlierRuns updates earlierRunsKnown, unlistedTasks and the teams' maxUnlistedUse.
+// checkEarlierRuns updates earlierRunsKnown, unlistedTasks, orphansLeft and the teams' maxUnlistedUse.
 func (s *Scheduler) checkEarlierRuns() {
-	if s.earlierRunsKnown && len(s.unlistedTasks) == 0 {
+	s.earlierLeasesOver = s.earlierLeasesOver || !s.successorPossible && s.now >= s.cfg.EarlierRunsEndBy
+	if s.earlierRunsKnown && len(s.unlistedTasks) == 0 && !s.orphansLeft {
 		return
 	}
 	knownBefore := s.earlierRunsKnown
-	s.earlierRunsKnown = true
-	closedTargets := 0
+	s.earlierRunsKnown, s.orphansLeft = true, false
+	silentTargets := 0
 	var unlistedCapacity cyclamendyke.Resources
 	s.unlistedTasks = map[cyclamendyke.TaskName]bool{}
 	for _, t := range s.targets {
 		switch {
 		case !s.mayHaveUnlistedRuns(t):
-		case t.unlistedTasksComplete:
-			closedTargets++
-			for _, name := range t.unlistedTasks {
-				s.unlistedTasks[name] = true
+			if t.expired || len(t.orphans) == 0 {
+				t.earlierRuns = nil
 			}
+			s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
+		case t.unlistedTasksComplete || s.earlierLeasesOver:
+			silentTargets++
+			s.addUnlistedTasks(t)
 		default:
 			s.earlierRunsKnown = false
 			unlistedCapacity = unlistedCapacity.Add(t.info.Capacity)
@@ -186,10 +194,19 @@
 	}
 	s.cfg.LogDecision(Decision{
 		Event: EventSettled, Count: len(s.targets),
-		Reason: fmt.Sprintf("%d targets closed without an answer, %d tasks may still run there", closedTargets, len(s.unlistedTasks)),
+		Reason: fmt.Sprintf("%d targets without an answer, %d tasks may still run or be done there", silentTargets, len(s.unlistedTasks)),
 	})
 }
 
+// addUnlistedTasks adds the tasks that wait for a target to answer.
+func (s *Scheduler) addUnlistedTasks(t *target) {
+	for _, r := range t.earlierRuns {
+		if !s.earlierLeasesOver || s.mayBeDone(r) {
+			s.unlistedTasks[r.task] = true
+		}
+	}
+}
+
 // updateMaxUnlistedUse computes each team's maxUnlistedUse; unlistedCapacity is the total capacity of
 // the targets on which unknown runs of earlier epochs may be left.
 func (s *Scheduler) updateMaxUnlistedUse(unlistedCapacity cyclamendyke.Resources) {
@@ -197,7 +214,7 @@
 		t.maxUnlistedUse = cyclamendyke.Resources{}
 	}
 	for _, j := range s.jobs {
-		if !s.earlierRunsKnown && j.inherited && !j.state.IsFinal() {
+		if !s.earlierRunsKnown && j.inherited {
 			t := s.team(j.spec.Team)
 			t.maxUnlistedUse = t.maxUnlistedUse.Add(j.unstartedDemand())
 		}
@@ -205,14 +222,33 @@
 	for _, t := range s.teams {
 		t.maxUnlistedUse = t.maxUnlistedUse.Min(unlistedCapacity)
 	}
-	for name := range s.unlistedTasks {
-		if step := s.findStep(name); step != nil {
-			t := s.team(step.job.spec.Team)
-			t.maxUnlistedUse = t.maxUnlistedUse.Add(step.spec.Reserved())
+	for _, t := range s.targets {
+		for _, r := range t.earlierRuns {
+			if s.countsAsUnlisted(t, r) {
+				team := s.team(r.team)
+				team.maxUnlistedUse = team.maxUnlistedUse.Add(r.need)
+			}
 		}
 	}
 }
 
+// countsAsUnlisted reports whether a stored run may still use resources that are counted neither as a
+// known run nor in an unstartedDemand.
+func (s *Scheduler) countsAsUnlisted(t *target, r earlierRun) bool {
+	switch {
+	case r.ended:
+		return false
+	case t.listed:
+		return t.hasOrphan(r.task)
+	case !s.mayHaveUnlistedRuns(t) || s.earlierLeasesOver:
+		return false
+	case t.unlistedTasksComplete:
+		return true
+	}
+	step := s.findStep(r.task)
+	return step == nil || !step.job.inherited || step.tasks[r.task.Index].done || len(step.tasks[r.task.Index].runs) > 0
+}
+
 // unstartedDemand returns the resources of the tasks that are not done and have no known run.
 func (j *job) unstartedDemand() cyclamendyke.Resources {
 	var sum cyclamendyke.Resources
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -71,6 +71,8 @@
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
+	storedRuns      []byte                                                  // The list of runs.
+	batches         int                                                     // Batches written to the store.
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
 	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
 	adviceAllows    func(cyclamendyke.StepName, cyclamendyke.TargetID) bool // Whether advice allows a step on a target.
@@ -182,6 +184,11 @@
 	for _, known := range sim.storedTargets {
 		sched.AddKnownTarget(known.known, known.revision)
 	}
+	if sim.storedRuns != nil {
+		if err := sched.AddRunList(sim.storedRuns); err != nil {
+			sim.t.Fatal(err)
+		}
+	}
 	sched.SetAdvisers(memberNames(sim.members))
 	sim.runPeriodically(sched)
 }
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -62,6 +62,7 @@
 		r.state = runRunning
 		r.confirmedAt = s.now
 		r.progress.begin(0, s.now)
+		s.runConfirmed(r)
 		r.step.job.started = true
 		s.paceNewRun(r)
 	case cyclamendyke.KindUnknown:
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -14,8 +14,8 @@
 	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
 	closed                bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
 	wasDraining           bool // It was draining in an earlier epoch.
-	unlistedTasksComplete bool // unlistedTasks names every task that an earlier epoch may have left here.
-	unlistedTasks         []cyclamendyke.TaskName
+	unlistedTasksComplete bool // earlierRuns names every task that an earlier epoch may have left here.
+	earlierRuns           []earlierRun
 
 	clock       time.Duration // Last reading of the target's clock.
 	clockReadAt time.Duration // When the answer with that reading arrived.
@@ -178,7 +178,7 @@
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.expired, t.wasDraining, t.unlistedTasksComplete, t.unlistedTasks = false, false, false, false, nil
+	t.listed, t.expired, t.wasDraining, t.unlistedTasksComplete, t.earlierRuns = false, false, false, false, nil
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
@@ -232,4 +232,5 @@
 	}
 	s.endRuns(t, false)
 	t.expired = true
+	s.runListDirty = s.runListDirty || len(t.earlierRuns) > 0
 }
--- a/node/keys.go
+++ b/node/keys.go
@@ -19,6 +19,7 @@
 	progressPrefix     = "progress/"      // Followed by the workflow's identifier.
 	donePrefix         = "done/"          // Followed by the workflow's identifier; replaces the keys above once it has ended.
 	knownTargetsPrefix = "fleet/targets/" // Followed by a target's identifier: the targets on which something may run.
+	runListKey         = "fleet/runs"     // The runs of the whole fleet, for the next scheduler.
 	oldKnownTargetsKey = "fleet/targets"  // The list of them that earlier versions stored in one value.
 )
 
--- a/node/load.go
+++ b/node/load.go
@@ -14,6 +14,7 @@
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
 	knownTargets                       []cyclamendyke.Entry
+	runList                            []cyclamendyke.Entry // One entry, or none.
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -59,6 +60,10 @@
 		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
 		return err
 	})
+	group.Go(func() (err error) {
+		snapshot.runList, _, err = store.List(ctx, runListKey)
+		return err
+	})
 	return group.Wait()
 }
 
@@ -75,6 +80,7 @@
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
 	t.addKnownTargets(snapshot.knownTargets)
+	t.loadRunList(snapshot.runList)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
 	for _, change := range t.deferred {
@@ -106,6 +112,15 @@
 	}
 }
 
+// loadRunList adds the runs that an earlier epoch may have left.
+func (t *term) loadRunList(entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if err := t.sched.AddRunList(entry.Value); err != nil {
+			t.node.cfg.Log.Error("cannot decode the list of runs", "revision", entry.Revision, "err", err)
+		}
+	}
+}
+
 // cancelWorkflows cancels the workflows for which entries contain a cancellation.
 func (t *term) cancelWorkflows(entries []cyclamendyke.Entry) {
 	for _, entry := range entries {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,6 +16,8 @@
 	PassSeconds prometheus.Histogram
 	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
 	UnstoredEnds prometheus.Gauge
+	// RunListBytes is the length of the list of runs that this scheduler stored last.
+	RunListBytes prometheus.Gauge
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -52,7 +54,10 @@
 		UnstoredEnds: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_unstored_ends", Help: "Ends of runs that this scheduler knows and has not stored yet.",
 		}),
+		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
+		}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes)
 	return m
 }
--- a/node/records.go
+++ b/node/records.go
@@ -14,6 +14,7 @@
 const (
 	commitInterval      = 80 * time.Millisecond  // Minimum time between batches without final records.
 	finalCommitInterval = 8 * time.Millisecond   // Minimum time between batches with final records, for which callers wait.
+	maxRunListBytes     = 512 << 10              // A longer list of runs is not stored, since the store may not take it.
 	maxCommitsInFlight  = 4                      // Batches of records written at a time.
 	commitRetryDelay    = 100 * time.Millisecond // After a commit that failed without a conflict.
 )
@@ -36,10 +37,13 @@
 		if now < t.nextFinalCommit {
 			return false
 		}
-	case now < t.nextCommit || !t.sched.HasRecords() && !t.sched.HasKnownTargetChanges():
+	case now < t.nextCommit || !t.sched.HasRecords() && !t.sched.HasKnownTargetChanges() && !t.sched.HasRunList():
 		return false
 	}
 	batch := recordBatch{Batch: cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}}
+	if t.sched.HasRunList() {
+		t.addRunList(&batch)
+	}
 	t.sched.TakeKnownTargetChanges(func(c dispatch.KnownTargetChange) bool { return batch.addKnownTarget(t, c) })
 	if err := t.sched.TakeRecords(func(r dispatch.Record) bool { return batch.addRecord(t, r) }); err != nil {
 		t.node.cfg.Log.Error("cannot encode workflow progress", "err", err)
@@ -61,6 +65,7 @@
 	cyclamendyke.Batch
 	records      []dispatch.Record
 	knownTargets []dispatch.KnownTargetChange
+	hasRunList   bool
 	isFull       bool // Something did not fit.
 }
 
@@ -74,6 +79,20 @@
 	return true
 }
 
+// addRunList adds the list of runs to an empty batch. It needs no condition: only the scheduler of this epoch
+// writes it, one list at a time.
+func (t *term) addRunList(b *recordBatch) {
+	value, err := t.sched.TakeRunList()
+	if err != nil || len(value) > maxRunListBytes {
+		t.node.cfg.Log.Error("cannot store the list of runs", "bytes", len(value), "err", err)
+		t.sched.RunListStored() // The next one may be shorter.
+		return
+	}
+	t.node.cfg.Metrics.RunListBytes.Set(float64(len(value)))
+	b.Puts = append(b.Puts, cyclamendyke.Put{Key: runListKey, Value: value, Always: true})
+	b.hasRunList = true
+}
+
 // addKnownTarget adds the change of a known target, unless it does not fit.
 func (b *recordBatch) addKnownTarget(t *term, c dispatch.KnownTargetChange) bool {
 	extended, key := b.Batch, knownTargetsPrefix+string(c.ID)
@@ -174,6 +193,9 @@
 // handleCommit reports a written batch to the scheduler.
 func (t *term) handleCommit(batch *recordBatch, revision cyclamendyke.Revision) {
 	t.commitsInFlight--
+	if batch.hasRunList {
+		t.sched.RunListStored()
+	}
 	t.sched.KnownTargetChangesStored(batch.knownTargets, revision)
 	t.sched.RecordsStored(batch.records, revision)
 }
--- a/node/term.go
+++ b/node/term.go
@@ -101,6 +101,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
+	defer t.node.cfg.Metrics.RunListBytes.Set(0)
 	for {
 		select {
 		case change := <-t.inbox:
