Store ends in the list of runs only beside other records

Cause: a list was written for ends too, which the progress says a moment later. Change: only runs that begin ask for a batch; ends go along with the next one.

--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -38,7 +38,7 @@
 	if r.target.runs[key] != r {
 		return
 	}
-	s.runListDirty = true
+	s.runListStale = true
 	need := r.step.spec.Reserved()
 	delete(r.target.runs, key)
 	r.target.used = r.target.used.Sub(need)
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -82,7 +82,7 @@
 	}
 	if !t.listed {
 		t.listed = true
-		s.runListDirty = s.runListDirty || len(t.earlierRuns) > 0
+		s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 		// An earlier epoch may have granted its longest lease right before this answer.
 		t.leaseUntil = listing.Clock + LongestLease(s.cfg.Bounds)
 		s.logTarget(info.ID, "listed")
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -62,9 +62,15 @@
 	}
 }
 
-// HasRunList reports whether the list of runs has changed and can be stored now.
+// HasRunList reports whether the list of runs lacks some and can be stored now.
 func (s *Scheduler) HasRunList() bool {
-	return s.runListDirty && !s.runListStoring && s.now >= s.nextRunListAt
+	return s.runListDirty && s.CanStoreRunList()
+}
+
+// CanStoreRunList reports whether the list of runs has changed and can be stored now, with other records if it
+// lacks none.
+func (s *Scheduler) CanStoreRunList() bool {
+	return (s.runListDirty || s.runListStale) && !s.runListStoring && s.now >= s.nextRunListAt
 }
 
 // TakeRunList returns the list of runs to be stored in place of the last one.
@@ -74,7 +80,7 @@
 	if err != nil {
 		return nil, NewError("run list", cyclamendyke.KindInvalid, err)
 	}
-	s.runListDirty, s.runListStoring = false, true
+	s.runListDirty, s.runListStale, s.runListStoring = false, false, true
 	return value, nil
 }
 
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -52,7 +52,8 @@
 	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
 	earlierLeasesOver bool                           // Nothing that an earlier epoch started still runs on a target that has not answered.
 	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
-	runListDirty      bool                           // The list of runs has changed since it was last taken to be stored.
+	runListDirty      bool                           // Runs have begun since the list of runs was last taken to be stored.
+	runListStale      bool                           // Runs that it names have ended; that alone is no reason to store it.
 	runListStoring    bool                           // A list of runs is being stored; the next one waits.
 	nextRunListAt     time.Duration
 }
--- a/core/dispatch/simulatedstore_test.go
+++ b/core/dispatch/simulatedstore_test.go
@@ -69,7 +69,7 @@
 		room -= entries
 		return room >= 0
 	}
-	if sched.HasRunList() {
+	if sched.CanStoreRunList() {
 		runs, err := sched.TakeRunList()
 		if err != nil {
 			sim.t.Fatal(err)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -232,5 +232,5 @@
 	}
 	s.endRuns(t, false)
 	t.expired = true
-	s.runListDirty = s.runListDirty || len(t.earlierRuns) > 0
+	s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 }
--- a/node/records.go
+++ b/node/records.go
@@ -41,7 +41,7 @@
 		return false
 	}
 	batch := recordBatch{Batch: cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}}
-	if t.sched.HasRunList() {
+	if t.sched.CanStoreRunList() {
 		t.addRunList(&batch)
 	}
 	t.sched.TakeKnownTargetChanges(func(c dispatch.KnownTargetChange) bool { return batch.addKnownTarget(t, c) })
