Let a target's own record replace the old list, and take no older configuration

Cause: where the store holds the list of targets of an earlier version beside a target's own record, both were added up. A target that the list called closed and that took work since still counted as one whose tasks are all named, so that others could start again; and one whose record says closed took work before it was stored as open. A configuration that was sent to a term just before it read the newest one was applied after that one. Change: the own record replaces what the list says; Configure ignores an older version. TestOwnRecordReplacesOldListOfKnownTargets and TestOlderConfigurationIsIgnored failed before.

--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -30,7 +30,7 @@
 }
 
 // AddKnownTarget adds a target that an earlier epoch stored; revision is that of its own record, or zero
-// if it has none.
+// if it is from the list that earlier versions stored. Its own record, added later, replaces what the list says.
 func (s *Scheduler) AddKnownTarget(known KnownTarget, revision cyclamendyke.Revision) {
 	id := known.Target.ID
 	isRegistered := s.targets[id] != nil
@@ -41,6 +41,7 @@
 	t := s.targets[id]
 	t.wasDraining = known.Draining && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
+		t.closed, t.unlistedTasksComplete, t.earlierRuns = true, false, nil
 		record := s.knownRecord(id)
 		record.revision = revision
 		record.dirty = false
--- a/core/dispatch/runlist_test.go
+++ b/core/dispatch/runlist_test.go
@@ -202,3 +202,41 @@
 	sim.run(time.Minute)
 	is.Equal(sim.batches, before)
 }
+
+// TestOwnRecordReplacesOldListOfKnownTargets finds a target in the list that earlier versions stored, and in a
+// record of its own, which is newer.
+func TestOwnRecordReplacesOldListOfKnownTargets(t *testing.T) {
+	info := cyclamendyke.Target{ID: "a", Address: "a"}
+	open, closed := KnownTarget{Target: info}, KnownTarget{Target: info, Closed: true, Tasks: []string{"job.0.0.0"}}
+	for _, test := range []struct {
+		name       string
+		old, own   KnownTarget
+		wantClosed bool
+		wantRuns   int
+	}{
+		{"closed, then open again", closed, open, false, 0},
+		{"open, then closed", open, closed, true, 1},
+		{"closed all along", closed, closed, true, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Epoch: 2})
+			s.UpdateTarget(info)
+			s.AddKnownTarget(test.old, 0)
+			s.AddKnownTarget(test.own, 1)
+			is.Equal(s.targets["a"].closed, test.wantClosed)
+			is.Equal(s.targets["a"].unlistedTasksComplete, test.wantClosed)
+			is.Equal(len(s.targets["a"].earlierRuns), test.wantRuns)
+		})
+	}
+}
+
+// TestOlderConfigurationIsIgnored applies versions in the wrong order, as a term that begins may.
+func TestOlderConfigurationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Epoch: 1})
+	for _, version := range []int64{8, 7} {
+		s.Configure(&cyclamendyke.FleetConfig{Version: version, Teams: []cyclamendyke.TeamConfig{{Team: "t", Limit: cores(version)}}})
+	}
+	is.Equal(s.team("t").config.Limit, cores(8))
+}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -116,8 +116,11 @@
 		(limit.Accelerators == 0 || after.Accelerators <= limit.Accelerators)
 }
 
-// Configure applies a version of the operators' configuration.
+// Configure applies a version of the operators' configuration, unless a newer one is in force.
 func (s *Scheduler) Configure(fleet *cyclamendyke.FleetConfig) {
+	if s.fleet != nil && fleet.Version < s.fleet.Version {
+		return
+	}
 	s.fleet = fleet
 	for i := range fleet.Queues {
 		queue := &fleet.Queues[i]
