Begin a term with the configuration in the store

Cause: a process whose watch of the configuration was silent or late became the scheduler with an older configuration than its predecessor had: a lowered limit or a closed queue was as before again. Change: a term reads the configuration with the rest of the store, one more call a term. TestTermBeginsWithStoredConfiguration failed before.

--- a/node/follow.go
+++ b/node/follow.go
@@ -75,14 +75,15 @@
 
 // followConfig keeps the fleet's configuration up to date; an older version never replaces a newer one.
 func (n *Node) followConfig() {
-	apply := func(entries []cyclamendyke.Entry) {
-		for _, entry := range entries {
-			if entry.Key == n.cfg.Codec.ConfigKey() && !entry.Deleted {
-				n.applyConfig(entry)
-			}
+	n.follow(n.cfg.Codec.ConfigKey(), noDelay, n.applyConfigEntries, n.applyConfigEntries)
+}
+
+func (n *Node) applyConfigEntries(entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if entry.Key == n.cfg.Codec.ConfigKey() && !entry.Deleted {
+			n.applyConfig(entry)
 		}
 	}
-	n.follow(n.cfg.Codec.ConfigKey(), noDelay, apply, apply)
 }
 
 func (n *Node) applyConfig(entry cyclamendyke.Entry) {
@@ -91,10 +92,15 @@
 		n.cfg.Log.Error("cannot decode configuration", "revision", entry.Revision, "err", err)
 		return
 	}
-	if old := n.fleetConfig.Load(); old != nil && old.Version >= fleet.Version {
-		return
+	for {
+		old := n.fleetConfig.Load()
+		if old != nil && old.Version >= fleet.Version {
+			return
+		}
+		if n.fleetConfig.CompareAndSwap(old, fleet) {
+			break
+		}
 	}
-	n.fleetConfig.Store(fleet)
 	n.cfg.Log.Info("configuration applied", "version", fleet.Version, "queues", len(fleet.Queues), "teams", len(fleet.Teams))
 	if t := n.term.Load(); t != nil {
 		t.applyConfig(fleet)
--- a/node/load.go
+++ b/node/load.go
@@ -15,6 +15,7 @@
 	workRevision, descriptionsRevision cyclamendyke.Revision
 	knownTargets                       []cyclamendyke.Entry
 	runList                            []cyclamendyke.Entry // One entry, or none.
+	config                             []cyclamendyke.Entry // The same.
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -32,6 +33,7 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	t.node.applyConfigEntries(snapshot.config) // The watch may be behind what the last scheduler had.
 	t.post(func() { t.restore(&snapshot) })
 	t.wg.Go(func() { t.followTargets(snapshot.descriptionsRevision) })
 	t.wg.Go(t.removeExpired)
@@ -64,6 +66,10 @@
 		snapshot.runList, _, err = store.List(ctx, runListKey)
 		return err
 	})
+	group.Go(func() (err error) {
+		snapshot.config, _, err = store.List(ctx, t.node.cfg.Codec.ConfigKey())
+		return err
+	})
 	return group.Wait()
 }
 
