--- a/node/load.go
+++ b/node/load.go
@@ -14,6 +14,8 @@
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
 	knownTargets                       []cyclamendyke.Entry
+	runList                            []cyclamendyke.Entry // One entry, or none.
+	config                             []cyclamendyke.Entry // The same.
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -31,6 +33,7 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	t.node.applyConfigEntries(snapshot.config) // The watch may be behind what the last scheduler had.
 	t.post(func() { t.restore(&snapshot) })
 	t.wg.Go(func() { t.followTargets(snapshot.descriptionsRevision) })
 	t.wg.Go(t.removeExpired)
@@ -59,6 +62,14 @@
 		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
 		return err
 	})
+	group.Go(func() (err error) {
+		snapshot.runList, _, err = store.List(ctx, runListKey)
+		return err
+	})
+	group.Go(func() (err error) {
+		snapshot.config, _, err = store.List(ctx, t.node.cfg.Codec.ConfigKey())
+		return err
+	})
 	return group.Wait()
 }
 
@@ -75,6 +86,7 @@
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
 	t.addKnownTargets(snapshot.knownTargets)
+	t.loadRunList(snapshot.runList)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
 	for _, change := range t.deferred {
@@ -106,6 +118,15 @@
 	}
 }
 
+// loadRunList adds the runs that an earlier epoch may have left.
+func (t *term) loadRunList(entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if err := t.sched.AddRunList(entry.Value); err != nil {
+			t.node.cfg.Log.Error("cannot decode the list of runs", "revision", entry.Revision, "err", err)
+		}
+	}
+}
+
 // cancelWorkflows cancels the workflows for which entries contain a cancellation.
 func (t *term) cancelWorkflows(entries []cyclamendyke.Entry) {
 	for _, entry := range entries {
