Start nothing on targets of zones that operators evacuate

Scheduler.start checks it once more as an invariant. A target that is cold after its start (ColdFor) counts as slower, and its run times are not learned.

TestInvariantsUnderFaults gets evacuation as one more kind of fault, with targets in two zones.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -15,6 +15,11 @@
 
 // usable reports whether anything may be started on a target now.
 func (s *Scheduler) usable(t *target) bool {
+	return s.ready(t) && !s.evacuated(t)
+}
+
+// ready reports whether a target may be usable, whether its zone is evacuated or not.
+func (s *Scheduler) ready(t *target) bool {
 	return t.registered && t.listed && !t.expired && !t.closed && !t.info.Draining && !t.renewFailed && len(t.orphans) == 0 &&
 		s.now >= t.blockedUntil && s.now-t.answeredAt <= maxAnswerAge
 }
@@ -119,7 +124,7 @@
 	if step.spec.SameRack && len(planned) > 0 && !planned.sameRack(t) {
 		score += gangRackWeight
 	}
-	score += speedWeight * step.haste * t.speed.slowness
+	score += speedWeight * step.haste * s.slowness(t)
 	serving, filler := step.spec.LatencyTarget > 0, step.spec.Filler
 	for _, r := range t.runs {
 		if serving && r.step.spec.Filler || filler && r.step.spec.LatencyTarget > 0 {
--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -26,7 +26,8 @@
 	EventAdvised       Event = "advised"
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
-	EventLate          Event = "late" // A workflow became final after its target time.
+	EventLate          Event = "late"       // A workflow became final after its target time.
+	EventEvacuation    Event = "evacuation" // Operators evacuate an availability zone, or no longer do.
 )
 
 // Decision is one decision with the values that led to it, for the log.
--- a/core/dispatch/nofit.go
+++ b/core/dispatch/nofit.go
@@ -21,11 +21,16 @@
 	c[service] = append(c[service], need)
 }
 
-// indexUsable groups the usable targets by service.
+// indexUsable groups the usable targets by service, and those that only an evacuation makes unusable.
 func (s *Scheduler) indexUsable() {
 	s.usableByService = map[cyclamendyke.ServiceName][]*target{}
+	s.evacuatedByService = map[cyclamendyke.ServiceName][]*target{}
 	for _, t := range s.targets {
-		if s.usable(t) {
+		switch {
+		case !s.ready(t):
+		case s.evacuated(t):
+			s.evacuatedByService[t.info.Service] = append(s.evacuatedByService[t.info.Service], t)
+		default:
 			s.usableByService[t.info.Service] = append(s.usableByService[t.info.Service], t)
 		}
 	}
--- a/core/dispatch/phases.go
+++ b/core/dispatch/phases.go
@@ -19,6 +19,7 @@
 	phaseTakeover         // The runs of earlier epochs are not known yet.
 	phaseLimit            // The team is at its limit.
 	phaseRoom             // Targets have no room.
+	phaseEvacuated        // The targets with room are in evacuated zones.
 	phaseClaimed          // Other steps claim the room.
 	phaseHeadroom         // The room is kept for urgent work.
 	phaseDisallowed       // Advice does not allow the targets with room.
@@ -29,7 +30,7 @@
 )
 
 var phaseNames = [phaseCount]string{
-	"", "earlier", "submission", "pass", "takeover", "limit", "room", "claimed", "headroom", "disallowed", "advice", "start", "run",
+	"", "earlier", "submission", "pass", "takeover", "limit", "room", "evacuated", "claimed", "headroom", "disallowed", "advice", "start", "run",
 }
 
 // phaseTimes is the time spent in each phase.
@@ -145,6 +146,14 @@
 			return phaseAdvice
 		}
 	}
+	for _, t := range s.evacuatedByService[queue.Service] {
+		if need.FitsIn(t.free()) {
+			anyRoom = true
+			if s.eligible(step, queue, t) && !t.atMaxPerTarget(step) {
+				slots[phaseEvacuated] += step.fitCount(t.free(), wanted)
+			}
+		}
+	}
 	if !anyRoom {
 		noRoom.add(queue.Service, need)
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -122,6 +122,9 @@
 
 // logUnplaced logs why a step's tasks wait, whenever the reason changes.
 func (s *Scheduler) logUnplaced(step *stepRun, reason string) {
+	if step.phase == phaseEvacuated {
+		reason = "targets with room are in evacuated zones"
+	}
 	if step.unplacedReason == reason {
 		return
 	}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -36,6 +36,7 @@
 	urgent         bool          // Its queue had priority 0 when it was ordered.
 	resumed        bool          // It began from a checkpoint.
 	adopted        bool          // It was started by an earlier epoch.
+	startedCold    bool          // Its target was cold when it was ordered.
 }
 
 func (r *run) taskName() cyclamendyke.TaskName {
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 )
 
 // Config configures a Scheduler.
@@ -16,6 +17,8 @@
 	// that has not answered this epoch; tasks listed for closed targets wait longer.
 	EarlierRunsEndBy time.Duration
 	LogDecision      func(Decision)
+
+	RecordViolation func(name invariant.Name, detail string) // Called for each violated invariant.
 }
 
 // Scheduler holds the state of all workflows and targets.
@@ -50,6 +53,10 @@
 	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
 	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run on closed targets that have not answered.
 	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
+
+	evacuatedZones     map[cyclamendyke.ZoneName]bool
+	startsHeld         bool                                   // Nothing may be started anywhere.
+	evacuatedByService map[cyclamendyke.ServiceName][]*target // Targets that only an evacuation makes unusable; computed in each pass.
 }
 
 // New returns a scheduler without workflows and targets.
@@ -57,6 +64,9 @@
 	if cfg.LogDecision == nil {
 		cfg.LogDecision = func(Decision) {}
 	}
+	if cfg.RecordViolation == nil {
+		cfg.RecordViolation = func(invariant.Name, string) {}
+	}
 	return &Scheduler{
 		cfg:           cfg,
 		queues:        map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
--- a/core/dispatch/simulatedfaults_test.go
+++ b/core/dispatch/simulatedfaults_test.go
@@ -39,6 +39,10 @@
 		sim.storeBackAt = sim.now + sim.randomTime(6*time.Second)
 	case 11:
 		sim.loseStoreAndVM(v)
+	case 12:
+		zone := v.info.Zone
+		sim.evacuate(zone, sim.randomTime(simWatchDelay))
+		sim.after(sim.randomTime(8*time.Second), func() { sim.takeBack(zone, sim.randomTime(simWatchDelay)) })
 	}
 }
 
@@ -64,6 +68,8 @@
 func (sim *simulation) endFaults() {
 	sim.faults = simFaults{}
 	sim.storeBackAt = 0
+	sim.evacuations.stored = nil
+	sim.tellEvacuations()
 	for _, v := range sim.vms {
 		v.unreachable, v.removed = false, false
 		if v.down {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 )
 
 const (
@@ -70,6 +71,7 @@
 	batchEntries    int                                       // Most entries of a batch.
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
+	evacuations     simEvacuations
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
 	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
@@ -160,6 +162,7 @@
 	sim.commitsInFlight = 0
 	sched := New(Config{
 		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + LongestLease(sim.bounds()) + leaseMargin,
+		RecordViolation: func(name invariant.Name, detail string) { sim.reportViolation("%s: %s", name, detail) },
 	})
 	sim.sched = sched
 	sched.Advance(sim.now, sim.wall())
@@ -183,6 +186,7 @@
 		sched.AddKnownTarget(known.known, known.revision)
 	}
 	sched.SetAdvisers(memberNames(sim.members))
+	sim.tellEvacuations()
 	sim.runPeriodically(sched)
 }
 
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -25,6 +25,7 @@
 	case RenewCommand:
 		sim.renew(sched, c)
 	case StartCommand:
+		sim.checkEvacuation(c)
 		sim.sendOrder(sched, c.Target, func(v *vm) error { return sim.start(v, c.Order) }, func(kind cyclamendyke.Kind) {
 			sched.Started(c.Target, c.Order, kind)
 		})
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -28,11 +28,12 @@
 
 // measure keeps the run time of a task that is done for learnSpeeds.
 //
-// It leaves out runs that resumed from a checkpoint, which did a part of the work only, and gangs,
-// whose members all take as long as the slowest.
+// It leaves out runs that resumed from a checkpoint, which did a part of the work only, gangs, whose
+// members all take as long as the slowest, and runs that started on a cold target, which says nothing of
+// the time after.
 func (s *Scheduler) measure(r *run) {
 	runTime := s.now - r.startedAt
-	if r.step.spec.Gang || r.resumed || r.adopted || runTime < minMeasuredTime {
+	if r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || runTime < minMeasuredTime {
 		return
 	}
 	m := measuredRun{r.target, runTime}
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -4,14 +4,20 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 )
 
 // start reserves resources for a new run and emits its start command.
 func (s *Scheduler) start(step *stepRun, index int, t *target, number int64) {
+	if s.evacuated(t) {
+		s.cfg.RecordViolation(invariant.EvacuatedZone, string(t.info.ID)+" in zone "+string(t.info.Zone))
+		return
+	}
 	task := &step.tasks[index]
 	r := &run{
 		step: step, taskIndex: index, number: number, target: t, state: runStarting,
 		startedAt: s.now, checkpoint: task.checkpoint, resumed: task.checkpoint != "", pace: fullPace,
+		startedCold: s.now < t.coldUntil,
 	}
 	if h := s.headrooms[t.info.Service]; h != nil {
 		h.free -= h.slotsLost(s.urgentFree(t), step.spec.Reserved(), 0)
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -15,6 +15,9 @@
 	return cyclamendyke.Resources{Cores: cyclamendyke.MilliCores(n * 1000)}
 }
 
+// simZones are the availability zones of limitedFleet's VMs.
+var simZones = []cyclamendyke.ZoneName{"a", "b"}
+
 // limitedFleet returns a simulation of some VMs, one queue with three attempts and one team with a
 // limit.
 func limitedFleet(t testing.TB, seed uint64, vms int) *simulation {
@@ -28,6 +31,7 @@
 	for i := range vms {
 		sim.addVM(cyclamendyke.Target{
 			ID: cyclamendyke.TargetID(fmt.Sprint("vm-", i)), Service: "s", Address: fmt.Sprint("vm-", i), Capacity: cores(16),
+			Zone: simZones[i%len(simZones)],
 		})
 	}
 	return sim
@@ -116,7 +120,7 @@
 // smallBatch makes batches of the model as full as those of a larger fleet.
 const smallBatch = 4
 
-// TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs and takeovers.
+// TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs, takeovers and evacuations.
 // No invariant may be violated, and all workflows must end once the faults have stopped.
 func TestInvariantsUnderFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -136,7 +140,7 @@
 			if i%4 == 3 && !sim.storeAway() {
 				sim.submit(longStep(fmt.Sprint("long-", i)))
 			}
-			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
+			sim.injectFault(rapid.IntRange(0, 12).Draw(rt, "trouble"))
 			sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
 		}
 		sim.endFaults()
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -43,7 +43,8 @@
 
 	claims             []*claim
 	speed              speed
-	failures           int // Consecutive failures; successive ones of the same workflow count once.
+	coldUntil          time.Duration // The VM is slow after its start until then.
+	failures           int           // Consecutive failures; successive ones of the same workflow count once.
 	lastFailedWorkflow cyclamendyke.WorkflowID
 	fillerPace         int           // Percentage of full speed at which fillers run here.
 	paceHeldAt         time.Duration // When the pace last changed or the load last prevented an increase.
@@ -158,6 +159,7 @@
 	t.info = info
 	t.registered = true
 	s.setMayLeaveAt(t, info.Remaining)
+	t.coldUntil = s.now + info.ColdFor
 }
 
 // RemoveTargetDescription records that a target's description was removed from the store.
--- a/core/invariant/name.go
+++ b/core/invariant/name.go
@@ -20,12 +20,13 @@
 	KeyTeam          Name = "key-team"          // A request with an API key is accepted only for the key's team.
 	AccountAddsUp    Name = "account-adds-up"   // Each accepted request is either answered or still pending.
 	ReservationFloor Name = "reservation-floor" // No more is released than was reserved.
+	EvacuatedZone    Name = "evacuated-zone"    // Nothing is started in a zone that operators evacuate.
 )
 
 // Names returns all invariants in the order of their declaration.
 func Names() []Name {
 	return []Name{
 		WorkerCapacity, OnePlace, TeamAllotment, AllotmentSum, RevisionForward, EpochForward, OneAnswer, OwnAnswer,
-		NotRunTrue, OnceOnly, LeavingWorker, LapsedAuthority, KeyTeam, AccountAddsUp, ReservationFloor,
+		NotRunTrue, OnceOnly, LeavingWorker, LapsedAuthority, KeyTeam, AccountAddsUp, ReservationFloor, EvacuatedZone,
 	}
 }
--- a/fleet.go
+++ b/fleet.go
@@ -59,6 +59,7 @@
 	StopTimeout     time.Duration // Longest time that stopping a task takes.
 	StatusRetention time.Duration // How long the final state of a workflow must stay available.
 	RestoreTime     time.Duration // Time that a task needs to resume from a checkpoint.
+	EvacuationDelay time.Duration // Longest time until an evacuation takes effect; zero if there is no limit.
 }
 
 // FleetSettings are the settings that the platform gives a process.
--- a/intake.go
+++ b/intake.go
@@ -62,6 +62,14 @@
 	Config(value []byte) (*FleetConfig, error)
 	// TargetsPrefix returns the key prefix of the targets' descriptions.
 	TargetsPrefix() string
-	// ConfigKey returns the key of the operators' configuration.
+	// OperatorsPrefix returns the key prefix of everything that operators write.
+	OperatorsPrefix() string
+	// ConfigKey returns the key of the operators' configuration, below OperatorsPrefix.
 	ConfigKey() string
+	// EvacuationsPrefix returns the key prefix of the operators' requests to evacuate availability zones,
+	// below OperatorsPrefix.
+	EvacuationsPrefix() string
+	// EvacuatedZone returns the zone that a request names, or an empty name if it names none. A request counts
+	// for as long as its key exists; the error says only that its value cannot be read.
+	EvacuatedZone(entry Entry) (ZoneName, error)
 }
--- a/target.go
+++ b/target.go
@@ -21,6 +21,7 @@
 	Labels        []string      `json:"labels"`
 	Draining      bool          `json:"draining,omitempty"`
 	Remaining     time.Duration `json:"remaining-ns,omitempty"` // While draining: the minimum time left; zero if unknown.
+	ColdFor       time.Duration `json:"cold-for-ns,omitempty"`  // How much longer the VM stays slow after its start.
 	StartedMillis int64         `json:"born-ms"`                // Start of the current incarnation, in Unix milliseconds.
 }
 
@@ -90,6 +91,7 @@
 	KindLeaseInPast Kind = "the lease in the order has passed"
 	KindBadTicket   Kind = "the ticket is not valid"
 	KindWrongTarget Kind = "another incarnation answered"
+	KindEvacuated   Kind = "the target's zone is evacuated" // Not sent: the sender knows of an evacuation.
 )
 
 // Targets sends requests to target VMs; its errors match KindFenced, KindStaleRun, KindLeaseInPast,
