Follow the operators' requests to evacuate zones on every member

Each member follows everything that operators write with the one watch that read the configuration before. A request counts by its key, whatever its value; an older listing or event never undoes a newer one. A term lists the requests before its first start and merges them by revision. Right before a start is sent, the scheduler and the executing member look at their own copy once more, and send no start that waited there for longer than its timeout. A scheduler whose lease holds while the requests cannot be read starts nothing after evacuate_ms, less the time that a start takes.

The watch call after a failed one asks for an answer at once, so that what was missed is known sooner.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,8 +38,23 @@
 // TargetsPrefix returns the prefix of the targets' keys.
 func (jsonCodec) TargetsPrefix() string { return "targets/" }
 
+// OperatorsPrefix returns the prefix of the operators' keys.
+func (jsonCodec) OperatorsPrefix() string { return "operators/" }
+
 // ConfigKey returns the key of the configuration.
-func (jsonCodec) ConfigKey() string { return "config" }
+func (jsonCodec) ConfigKey() string { return "operators/config" }
+
+// EvacuationsPrefix returns the prefix of the requests to evacuate zones.
+func (jsonCodec) EvacuationsPrefix() string { return "operators/evacuations/" }
+
+// EvacuatedZone returns the zone in a request's key.
+func (c jsonCodec) EvacuatedZone(entry cyclamendyke.Entry) (cyclamendyke.ZoneName, error) {
+	zone := cyclamendyke.ZoneName(strings.TrimPrefix(entry.Key, c.EvacuationsPrefix()))
+	if !entry.Deleted && !json.Valid(entry.Value) {
+		return zone, cyclamendyke.KindInvalid
+	}
+	return zone, nil
+}
 
 // fakeTarget is a target that completes every run at once and refuses calls with an outdated fence.
 type fakeTarget struct {
@@ -108,7 +124,7 @@
 
 func newTestCluster(t *testing.T) *testCluster {
 	c := &testCluster{t: t, store: kv.New(kv.Config{}), target: &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}}
-	c.put("config", testFleet())
+	c.put(jsonCodec{}.ConfigKey(), testFleet())
 	c.put("targets/i-1", cyclamendyke.Target{ID: "i-1", Service: "s", Address: "x", Capacity: cyclamendyke.Resources{Cores: 16000}})
 	return c
 }
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -47,8 +47,9 @@
 
 // orderBatch holds the orders for one member that were decided in one pass.
 type orderBatch struct {
-	address string // Address of the member.
-	orders  []member.Order
+	address   string // Address of the member.
+	decidedAt time.Duration
+	orders    []member.Order
 }
 
 // delegatedOrder is an order whose outcome a member has yet to report.
@@ -170,11 +171,11 @@
 		return false
 	}
 	d.lastOrderNumber++
-	order.Number, order.Target, order.Address = d.lastOrderNumber, target.ID, target.Address
+	order.Number, order.Target, order.Address, order.Zone = d.lastOrderNumber, target.ID, target.Address, target.Zone
 	now := bootTime()
 	d.pending[order.Number] = delegatedOrder{to.Name, to.Address, command, now, now + timeout}
 	if d.outbox[to.Name] == nil {
-		d.outbox[to.Name] = &orderBatch{address: to.Address}
+		d.outbox[to.Name] = &orderBatch{address: to.Address, decidedAt: now}
 	}
 	d.outbox[to.Name].orders = append(d.outbox[to.Name].orders, order)
 	return true
@@ -192,6 +193,10 @@
 // sendOrders sends orders to a member. If that fails, it suspends the member and completes the
 // orders: as unavailable if they were certainly not received, as unknown otherwise.
 func (t *term) sendOrders(name cyclamendyke.MemberName, batch *orderBatch) {
+	t.holdBack(batch)
+	if len(batch.orders) == 0 {
+		return
+	}
 	kind := cyclamendyke.KindUnavailable
 	if t.maySendOrders() {
 		ctx, cancel := context.WithTimeout(t.ctx, delegationTimeout)
--- a/node/directory.go
+++ b/node/directory.go
@@ -194,7 +194,8 @@
 
 // followDirectory keeps the directory up to date.
 func (n *Node) followDirectory() {
-	n.follow(systemPrefix, n.dir.batchDelay, n.dir.replace, n.dir.apply)
+	replace := func(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) { n.dir.replace(entries) }
+	n.follow(systemPrefix, n.dir.batchDelay, replace, n.dir.apply)
 }
 
 // batchDelayPerMember makes the pause between two batches of membership changes grow with the fleet:
--- a/node/follow.go
+++ b/node/follow.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"time"
 
 	"cyclamendyke"
@@ -10,25 +12,51 @@
 const (
 	largeBatch      = 200                     // Changes in one answer after which a watch goes on without a pause, so that it does not fall behind.
 	longPollTimeout = 1500 * time.Millisecond // For one watch call; short, since a dead connection may cause no error.
+	shortPoll       = time.Millisecond        // For the watch call after a failed one, which shows at once what was missed.
 )
 
+// confirmations records for each followed prefix when the newest answered call of the store was sent, as of
+// which the local copy is complete.
+type confirmations struct {
+	mu   sync.Mutex
+	sent map[string]time.Duration
+}
+
+func (c *confirmations) record(prefix string, sent time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sent == nil {
+		c.sent = map[string]time.Duration{}
+	}
+	c.sent[prefix] = max(c.sent[prefix], sent)
+}
+
+// of returns as of when the local copy of a prefix is complete, or zero if it was never read.
+func (c *confirmations) of(prefix string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[prefix]
+}
+
 // follow lists a prefix and watches it until the node is closed. If the store has
 // compacted changes that the watch still needs, follow lists the prefix again.
-func (n *Node) follow(prefix string, batchDelay func() time.Duration, replace, apply func([]cyclamendyke.Entry)) {
+func (n *Node) follow(prefix string, batchDelay func() time.Duration, replace func([]cyclamendyke.Entry, cyclamendyke.Revision), apply func([]cyclamendyke.Entry)) {
 	n.followWithContext(n.ctx, prefix, batchDelay, replace, apply)
 }
 
 // followWithContext is follow with its own context. It pauses for batchDelay after each change, so
 // that further changes arrive in one batch.
-func (n *Node) followWithContext(ctx context.Context, prefix string, batchDelay func() time.Duration, replace, apply func([]cyclamendyke.Entry)) {
+func (n *Node) followWithContext(ctx context.Context, prefix string, batchDelay func() time.Duration, replace func([]cyclamendyke.Entry, cyclamendyke.Revision), apply func([]cyclamendyke.Entry)) {
 	for ctx.Err() == nil {
+		sent := bootTime()
 		entries, at, err := n.cfg.Store.List(ctx, prefix)
 		n.recordStoreResult(err)
 		if err != nil {
 			sleep(ctx, retryDelay(err))
 			continue
 		}
-		replace(entries)
+		replace(entries, at)
+		n.confirmed.record(prefix, sent)
 		n.watchFrom(ctx, prefix, at, batchDelay, apply)
 	}
 }
@@ -36,22 +64,28 @@
 // watchFrom watches a prefix for changes after revision at. It returns when the store has compacted
 // changes that it still needs, or when the context ends.
 func (n *Node) watchFrom(ctx context.Context, prefix string, at cyclamendyke.Revision, batchDelay func() time.Duration, apply func([]cyclamendyke.Entry)) {
+	hold := longPollTimeout
 	for ctx.Err() == nil {
-		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, longPollTimeout)
+		sent := bootTime()
+		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, hold)
 		if cyclamendyke.KindOf(err) == cyclamendyke.KindCompacted {
 			n.cfg.Log.Info("watch", "prefix", prefix, "state", "history is gone", "after", at)
 			return
 		}
 		n.recordStoreResult(err)
 		if err != nil {
+			hold = shortPoll
 			sleep(ctx, retryDelay(err))
 			continue
 		}
+		hold = longPollTimeout
 		at = max(at, reached)
 		if len(events) == 0 {
+			n.confirmed.record(prefix, sent)
 			continue
 		}
 		apply(events)
+		n.confirmed.record(prefix, sent)
 		if len(events) < largeBatch {
 			sleep(ctx, batchDelay())
 		}
@@ -73,16 +107,37 @@
 	}
 }
 
-// followConfig keeps the fleet's configuration up to date; an older version never replaces a newer one.
-func (n *Node) followConfig() {
+// followOperators keeps the fleet's configuration and the evacuated zones up to date; an older version never
+// replaces a newer one.
+func (n *Node) followOperators() {
+	replace := func(entries []cyclamendyke.Entry, at cyclamendyke.Revision) {
+		n.applyConfigEntries(entries)
+		n.evacuations.replace(n.evacuationEntries(entries), at)
+	}
 	apply := func(entries []cyclamendyke.Entry) {
-		for _, entry := range entries {
-			if entry.Key == n.cfg.Codec.ConfigKey() && !entry.Deleted {
-				n.applyConfig(entry)
-			}
+		n.applyConfigEntries(entries)
+		n.evacuations.apply(n.evacuationEntries(entries))
+	}
+	n.follow(n.cfg.Codec.OperatorsPrefix(), noDelay, replace, apply)
+}
+
+// evacuationEntries returns the requests to evacuate zones among what operators have written.
+func (n *Node) evacuationEntries(entries []cyclamendyke.Entry) []cyclamendyke.Entry {
+	var requests []cyclamendyke.Entry
+	for _, entry := range entries {
+		if strings.HasPrefix(entry.Key, n.cfg.Codec.EvacuationsPrefix()) {
+			requests = append(requests, entry)
+		}
+	}
+	return requests
+}
+
+func (n *Node) applyConfigEntries(entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if entry.Key == n.cfg.Codec.ConfigKey() && !entry.Deleted {
+			n.applyConfig(entry)
 		}
 	}
-	n.follow(n.cfg.Codec.ConfigKey(), noDelay, apply, apply)
 }
 
 func (n *Node) applyConfig(entry cyclamendyke.Entry) {
--- a/node/load.go
+++ b/node/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -14,6 +15,9 @@
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
 	knownTargets                       []cyclamendyke.Entry
+	evacuations                        []cyclamendyke.Entry
+	evacuationsRevision                cyclamendyke.Revision
+	evacuationsReadAt                  time.Duration // When the call that read them was sent.
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -31,6 +35,7 @@
 	if t.ctx.Err() != nil {
 		return
 	}
+	t.node.evacuations.replace(snapshot.evacuations, snapshot.evacuationsRevision)
 	t.post(func() { t.restore(&snapshot) })
 	t.wg.Go(func() { t.followTargets(snapshot.descriptionsRevision) })
 	t.wg.Go(t.removeExpired)
@@ -55,6 +60,11 @@
 		snapshot.targetDescriptions, snapshot.descriptionsRevision, err = store.List(ctx, t.node.cfg.Codec.TargetsPrefix())
 		return err
 	})
+	group.Go(func() (err error) {
+		snapshot.evacuationsReadAt = bootTime()
+		snapshot.evacuations, snapshot.evacuationsRevision, err = store.List(ctx, t.node.cfg.Codec.EvacuationsPrefix())
+		return err
+	})
 	group.Go(func() (err error) {
 		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
 		return err
@@ -74,6 +84,7 @@
 	}
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
+	t.evacuationsReadAt = snapshot.evacuationsReadAt
 	t.addKnownTargets(snapshot.knownTargets)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
@@ -153,7 +164,7 @@
 }
 
 // replaceTargets applies a full listing of target descriptions and removes those missing from it.
-func (t *term) replaceTargets(entries []cyclamendyke.Entry) {
+func (t *term) replaceTargets(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) {
 	t.post(func() {
 		prefix := t.node.cfg.Codec.TargetsPrefix()
 		present := map[cyclamendyke.TargetID]bool{}
@@ -179,5 +190,6 @@
 		})
 	}
 	t.node.watchFrom(t.ctx, workPrefix, at, followBatchDelay, apply)
-	t.node.followWithContext(t.ctx, workPrefix, followBatchDelay, apply, apply)
+	replace := func(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) { apply(entries) }
+	t.node.followWithContext(t.ctx, workPrefix, followBatchDelay, replace, apply)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,6 +16,10 @@
 	PassSeconds prometheus.Histogram
 	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
 	UnstoredEnds prometheus.Gauge
+	// EvacuatedZones is 1 for each availability zone that operators evacuate, as far as this process knows.
+	EvacuatedZones *prometheus.GaugeVec
+	// StartsHeldBack counts the starts that were not sent at the last moment, by reason.
+	StartsHeldBack *prometheus.CounterVec
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -52,7 +56,14 @@
 		UnstoredEnds: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_unstored_ends", Help: "Ends of runs that this scheduler knows and has not stored yet.",
 		}),
+		EvacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_evacuated_zones", Help: "1 for each availability zone that operators evacuate.",
+		}, []string{"zone"}),
+		StartsHeldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_held_starts_total", Help: "Starts that this process did not send at the last moment, by reason.",
+		}, []string{"reason"}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds,
+		m.EvacuatedZones, m.StartsHeldBack)
 	return m
 }
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,8 @@
 	wg          sync.WaitGroup
 	session     session
 	dir         directory
+	evacuations evacuations
+	confirmed   confirmations
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
@@ -48,10 +50,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel}
 	n.dir.log = cfg.Log
+	n.evacuations.codec, n.evacuations.log, n.evacuations.metrics = cfg.Codec, cfg.Log, cfg.Metrics
 	n.dir.changed = make(chan struct{}, 1)
 	n.wg.Go(n.maintainSession)
 	n.wg.Go(n.followDirectory)
-	n.wg.Go(n.followConfig)
+	n.wg.Go(n.followOperators)
 	n.wg.Go(n.runElections)
 	return n
 }
--- a/node/orderexecutor.go
+++ b/node/orderexecutor.go
@@ -39,19 +39,23 @@
 	} else {
 		n.executor.Store(e)
 	}
+	arrivedAt := bootTime()
 	for _, order := range orders.Orders {
-		n.wg.Go(func() { e.report(e.execute(order)) })
+		n.wg.Go(func() { e.report(e.execute(order, arrivedAt)) })
 	}
 	return nil
 }
 
-// execute sends one order to its target.
-func (e *orderExecutor) execute(order member.Order) member.Outcome {
+// execute sends one order, which arrived at a given time, to its target.
+func (e *orderExecutor) execute(order member.Order, arrivedAt time.Duration) member.Outcome {
 	target := cyclamendyke.Target{ID: order.Target, Address: order.Address}
 	outcome := member.Outcome{Number: order.Number}
 	targets := e.node.cfg.Targets
 	switch {
 	case order.Start != nil:
+		if outcome.Kind = e.node.startObstacle(order.Zone, arrivedAt); outcome.Kind != "" {
+			return outcome
+		}
 		ctx, cancel := context.WithTimeout(e.node.ctx, startTimeout)
 		defer cancel()
 		_, err := targets.Start(ctx, target, *order.Start)
--- a/node/orders.go
+++ b/node/orders.go
@@ -19,7 +19,8 @@
 	case dispatch.RenewCommand:
 		t.wg.Go(func() { t.renew(c) })
 	case dispatch.StartCommand:
-		t.wg.Go(func() { t.start(c) })
+		decidedAt := bootTime()
+		t.wg.Go(func() { t.start(c, decidedAt) })
 	case dispatch.StopCommand:
 		t.wg.Go(func() {
 			kind := cyclamendyke.KindOf(t.node.cfg.Targets.Stop(t.ctx, c.Target, c.Task, c.Run, t.epoch))
@@ -51,9 +52,13 @@
 	t.sched.Renewed(c.Target, c.Immediate, sent, *listing)
 }
 
-func (t *term) start(c dispatch.StartCommand) {
+func (t *term) start(c dispatch.StartCommand, decidedAt time.Duration) {
+	obstacle := t.node.startObstacle(c.Target.Zone, decidedAt)
 	if !t.maySendOrders() {
-		t.post(func() { t.sched.Started(c.Target, c.Order, cyclamendyke.KindUnavailable) })
+		obstacle = cyclamendyke.KindUnavailable
+	}
+	if obstacle != "" {
+		t.post(func() { t.sched.Started(c.Target, c.Order, obstacle) })
 		return
 	}
 	_, err := t.node.cfg.Targets.Start(t.ctx, c.Target, c.Order)
--- a/node/term.go
+++ b/node/term.go
@@ -49,6 +49,7 @@
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	lastPassDuration   time.Duration
+	evacuationsReadAt  time.Duration // When the call was sent that read the evacuated zones at the start of the term.
 }
 
 // beginTerm starts acting as the scheduler.
@@ -66,6 +67,7 @@
 		Bounds:           bounds,
 		EarlierRunsEndBy: election.requestedAt + grace + dispatch.LongestLease(bounds) + graceMargin,
 		LogDecision:      t.logDecision,
+		RecordViolation:  t.logViolation,
 	})
 	t.delegator = newDelegator(t)
 	n.term.Store(t)
@@ -152,6 +154,7 @@
 	t.submitHeld()
 	t.sched.SetSuccessorPossible(!t.leaseValid())
 	t.sched.SetAdvisers(t.advisers())
+	t.updateEvacuated()
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
 		if !t.delegator.delegate(command) {
