Test what evacuations do to each kind of work, claims, headroom and drains

The scheduler's start is the same gate for what is usable and what is counted (usable), so that switching it off fails TestNothingStartsInEvacuatedZone.

--- a/core/dispatch/nofit.go
+++ b/core/dispatch/nofit.go
@@ -27,11 +27,10 @@
 	s.evacuatedByService = map[cyclamendyke.ServiceName][]*target{}
 	for _, t := range s.targets {
 		switch {
-		case !s.ready(t):
-		case s.evacuated(t):
-			s.evacuatedByService[t.info.Service] = append(s.evacuatedByService[t.info.Service], t)
-		default:
+		case s.usable(t):
 			s.usableByService[t.info.Service] = append(s.usableByService[t.info.Service], t)
+		case s.ready(t):
+			s.evacuatedByService[t.info.Service] = append(s.evacuatedByService[t.info.Service], t)
 		}
 	}
 }
--- a/core/dispatch/simulatedevacuation_test.go
+++ b/core/dispatch/simulatedevacuation_test.go
@@ -21,6 +21,14 @@
 	sim.storeEvacuation(zone, true, watchDelay)
 }
 
+// evacuateFor stores a request as soon as the store is there, and deletes it some time after.
+func (sim *simulation) evacuateFor(zone cyclamendyke.ZoneName, d time.Duration) {
+	sim.whenStoreIsBack(func() {
+		sim.evacuate(zone, sim.randomTime(simWatchDelay))
+		sim.after(d, func() { sim.takeBack(zone, sim.randomTime(simWatchDelay)) })
+	})
+}
+
 // takeBack deletes a request to evacuate a zone.
 func (sim *simulation) takeBack(zone cyclamendyke.ZoneName, watchDelay time.Duration) {
 	sim.storeEvacuation(zone, false, watchDelay)
--- a/core/dispatch/simulatedfaults_test.go
+++ b/core/dispatch/simulatedfaults_test.go
@@ -40,9 +40,7 @@
 	case 11:
 		sim.loseStoreAndVM(v)
 	case 12:
-		zone := v.info.Zone
-		sim.evacuate(zone, sim.randomTime(simWatchDelay))
-		sim.after(sim.randomTime(8*time.Second), func() { sim.takeBack(zone, sim.randomTime(simWatchDelay)) })
+		sim.evacuateFor(v.info.Zone, sim.randomTime(8*time.Second))
 	}
 }
 
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -72,6 +72,7 @@
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
 	evacuations     simEvacuations
+	heldBack        map[cyclamendyke.ZoneName]bool // Zones in which members hold all starts back.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
 	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -26,6 +26,12 @@
 		sim.renew(sched, c)
 	case StartCommand:
 		sim.checkEvacuation(c)
+		if sim.heldBack[c.Target.Zone] {
+			sim.after(simLatency, func() {
+				sim.answer(sched, func() { sched.Started(c.Target, c.Order, cyclamendyke.KindEvacuated) })
+			})
+			return
+		}
 		sim.sendOrder(sched, c.Target, func(v *vm) error { return sim.start(v, c.Order) }, func(kind cyclamendyke.Kind) {
 			sched.Started(c.Target, c.Order, kind)
 		})
