--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -120,6 +120,10 @@
 	t      *testing.T
 	store  *kv.Service
 	target *fakeTarget
+
+	zone            cyclamendyke.ZoneName // Of the nodes that are started.
+	evacuationDelay time.Duration         // In their settings.
+	submitted       int                   // Workflows that complete has submitted.
 }
 
 func newTestCluster(t *testing.T) *testCluster {
@@ -165,7 +169,7 @@
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay}},
 		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(io.Discard), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
--- /dev/null
+++ b/node/evacuations_test.go
@@ -0,0 +1,289 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cyclamendyke"
+	"cyclamendyke/core/dispatch"
+	"cyclamendyke/io/member"
+	"cyclamendyke/standin/kv"
+)
+
+func evacuationKey(zone cyclamendyke.ZoneName) string {
+	return jsonCodec{}.EvacuationsPrefix() + string(zone)
+}
+
+func newEvacuations() *evacuations {
+	metrics := NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 })
+	return &evacuations{codec: jsonCodec{}, log: log.New(io.Discard), metrics: metrics}
+}
+
+// countMetrics counts the metrics of a collector.
+func countMetrics(c prometheus.Collector) int {
+	metrics := make(chan prometheus.Metric, 10)
+	c.Collect(metrics)
+	return len(metrics)
+}
+
+// TestOlderRevisionsUndoNothing applies listings and events in several orders; the newest one must count.
+func TestOlderRevisionsUndoNothing(t *testing.T) {
+	put := func(zone cyclamendyke.ZoneName, at cyclamendyke.Revision) cyclamendyke.Entry {
+		return cyclamendyke.Entry{Key: evacuationKey(zone), Value: []byte("{}"), Revision: at}
+	}
+	deletion := func(zone cyclamendyke.ZoneName, at cyclamendyke.Revision) cyclamendyke.Entry {
+		return cyclamendyke.Entry{Key: evacuationKey(zone), Revision: at, Deleted: true}
+	}
+	type change struct {
+		listedAt cyclamendyke.Revision // Zero for an event.
+		entries  []cyclamendyke.Entry
+	}
+	event := func(entries ...cyclamendyke.Entry) change { return change{entries: entries} }
+	listing := func(at cyclamendyke.Revision, entries ...cyclamendyke.Entry) change { return change{at, entries} }
+	unreadable := cyclamendyke.Entry{Key: evacuationKey("a"), Value: []byte{0xff}, Revision: 5}
+	for _, test := range []struct {
+		name    string
+		changes []change
+		want    []cyclamendyke.ZoneName
+	}{
+		{name: "event", changes: []change{event(put("a", 5))}, want: []cyclamendyke.ZoneName{"a"}},
+		{name: "two zones in turn", changes: []change{event(put("a", 5)), event(put("b", 6), deletion("a", 7))}, want: []cyclamendyke.ZoneName{"b"}},
+		{name: "older listing without it", changes: []change{event(put("a", 5)), listing(4)}, want: []cyclamendyke.ZoneName{"a"}},
+		{name: "newer listing without it", changes: []change{event(put("a", 5)), listing(6)}},
+		{name: "older listing with it", changes: []change{event(put("a", 5), deletion("a", 6)), listing(5, put("a", 5))}},
+		{name: "older event after a listing", changes: []change{listing(9), event(put("a", 5))}},
+		{name: "older deletion", changes: []change{event(put("a", 7)), event(deletion("a", 6))}, want: []cyclamendyke.ZoneName{"a"}},
+		{name: "requested again", changes: []change{listing(9, put("a", 5)), event(deletion("a", 10)), event(put("a", 11))}, want: []cyclamendyke.ZoneName{"a"}},
+		{name: "unreadable value", changes: []change{event(unreadable)}, want: []cyclamendyke.ZoneName{"a"}},
+		{name: "no zone", changes: []change{listing(9, put("", 5))}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			e := newEvacuations()
+			for _, c := range test.changes {
+				if c.listedAt != 0 {
+					e.replace(c.entries, c.listedAt)
+				} else {
+					e.apply(c.entries)
+				}
+			}
+			is.Equal(e.all(), test.want)
+			is.Equal(countMetrics(e.metrics.EvacuatedZones), len(test.want))
+		})
+	}
+}
+
+// operatorsStore is a store whose calls on the operators' keys can be made to fail.
+type operatorsStore struct {
+	cyclamendyke.BatchStore
+	compacted atomic.Bool // The history of the operators' keys is gone.
+	silent    atomic.Bool // Watches of the operators' keys have no answer.
+	afterList func()      // Called, if not nil, before the evacuations that were listed are returned.
+}
+
+// Watch fails or waits for the end of the context, if so set.
+func (s *operatorsStore) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, hold time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
+	isOperators := prefix == jsonCodec{}.OperatorsPrefix()
+	switch {
+	case isOperators && s.compacted.Load():
+		time.Sleep(20 * time.Millisecond)
+		return nil, 0, cyclamendyke.KindCompacted
+	case isOperators && s.silent.Load():
+		time.Sleep(20 * time.Millisecond)
+		return nil, 0, cyclamendyke.KindUnknown
+	}
+	return s.BatchStore.Watch(ctx, prefix, after, hold)
+}
+
+// List calls afterList between the listing and its return.
+func (s *operatorsStore) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
+	entries, at, err := s.BatchStore.List(ctx, prefix)
+	if prefix == (jsonCodec{}).EvacuationsPrefix() && s.afterList != nil {
+		s.afterList()
+	}
+	return entries, at, err
+}
+
+// zoneTargets counts the starts in each zone.
+type zoneTargets struct {
+	*fakeTarget
+	started map[cyclamendyke.ZoneName]int
+}
+
+// Start counts the start and carries it out.
+func (z *zoneTargets) Start(ctx context.Context, target cyclamendyke.Target, order cyclamendyke.StartOrder) (time.Duration, error) {
+	z.mu.Lock()
+	z.started[target.Zone]++
+	z.mu.Unlock()
+	return z.fakeTarget.Start(ctx, target, order)
+}
+
+func (z *zoneTargets) startsIn(zone cyclamendyke.ZoneName) int {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.started[zone]
+}
+
+// newZoneCluster returns a cluster with members and a target in zone a, which work goes to first, and
+// another target elsewhere.
+func newZoneCluster(t *testing.T) (*testCluster, *zoneTargets) {
+	c := newTestCluster(t)
+	c.zone = "a"
+	c.put("targets/a-1", cyclamendyke.Target{ID: "a-1", Service: "s", Address: "x", Zone: "a", Capacity: cyclamendyke.Resources{Cores: 16000}})
+	return c, &zoneTargets{fakeTarget: c.target, started: map[cyclamendyke.ZoneName]int{}}
+}
+
+func (c *testCluster) evacuate(zone cyclamendyke.ZoneName) {
+	c.put(evacuationKey(zone), struct{}{})
+}
+
+func (c *testCluster) takeBack(zone cyclamendyke.ZoneName) {
+	store := c.store.As("operator")
+	entry, err := store.Get(context.Background(), evacuationKey(zone))
+	if err == nil {
+		err = store.Delete(context.Background(), entry.Key, entry.Revision)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// complete submits workflows and waits until they are completed.
+func (c *testCluster) complete(n *Node, count int) {
+	c.t.Helper()
+	for range count {
+		c.submitted++
+		id := fmt.Sprintf("%016x", c.submitted)
+		submitUntilAccepted(c.t, n, id)
+		eventually(c.t, "completion of "+id, func() bool { return isCompleted(n, id) })
+	}
+}
+
+// TestEvacuationOutlivesTakeover evacuates the members' own zone. They go on, start nothing there through a
+// takeover, and use the zone again once it is taken back during the next one; all of it with and without the
+// history of the operators' keys.
+func TestEvacuationOutlivesTakeover(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		t.Run(fmt.Sprint("history is gone ", compacted), func(t *testing.T) {
+			is := is.New(t)
+			c, targets := newZoneCluster(t)
+			start := func(name cyclamendyke.MemberName) *Node {
+				store := &operatorsStore{BatchStore: c.store.As(string(name))}
+				store.compacted.Store(compacted)
+				return c.start(name, store, targets, 0)
+			}
+			first := start("first")
+			c.complete(first, 2)
+			is.Equal(targets.startsIn("a"), 2)
+			c.evacuate("a")
+			eventually(t, "the evacuation", func() bool { return first.evacuations.has("a") })
+			c.complete(first, 2)
+			second := start("second")
+			eventually(t, "two members", func() bool { return len(first.dir.memberNames()) == 2 })
+			first.Leave(time.Second)
+			eventually(t, "the second term", func() bool { return epochOf(second) == 2 })
+			c.complete(second, 2)
+			is.Equal(targets.startsIn("a"), 2)
+			is.Equal(countMetrics(first.cfg.Metrics.StartsHeldBack)+countMetrics(second.cfg.Metrics.StartsHeldBack), 0) // Decided, not held back.
+
+			third := start("third")
+			eventually(t, "a third member", func() bool { return len(second.dir.memberNames()) >= 2 })
+			c.takeBack("a")
+			second.Leave(time.Second)
+			eventually(t, "the third term", func() bool { return epochOf(third) == 3 })
+			c.complete(third, 2)
+			is.Equal(targets.startsIn("a"), 4)
+		})
+	}
+}
+
+// TestRequestDuringTakeoverCounts evacuates a zone right after a new term has listed the evacuations.
+func TestRequestDuringTakeoverCounts(t *testing.T) {
+	is := is.New(t)
+	c, targets := newZoneCluster(t)
+	store := &operatorsStore{BatchStore: c.store.As("only")}
+	nodes := make(chan *Node, 1)
+	store.afterList = func() {
+		n := <-nodes
+		c.evacuate("a")
+		eventually(t, "the evacuation", func() bool { return n.evacuations.has("a") })
+		store.afterList = nil
+	}
+	n := c.start("only", store, targets, 0)
+	nodes <- n
+	c.complete(n, 2)
+	is.True(n.evacuations.has("a")) // The older listing has not undone it.
+	is.Equal(targets.startsIn("a"), 0)
+}
+
+// TestStartsWaitWhileEvacuationsAreUnknown loses the watch of the operators' keys while the lease can be
+// renewed; after the time in which an evacuation must take effect nothing may start.
+func TestStartsWaitWhileEvacuationsAreUnknown(t *testing.T) {
+	is := is.New(t)
+	c, targets := newZoneCluster(t)
+	c.evacuationDelay = startTimeout + 2*longPollTimeout
+	store := &operatorsStore{BatchStore: c.store.As("only")}
+	n := c.start("only", store, targets, 0)
+	c.complete(n, 1)
+	store.silent.Store(true)
+	c.evacuate("a")
+	eventually(t, "an outdated copy", func() bool {
+		term := n.term.Load()
+		outdated, err := query(context.Background(), term, func(answer func(bool)) { answer(term.evacuationsOutdated()) })
+		return err == nil && outdated
+	})
+	submitUntilAccepted(t, n, "00000000000000b1")
+	time.Sleep(5 * tickInterval)
+	is.Equal(targets.startsIn("a"), 1)
+	store.silent.Store(false)
+	eventually(t, "completion elsewhere", func() bool { return isCompleted(n, "00000000000000b1") })
+	is.Equal(targets.startsIn("a"), 1)
+}
+
+// TestLateStartIsNotSent has a member carry out starts, and a scheduler send or delegate them, after the
+// process was suspended or while the zone is evacuated.
+func TestLateStartIsNotSent(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		zone     cyclamendyke.ZoneName
+		waited   time.Duration
+		want     cyclamendyke.Kind
+		wantSent int
+	}{
+		{name: "at once", zone: "a", wantSent: 1},
+		{name: "after a pause", zone: "a", waited: 2 * time.Second, want: cyclamendyke.KindUnavailable},
+		{name: "evacuated", zone: "b", want: cyclamendyke.KindEvacuated},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			n := newIdleNode(kv.New(kv.Config{}).As("a")).Node
+			n.evacuations.apply([]cyclamendyke.Entry{{Key: evacuationKey("b"), Value: []byte("{}"), Revision: 1}})
+			n.session.recordRenewal(1, bootTime())
+			target := &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}
+			n.cfg.Targets = target
+			since := bootTime() - test.waited
+			order := member.Order{Zone: test.zone, Start: &cyclamendyke.StartOrder{}}
+
+			outcome := (&orderExecutor{node: n}).execute(order, since)
+			is.Equal(outcome.Kind, test.want)
+			is.Equal(len(target.starts), test.wantSent)
+
+			clear(target.starts)
+			scheduler := &term{node: n, ctx: n.ctx, inbox: make(chan func(), 2), election: electionResult{lease: 1}}
+			scheduler.start(dispatch.StartCommand{Target: cyclamendyke.Target{Zone: test.zone}}, since)
+			is.Equal(len(target.starts), test.wantSent)
+
+			batch := &orderBatch{decidedAt: since, orders: []member.Order{order, {Zone: test.zone, Stop: &member.StopOrder{}}}}
+			scheduler.holdBack(batch)
+			is.Equal(len(batch.orders), 1+test.wantSent) // A stop is sent in any case.
+		})
+	}
+}
--- a/node/intake_test.go
+++ b/node/intake_test.go
@@ -35,6 +35,7 @@
 		peers: member.NewClient(), ctx: ctx, cancel: cancel,
 	}
 	n.dir.log = n.cfg.Log
+	n.evacuations.codec, n.evacuations.log, n.evacuations.metrics = jsonCodec{}, n.cfg.Log, n.cfg.Metrics
 	n.dir.changed = make(chan struct{}, 1)
 	n.fleetConfig.Store(testFleet())
 	return Intake{n}
