--- a/core/explain/message.go
+++ b/core/explain/message.go
@@ -23,6 +23,7 @@
 	messageSettled       = string(dispatch.EventSettled)
 	messageTargetChanged = string(dispatch.EventTargetChanged)
 	messageTargetAvoided = string(dispatch.EventTargetAvoided)
+	messageEvacuation    = string(dispatch.EventEvacuation)
 )
 
 // targetRoutine are the reasons of target records that explain nothing.
@@ -32,7 +33,7 @@
 func isContext(message string) bool {
 	switch message {
 	case messageElected, messageTermStarted, messageTermEnded, messageSessionLost, messageStoreState,
-		messageLinesDropped, messageSettled, messageTargetChanged, messageTargetAvoided:
+		messageLinesDropped, messageSettled, messageTargetChanged, messageTargetAvoided, messageEvacuation:
 		return true
 	}
 	return false
@@ -49,7 +50,8 @@
 	case dispatch.EventAccepted, dispatch.EventPlaced, dispatch.EventStartRefused, dispatch.EventStartUnknown,
 		dispatch.EventAdopted, dispatch.EventEnded, dispatch.EventPreempted, dispatch.EventStopOrdered,
 		dispatch.EventFinal, dispatch.EventCancelled, dispatch.EventTargetChanged, dispatch.EventSettled,
-		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced, dispatch.EventLate:
+		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced, dispatch.EventLate,
+		dispatch.EventEvacuation:
 		return true
 	}
 	return message == messageElected || message == messageTermStarted || message == messageTermEnded
--- a/core/explain/tellcontext.go
+++ b/core/explain/tellcontext.go
@@ -22,6 +22,8 @@
 		return h.tellSettled(r)
 	case messageTargetAvoided:
 		return fmt.Sprintf("target %s is avoided after %s of different workflows", r.Target, plural(r.Count, "failure"))
+	case messageEvacuation:
+		return r.Reason
 	case messageTargetChanged:
 		return fmt.Sprintf("target %s: %s", r.Target, r.Reason)
 	}
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -86,6 +86,7 @@
 	cyclamendyke.BatchStore
 	compacted atomic.Bool // The history of the operators' keys is gone.
 	silent    atomic.Bool // Watches of the operators' keys have no answer.
+	unlisted  atomic.Bool // The evacuations cannot be listed.
 	afterList func()      // Called, if not nil, before the evacuations that were listed are returned.
 }
 
@@ -97,7 +98,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return nil, 0, cyclamendyke.KindCompacted
 	case isOperators && s.silent.Load():
-		time.Sleep(20 * time.Millisecond)
+		<-ctx.Done()
 		return nil, 0, cyclamendyke.KindUnknown
 	}
 	return s.BatchStore.Watch(ctx, prefix, after, hold)
@@ -105,6 +106,9 @@
 
 // List calls afterList between the listing and its return.
 func (s *operatorsStore) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
+	if prefix == (jsonCodec{}).EvacuationsPrefix() && s.unlisted.Load() {
+		return nil, 0, cyclamendyke.KindUnknown
+	}
 	entries, at, err := s.BatchStore.List(ctx, prefix)
 	if prefix == (jsonCodec{}).EvacuationsPrefix() && s.afterList != nil {
 		s.afterList()
@@ -126,28 +130,31 @@
 	return z.fakeTarget.Start(ctx, target, order)
 }
 
-func (z *zoneTargets) startsIn(zone cyclamendyke.ZoneName) int {
+func (z *zoneTargets) startsInZone() int {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.started[zone]
+	return z.started[testZone]
 }
 
-// newZoneCluster returns a cluster with members and a target in zone a, which work goes to first, and
+// testZone is the zone of the members of newZoneCluster and of one of its targets.
+const testZone cyclamendyke.ZoneName = "a"
+
+// newZoneCluster returns a cluster with members and a target in testZone, which work goes to first, and
 // another target elsewhere.
 func newZoneCluster(t *testing.T) (*testCluster, *zoneTargets) {
 	c := newTestCluster(t)
-	c.zone = "a"
-	c.put("targets/a-1", cyclamendyke.Target{ID: "a-1", Service: "s", Address: "x", Zone: "a", Capacity: cyclamendyke.Resources{Cores: 16000}})
+	c.zone = testZone
+	c.put("targets/a-1", cyclamendyke.Target{ID: "a-1", Service: "s", Address: "x", Zone: testZone, Capacity: cyclamendyke.Resources{Cores: 16000}})
 	return c, &zoneTargets{fakeTarget: c.target, started: map[cyclamendyke.ZoneName]int{}}
 }
 
-func (c *testCluster) evacuate(zone cyclamendyke.ZoneName) {
-	c.put(evacuationKey(zone), struct{}{})
+func (c *testCluster) evacuate() {
+	c.put(evacuationKey(testZone), struct{}{})
 }
 
-func (c *testCluster) takeBack(zone cyclamendyke.ZoneName) {
+func (c *testCluster) takeBack() {
 	store := c.store.As("operator")
-	entry, err := store.Get(context.Background(), evacuationKey(zone))
+	entry, err := store.Get(context.Background(), evacuationKey(testZone))
 	if err == nil {
 		err = store.Delete(context.Background(), entry.Key, entry.Revision)
 	}
@@ -182,25 +189,25 @@
 			}
 			first := start("first")
 			c.complete(first, 2)
-			is.Equal(targets.startsIn("a"), 2)
-			c.evacuate("a")
-			eventually(t, "the evacuation", func() bool { return first.evacuations.has("a") })
+			is.Equal(targets.startsInZone(), 2)
+			c.evacuate()
+			eventually(t, "the evacuation", func() bool { return first.evacuations.has(testZone) })
 			c.complete(first, 2)
 			second := start("second")
 			eventually(t, "two members", func() bool { return len(first.dir.memberNames()) == 2 })
 			first.Leave(time.Second)
 			eventually(t, "the second term", func() bool { return epochOf(second) == 2 })
 			c.complete(second, 2)
-			is.Equal(targets.startsIn("a"), 2)
+			is.Equal(targets.startsInZone(), 2)
 			is.Equal(countMetrics(first.cfg.Metrics.StartsHeldBack)+countMetrics(second.cfg.Metrics.StartsHeldBack), 0) // Decided, not held back.
 
 			third := start("third")
 			eventually(t, "a third member", func() bool { return len(second.dir.memberNames()) >= 2 })
-			c.takeBack("a")
+			c.takeBack()
 			second.Leave(time.Second)
 			eventually(t, "the third term", func() bool { return epochOf(third) == 3 })
 			c.complete(third, 2)
-			is.Equal(targets.startsIn("a"), 4)
+			is.Equal(targets.startsInZone(), 4)
 		})
 	}
 }
@@ -213,28 +220,43 @@
 	nodes := make(chan *Node, 1)
 	store.afterList = func() {
 		n := <-nodes
-		c.evacuate("a")
-		eventually(t, "the evacuation", func() bool { return n.evacuations.has("a") })
+		c.evacuate()
+		eventually(t, "the evacuation", func() bool { return n.evacuations.has(testZone) })
 		store.afterList = nil
 	}
 	n := c.start("only", store, targets, 0)
 	nodes <- n
 	c.complete(n, 2)
-	is.True(n.evacuations.has("a")) // The older listing has not undone it.
-	is.Equal(targets.startsIn("a"), 0)
+	is.True(n.evacuations.has(testZone)) // The older listing has not undone it.
+	is.Equal(targets.startsInZone(), 0)
+}
+
+// TestSilentWatchHidesNothing has a watch of the operators' keys that never answers.
+func TestSilentWatchHidesNothing(t *testing.T) {
+	c, targets := newZoneCluster(t)
+	store := &operatorsStore{BatchStore: c.store.As("only")}
+	store.silent.Store(true)
+	n := c.start("only", store, targets, 0)
+	eventually(t, "a term", func() bool { return epochOf(n) == 1 })
+	c.evacuate()
+	eventually(t, "the evacuation", func() bool { return n.evacuations.has(testZone) })
+	c.takeBack()
+	eventually(t, "the end of the evacuation", func() bool { return !n.evacuations.has(testZone) })
 }
 
-// TestStartsWaitWhileEvacuationsAreUnknown loses the watch of the operators' keys while the lease can be
+// TestStartsWaitWhileEvacuationsAreUnknown loses the watch and the listing of the evacuations while the lease can be
 // renewed; after the time in which an evacuation must take effect nothing may start.
 func TestStartsWaitWhileEvacuationsAreUnknown(t *testing.T) {
 	is := is.New(t)
 	c, targets := newZoneCluster(t)
-	c.evacuationDelay = startTimeout + 2*longPollTimeout
+	c.evacuationDelay = startTimeout + evacuationsMaxAge
 	store := &operatorsStore{BatchStore: c.store.As("only")}
 	n := c.start("only", store, targets, 0)
 	c.complete(n, 1)
 	store.silent.Store(true)
-	c.evacuate("a")
+	store.unlisted.Store(true)
+	time.Sleep(longPollTimeout) // The last watch that hears anything ends.
+	c.evacuate()
 	eventually(t, "an outdated copy", func() bool {
 		term := n.term.Load()
 		outdated, err := query(context.Background(), term, func(answer func(bool)) { answer(term.evacuationsOutdated()) })
@@ -242,10 +264,10 @@
 	})
 	submitUntilAccepted(t, n, "00000000000000b1")
 	time.Sleep(5 * tickInterval)
-	is.Equal(targets.startsIn("a"), 1)
-	store.silent.Store(false)
+	is.Equal(targets.startsInZone(), 1)
+	store.unlisted.Store(false)
 	eventually(t, "completion elsewhere", func() bool { return isCompleted(n, "00000000000000b1") })
-	is.Equal(targets.startsIn("a"), 1)
+	is.Equal(targets.startsInZone(), 1)
 }
 
 // TestLateStartIsNotSent has a member carry out starts, and a scheduler send or delegate them, after the
--- a/node/follow.go
+++ b/node/follow.go
@@ -12,7 +12,6 @@
 const (
 	largeBatch      = 200                     // Changes in one answer after which a watch goes on without a pause, so that it does not fall behind.
 	longPollTimeout = 1500 * time.Millisecond // For one watch call; short, since a dead connection may cause no error.
-	shortPoll       = time.Millisecond        // For the watch call after a failed one, which shows at once what was missed.
 )
 
 // confirmations records for each followed prefix when the newest answered call of the store was sent, as of
@@ -64,21 +63,18 @@
 // watchFrom watches a prefix for changes after revision at. It returns when the store has compacted
 // changes that it still needs, or when the context ends.
 func (n *Node) watchFrom(ctx context.Context, prefix string, at cyclamendyke.Revision, batchDelay func() time.Duration, apply func([]cyclamendyke.Entry)) {
-	hold := longPollTimeout
 	for ctx.Err() == nil {
 		sent := bootTime()
-		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, hold)
+		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, longPollTimeout)
 		if cyclamendyke.KindOf(err) == cyclamendyke.KindCompacted {
 			n.cfg.Log.Info("watch", "prefix", prefix, "state", "history is gone", "after", at)
 			return
 		}
 		n.recordStoreResult(err)
 		if err != nil {
-			hold = shortPoll
 			sleep(ctx, retryDelay(err))
 			continue
 		}
-		hold = longPollTimeout
 		at = max(at, reached)
 		if len(events) == 0 {
 			n.confirmed.record(prefix, sent)
--- a/node/load.go
+++ b/node/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -15,9 +14,6 @@
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
 	knownTargets                       []cyclamendyke.Entry
-	evacuations                        []cyclamendyke.Entry
-	evacuationsRevision                cyclamendyke.Revision
-	evacuationsReadAt                  time.Duration // When the call that read them was sent.
 }
 
 // loadAndFollow reads the store, posts the result to the control goroutine and then follows changes.
@@ -35,7 +31,6 @@
 	if t.ctx.Err() != nil {
 		return
 	}
-	t.node.evacuations.replace(snapshot.evacuations, snapshot.evacuationsRevision)
 	t.post(func() { t.restore(&snapshot) })
 	t.wg.Go(func() { t.followTargets(snapshot.descriptionsRevision) })
 	t.wg.Go(t.removeExpired)
@@ -61,9 +56,7 @@
 		return err
 	})
 	group.Go(func() (err error) {
-		snapshot.evacuationsReadAt = bootTime()
-		snapshot.evacuations, snapshot.evacuationsRevision, err = store.List(ctx, t.node.cfg.Codec.EvacuationsPrefix())
-		return err
+		return t.node.readEvacuations(ctx)
 	})
 	group.Go(func() (err error) {
 		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
@@ -84,7 +77,6 @@
 	}
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
-	t.evacuationsReadAt = snapshot.evacuationsReadAt
 	t.addKnownTargets(snapshot.knownTargets)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	n.wg.Go(n.maintainSession)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOperators)
+	n.wg.Go(n.confirmEvacuations)
 	n.wg.Go(n.runElections)
 	return n
 }
--- a/node/term.go
+++ b/node/term.go
@@ -49,7 +49,6 @@
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	lastPassDuration   time.Duration
-	evacuationsReadAt  time.Duration // When the call was sent that read the evacuated zones at the start of the term.
 }
 
 // beginTerm starts acting as the scheduler.
@@ -232,5 +231,9 @@
 		fields = append(fields, "age", d.Age.Round(time.Millisecond))
 	}
 	t.node.cfg.Metrics.Decisions.WithLabelValues(string(d.Event)).Inc()
+	if d.Event == dispatch.EventEvacuation {
+		t.node.cfg.Log.Info(string(d.Event), append(fields, "epoch", t.epoch)...) // Not limited in rate.
+		return
+	}
 	t.node.cfg.RequestLog.Info(string(d.Event), append(fields, "epoch", t.epoch)...)
 }
--- a/node/termevacuation.go
+++ b/node/termevacuation.go
@@ -32,8 +32,7 @@
 	if limit == 0 || !t.leaseValid() {
 		return false
 	}
-	readAt := max(t.evacuationsReadAt, t.node.confirmed.of(t.node.cfg.Codec.OperatorsPrefix()))
-	return bootTime()-readAt > limit-startTimeout
+	return bootTime()-t.node.evacuationsReadAt() > limit-startTimeout
 }
 
 // startObstacle returns why a start that was decided, or arrived here, at a given time must not be sent any
