Never preempt for a negative number of tasks

An urgent step that had preempted claims room for as many tasks as waited then; others of them had started elsewhere since, and the evacuation ended the time during which it does not preempt again. Preempting needs a missing claim now, for a gang none of its own count.

--- a/core/dispatch/evacuation_test.go
+++ b/core/dispatch/evacuation_test.go
@@ -136,6 +136,32 @@
 	is.Equal(len(sim.violations), 0)
 }
 
+// TestClaimsBeyondNeedOutliveEvacuation evacuates a zone while an urgent step claims room for more tasks than
+// still wait, since a new target has taken some: it must not preempt for a negative number of tasks.
+func TestClaimsBeyondNeedOutliveEvacuation(t *testing.T) {
+	is := is.New(t)
+	sim := urgentAndBatch(t)
+	sim.stopTime = time.Second
+	for i := range sim.fleet.Queues {
+		sim.fleet.Queues[i].Advice = nil // The new target is used without tickets.
+	}
+	sim.elect()
+	for i := range 10 {
+		sim.submit(batch(fmt.Sprint("batch-", i), cyclamendyke.Step{Count: 4, Need: cores(4), Estimate: 20 * time.Second, Checkpoints: true}))
+	}
+	sim.run(time.Second)
+	sim.submit(workflow("urgent", cyclamendyke.Step{Count: 6, Need: cores(16), Estimate: time.Second}))
+	sim.run(200 * time.Millisecond)
+	is.Equal(sim.claimsInZone("a"), 3)
+	sim.addVM(cyclamendyke.Target{ID: "new", Service: "s", Address: "new", Zone: "c", Capacity: cores(4 * 16)})
+	sim.run(300 * time.Millisecond)
+	is.Equal(total(sim.runsOf("urgent")), 4)
+	sim.evacuate("a", 0)
+	sim.run(20 * time.Second)
+	is.Equal(sim.status("urgent"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
+
 // TestHeadroomLeavesOutEvacuatedZone forecasts urgent work and evacuates half of the fleet.
 func TestHeadroomLeavesOutEvacuatedZone(t *testing.T) {
 	is := is.New(t)
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -26,11 +26,12 @@
 	if s.now < step.preemptedUntil && (step.spec.Gang || len(step.claims) >= unplaced) {
 		return
 	}
-	if s.mayPreempt(step, queue) && (step.spec.Gang || !s.mayFindRoom(step, queue, unplaced-len(step.claims))) {
+	if s.mayPreempt(step, queue) {
 		if step.spec.Gang {
 			s.dropClaims(step)
 		}
-		if s.preempt(step, queue, unplaced-len(step.claims)) > 0 {
+		missing := unplaced - len(step.claims)
+		if missing > 0 && (step.spec.Gang || !s.mayFindRoom(step, queue, missing)) && s.preempt(step, queue, missing) > 0 {
 			return
 		}
 	}
