Do not count starts that the scheduler held back against their member

A start that was not sent says nothing about the member that it was meant for, so it must not suspend it. TestMembersInEvacuatedZoneExecuteOrders checks that members of an evacuated zone go on calling targets.

--- a/node/delegator.go
+++ b/node/delegator.go
@@ -224,8 +224,20 @@
 	if !ok {
 		return
 	}
-	delete(d.pending, outcome.Number)
 	d.countOutcome(order.member, outcome.Kind)
+	d.finish(order, outcome)
+}
+
+// withdraw passes the outcome of an order that was not sent to the scheduler.
+func (d *delegator) withdraw(outcome member.Outcome) {
+	if order, ok := d.pending[outcome.Number]; ok {
+		d.finish(order, outcome)
+	}
+}
+
+// finish removes an order that is pending no more, and passes its outcome to the scheduler.
+func (d *delegator) finish(order delegatedOrder, outcome member.Outcome) {
+	delete(d.pending, outcome.Number)
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
 		d.term.sched.Started(c.Target, c.Order, outcome.Kind)
--- a/node/delegator_test.go
+++ b/node/delegator_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// TestMembersInEvacuatedZoneExecuteOrders evacuates the zone of all members; they must go on calling the
+// targets of other zones.
+func TestMembersInEvacuatedZoneExecuteOrders(t *testing.T) {
+	c := newLargeTestCluster(t)
+	c.zone = testZone
+	c.evacuate()
+	first := c.startNodeWithCores("first", c.target, 1)
+	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
+	targets := &countingTargets{fakeTarget: c.target}
+	second := c.startNodeWithCores("second", targets, 1)
+	eventually(t, "starts by the second member", func() bool {
+		c.complete(first, 1)
+		return targets.starts.Load() > 2
+	})
+	is.New(t).True(second.evacuations.has(testZone))
+}
+
 // unreachableTargets fails every call as if no target could be reached.
 type unreachableTargets struct {
 	*fakeTarget
--- a/node/termevacuation.go
+++ b/node/termevacuation.go
@@ -71,7 +71,7 @@
 	}
 	t.post(func() {
 		for _, outcome := range held {
-			t.delegator.complete(outcome)
+			t.delegator.withdraw(outcome)
 		}
 	})
 }
