--- a/io/member/orders.go
+++ b/io/member/orders.go
@@ -7,8 +7,8 @@
 type Order struct {
 	Number  uint64                   `json:"number"` // Assigned by the scheduler and repeated in the outcome.
 	Target  cyclamendyke.TargetID    `json:"target"`
-	Address string                   `json:"address"` // The target's address.
-	Zone    cyclamendyke.ZoneName    `json:"zone,omitempty"`
+	Address string                   `json:"address"`        // The target's address.
+	Zone    cyclamendyke.ZoneName    `json:"zone,omitempty"` // The target's zone, with a start.
 	Start   *cyclamendyke.StartOrder `json:"start,omitempty"`
 	Stop    *StopOrder               `json:"stop,omitempty"`
 	Renewal *cyclamendyke.Renewal    `json:"renewal,omitempty"`
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -155,7 +155,7 @@
 	var target cyclamendyke.Target
 	switch c := command.(type) {
 	case dispatch.StartCommand:
-		target, order.Start = c.Target, &c.Order
+		target, order.Start, order.Zone = c.Target, &c.Order, c.Target.Zone
 		timeout += startTimeout
 	case dispatch.StopCommand:
 		target, order.Stop = c.Target, &member.StopOrder{Task: c.Task, Run: c.Run, Fence: d.term.epoch}
@@ -171,7 +171,7 @@
 		return false
 	}
 	d.lastOrderNumber++
-	order.Number, order.Target, order.Address, order.Zone = d.lastOrderNumber, target.ID, target.Address, target.Zone
+	order.Number, order.Target, order.Address = d.lastOrderNumber, target.ID, target.Address
 	now := bootTime()
 	d.pending[order.Number] = delegatedOrder{to.Name, to.Address, command, now, now + timeout}
 	if d.outbox[to.Name] == nil {
