--- a/core/dispatch/evacuation_test.go
+++ b/core/dispatch/evacuation_test.go
@@ -153,6 +153,7 @@
 	sim.submit(workflow("urgent", cyclamendyke.Step{Count: 6, Need: cores(16), Estimate: time.Second}))
 	sim.run(200 * time.Millisecond)
 	is.Equal(sim.claimsInZone("a"), 3)
+	is.Equal(sim.claimsInZone("b"), 3)
 	sim.addVM(cyclamendyke.Target{ID: "new", Service: "s", Address: "new", Zone: "c", Capacity: cores(4 * 16)})
 	sim.run(300 * time.Millisecond)
 	is.Equal(total(sim.runsOf("urgent")), 4)
