Send no start before the evacuations have been read

Cause: a member that has just started knows of no evacuation until its first listing, and may be sent orders by a scheduler that does not know of one either. TestLateStartIsNotSent has the case; without the change it sends the start.

--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -277,20 +277,25 @@
 		name     string
 		zone     cyclamendyke.ZoneName
 		waited   time.Duration
+		unread   bool // The process has not read the evacuations yet.
 		want     cyclamendyke.Kind
 		wantSent int
 	}{
 		{name: "at once", zone: "a", wantSent: 1},
 		{name: "after a pause", zone: "a", waited: 2 * time.Second, want: cyclamendyke.KindUnavailable},
 		{name: "evacuated", zone: "b", want: cyclamendyke.KindEvacuated},
+		{name: "evacuations are not read yet", zone: "a", unread: true, want: cyclamendyke.KindUnavailable},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			n := newIdleNode(kv.New(kv.Config{}).As("a")).Node
 			n.evacuations.apply([]cyclamendyke.Entry{{Key: evacuationKey("b"), Value: []byte("{}"), Revision: 1}})
+			if !test.unread {
+				n.confirmed.record(jsonCodec{}.OperatorsPrefix(), bootTime())
+			}
 			n.session.recordRenewal(1, bootTime())
 			target := &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}
-			n.cfg.Targets = target
+			n.cfg.Targets, n.cfg.Codec = target, jsonCodec{}
 			since := bootTime() - test.waited
 			order := member.Order{Zone: test.zone, Start: &cyclamendyke.StartOrder{}}
 
--- a/node/termevacuation.go
+++ b/node/termevacuation.go
@@ -37,12 +37,14 @@
 
 // startObstacle returns why a start that was decided, or arrived here, at a given time must not be sent any
 // more, or an empty kind. It is called right before sending, since the process may have been suspended and the
-// zone may have been evacuated in between.
+// zone may have been evacuated in between; a process that has just started may not know of it yet.
 func (n *Node) startObstacle(zone cyclamendyke.ZoneName, since time.Duration) cyclamendyke.Kind {
 	kind, reason := cyclamendyke.Kind(""), ""
 	switch {
 	case n.evacuations.has(zone):
 		kind, reason = cyclamendyke.KindEvacuated, "evacuated"
+	case n.evacuationsReadAt() == 0:
+		kind, reason = cyclamendyke.KindUnavailable, "unknown"
 	case bootTime()-since > startTimeout:
 		kind, reason = cyclamendyke.KindUnavailable, "late"
 	default:
