--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -120,39 +120,54 @@
 // smallBatch makes batches of the model as full as those of a larger fleet.
 const smallBatch = 4
 
-// TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs, takeovers and evacuations.
+// The last kinds of fault that injectFault knows, without and with evacuations.
+const (
+	lastFaultOfTargets = 11
+	lastFault          = 12
+)
+
+// TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs and takeovers.
 // No invariant may be violated, and all workflows must end once the faults have stopped.
 func TestInvariantsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		sim := limitedFleet(t, seed, 5)
-		sim.faults = simFaults{
-			loseAnswer: rapid.Float64Range(0, 0.2).Draw(rt, "lose"),
-			delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
-			failRun:    rapid.Float64Range(0, 0.1).Draw(rt, "fail"),
-		}
-		sim.batchEntries = smallBatch
-		sim.elect()
-		for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
-			if !sim.storeAway() {
-				sim.submit(twoSteps(fmt.Sprint("job-", i)))
-			}
-			if i%4 == 3 && !sim.storeAway() {
-				sim.submit(longStep(fmt.Sprint("long-", i)))
-			}
-			sim.injectFault(rapid.IntRange(0, 12).Draw(rt, "trouble"))
-			sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
-		}
-		sim.endFaults()
-		sim.run(time.Minute)
-		for _, violation := range sim.violations {
-			rt.Error(violation)
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets) })
+}
+
+// TestInvariantsUnderFaultsAndEvacuations injects evacuations of zones as well. It is a test of its own so that
+// the recorded failures of the other one are replayed as they were.
+func TestInvariantsUnderFaultsAndEvacuations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFault) })
+}
+
+// checkInvariantsUnderFaults draws a day with faults up to a kind.
+func checkInvariantsUnderFaults(t *testing.T, rt *rapid.T, lastFault int) {
+	seed := rapid.Uint64().Draw(rt, "seed")
+	sim := limitedFleet(t, seed, 5)
+	sim.faults = simFaults{
+		loseAnswer: rapid.Float64Range(0, 0.2).Draw(rt, "lose"),
+		delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
+		failRun:    rapid.Float64Range(0, 0.1).Draw(rt, "fail"),
+	}
+	sim.batchEntries = smallBatch
+	sim.elect()
+	for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
+		if !sim.storeAway() {
+			sim.submit(twoSteps(fmt.Sprint("job-", i)))
 		}
-		states := sim.states()
-		if states[cyclamendyke.WorkflowCompleted]+states[cyclamendyke.WorkflowFailed] != len(sim.workflows) {
-			rt.Errorf("not all workflows completed or failed: %v\n%s", states, sim.sched.unfinished())
+		if i%4 == 3 && !sim.storeAway() {
+			sim.submit(longStep(fmt.Sprint("long-", i)))
 		}
-	})
+		sim.injectFault(rapid.IntRange(0, lastFault).Draw(rt, "trouble"))
+		sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
+	}
+	sim.endFaults()
+	sim.run(time.Minute)
+	for _, violation := range sim.violations {
+		rt.Error(violation)
+	}
+	states := sim.states()
+	if states[cyclamendyke.WorkflowCompleted]+states[cyclamendyke.WorkflowFailed] != len(sim.workflows) {
+		rt.Errorf("not all workflows completed or failed: %v\n%s", states, sim.sched.unfinished())
+	}
 }
 
 // TestLongRunningTasksOnLostVMRestartElsewhere removes a VM for good while long-running tasks run on
