--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -15,6 +15,9 @@
 	return cyclamendyke.Resources{Cores: cyclamendyke.MilliCores(n * 1000)}
 }
 
+// simZones are the availability zones of limitedFleet's VMs.
+var simZones = []cyclamendyke.ZoneName{"a", "b"}
+
 // limitedFleet returns a simulation of some VMs, one queue with three attempts and one team with a
 // limit.
 func limitedFleet(t testing.TB, seed uint64, vms int) *simulation {
@@ -28,6 +31,7 @@
 	for i := range vms {
 		sim.addVM(cyclamendyke.Target{
 			ID: cyclamendyke.TargetID(fmt.Sprint("vm-", i)), Service: "s", Address: fmt.Sprint("vm-", i), Capacity: cores(16),
+			Zone: simZones[i%len(simZones)],
 		})
 	}
 	return sim
@@ -128,39 +132,54 @@
 // smallBatch makes batches of the model as full as those of a larger fleet.
 const smallBatch = 4
 
+// The last kinds of fault that injectFault knows, without and with evacuations.
+const (
+	lastFaultOfTargets = 11
+	lastFault          = 12
+)
+
 // TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs and takeovers.
 // No invariant may be violated, and all workflows must end once the faults have stopped.
 func TestInvariantsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		seed := rapid.Uint64().Draw(rt, "seed")
-		sim := limitedFleet(t, seed, 5)
-		sim.faults = simFaults{
-			loseAnswer: rapid.Float64Range(0, 0.2).Draw(rt, "lose"),
-			delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
-			failRun:    rapid.Float64Range(0, 0.1).Draw(rt, "fail"),
-		}
-		sim.batchEntries = smallBatch
-		sim.elect()
-		for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
-			if !sim.storeAway() {
-				sim.submit(twoSteps(fmt.Sprint("job-", i)))
-			}
-			if i%4 == 3 && !sim.storeAway() {
-				sim.submit(longStep(fmt.Sprint("long-", i)))
-			}
-			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
-			sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
-		}
-		sim.endFaults()
-		sim.run(time.Minute)
-		for _, violation := range sim.violations {
-			rt.Error(violation)
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets) })
+}
+
+// TestInvariantsUnderFaultsAndEvacuations injects evacuations of zones as well. It is a test of its own so that
+// the recorded failures of the other one are replayed as they were.
+func TestInvariantsUnderFaultsAndEvacuations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFault) })
+}
+
+// checkInvariantsUnderFaults draws a day with faults up to a kind.
+func checkInvariantsUnderFaults(t *testing.T, rt *rapid.T, lastFault int) {
+	seed := rapid.Uint64().Draw(rt, "seed")
+	sim := limitedFleet(t, seed, 5)
+	sim.faults = simFaults{
+		loseAnswer: rapid.Float64Range(0, 0.2).Draw(rt, "lose"),
+		delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
+		failRun:    rapid.Float64Range(0, 0.1).Draw(rt, "fail"),
+	}
+	sim.batchEntries = smallBatch
+	sim.elect()
+	for i := range rapid.IntRange(5, 40).Draw(rt, "rounds") {
+		if !sim.storeAway() {
+			sim.submit(twoSteps(fmt.Sprint("job-", i)))
 		}
-		states := sim.states()
-		if states[cyclamendyke.WorkflowCompleted]+states[cyclamendyke.WorkflowFailed] != len(sim.workflows) {
-			rt.Errorf("not all workflows completed or failed: %v\n%s", states, sim.sched.unfinished())
+		if i%4 == 3 && !sim.storeAway() {
+			sim.submit(longStep(fmt.Sprint("long-", i)))
 		}
-	})
+		sim.injectFault(rapid.IntRange(0, lastFault).Draw(rt, "trouble"))
+		sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
+	}
+	sim.endFaults()
+	sim.run(time.Minute)
+	for _, violation := range sim.violations {
+		rt.Error(violation)
+	}
+	states := sim.states()
+	if states[cyclamendyke.WorkflowCompleted]+states[cyclamendyke.WorkflowFailed] != len(sim.workflows) {
+		rt.Errorf("not all workflows completed or failed: %v\n%s", states, sim.sched.unfinished())
+	}
 }
 
 // TestLongRunningTasksOnLostVMRestartElsewhere removes a VM for good while long-running tasks run on
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -37,8 +38,23 @@
 // TargetsPrefix returns the prefix of the targets' keys.
 func (jsonCodec) TargetsPrefix() string { return "targets/" }
 
+// OperatorsPrefix returns the prefix of the operators' keys.
+func (jsonCodec) OperatorsPrefix() string { return "operators/" }
+
 // ConfigKey returns the key of the configuration.
-func (jsonCodec) ConfigKey() string { return "config" }
+func (jsonCodec) ConfigKey() string { return "operators/config" }
+
+// EvacuationsPrefix returns the prefix of the requests to evacuate zones.
+func (jsonCodec) EvacuationsPrefix() string { return "operators/evacuations/" }
+
+// EvacuatedZone returns the zone in a request's key.
+func (c jsonCodec) EvacuatedZone(entry cyclamendyke.Entry) (cyclamendyke.ZoneName, error) {
+	zone := cyclamendyke.ZoneName(strings.TrimPrefix(entry.Key, c.EvacuationsPrefix()))
+	if !entry.Deleted && !json.Valid(entry.Value) {
+		return zone, cyclamendyke.KindInvalid
+	}
+	return zone, nil
+}
 
 // fakeTarget is a target that completes every run at once and refuses calls with an outdated fence.
 type fakeTarget struct {
@@ -104,11 +120,15 @@
 	t      *testing.T
 	store  *kv.Service
 	target *fakeTarget
+
+	zone            cyclamendyke.ZoneName // Of the nodes that are started.
+	evacuationDelay time.Duration         // In their settings.
+	submitted       int                   // Workflows that complete has submitted.
 }
 
 func newTestCluster(t *testing.T) *testCluster {
 	c := &testCluster{t: t, store: kv.New(kv.Config{}), target: &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}}
-	c.put("config", testFleet())
+	c.put(jsonCodec{}.ConfigKey(), testFleet())
 	c.put("targets/i-1", cyclamendyke.Target{ID: "i-1", Service: "s", Address: "x", Capacity: cyclamendyke.Resources{Cores: 16000}})
 	return c
 }
@@ -149,7 +169,7 @@
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay}},
 		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(io.Discard), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
--- a/node/follow_test.go
+++ b/node/follow_test.go
@@ -11,12 +11,12 @@
 	"cyclamendyke"
 )
 
-// silentConfigWatch is a store whose watches of the configuration report nothing.
+// silentConfigWatch is a store whose watches of what operators write report nothing.
 type silentConfigWatch struct{ cyclamendyke.BatchStore }
 
-// Watch reports no changes of the configuration.
+// Watch reports no changes of what operators write.
 func (s silentConfigWatch) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, hold time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	if prefix != (jsonCodec{}).ConfigKey() {
+	if prefix != (jsonCodec{}).OperatorsPrefix() {
 		return s.BatchStore.Watch(ctx, prefix, after, hold)
 	}
 	select {
@@ -38,9 +38,9 @@
 	value, err := json.Marshal(fleet)
 	is.NoErr(err)
 	operator := c.store.As("operator")
-	old, err := operator.Get(context.Background(), "config")
+	old, err := operator.Get(context.Background(), jsonCodec{}.ConfigKey())
 	is.NoErr(err)
-	_, err = operator.CompareAndSwap(context.Background(), "config", value, old.Revision, 0)
+	_, err = operator.CompareAndSwap(context.Background(), jsonCodec{}.ConfigKey(), value, old.Revision, 0)
 	is.NoErr(err)
 	n.term.Load().end("test")
 	eventually(t, "the next term", func() bool { return epochOf(n) == 2 })
--- a/node/load.go
+++ b/node/load.go
@@ -58,6 +58,9 @@
 		snapshot.targetDescriptions, snapshot.descriptionsRevision, err = store.List(ctx, t.node.cfg.Codec.TargetsPrefix())
 		return err
 	})
+	group.Go(func() (err error) {
+		return t.node.readEvacuations(ctx)
+	})
 	group.Go(func() (err error) {
 		snapshot.knownTargets, _, err = store.List(ctx, oldKnownTargetsKey)
 		return err
@@ -174,7 +177,7 @@
 }
 
 // replaceTargets applies a full listing of target descriptions and removes those missing from it.
-func (t *term) replaceTargets(entries []cyclamendyke.Entry) {
+func (t *term) replaceTargets(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) {
 	t.post(func() {
 		prefix := t.node.cfg.Codec.TargetsPrefix()
 		present := map[cyclamendyke.TargetID]bool{}
@@ -200,5 +203,6 @@
 		})
 	}
 	t.node.watchFrom(t.ctx, workPrefix, at, followBatchDelay, apply)
-	t.node.followWithContext(t.ctx, workPrefix, followBatchDelay, apply, apply)
+	replace := func(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) { apply(entries) }
+	t.node.followWithContext(t.ctx, workPrefix, followBatchDelay, replace, apply)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,6 +18,10 @@
 	UnstoredEnds prometheus.Gauge
 	// RunListBytes is the length of the list of runs that this scheduler stored last.
 	RunListBytes prometheus.Gauge
+	// EvacuatedZones is 1 for each availability zone that operators evacuate, as far as this process knows.
+	EvacuatedZones *prometheus.GaugeVec
+	// StartsHeldBack counts the starts that were not sent at the last moment, by reason.
+	StartsHeldBack *prometheus.CounterVec
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -57,7 +61,14 @@
 		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
 		}),
+		EvacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_evacuated_zones", Help: "1 for each availability zone that operators evacuate.",
+		}, []string{"zone"}),
+		StartsHeldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_held_starts_total", Help: "Starts that this process did not send at the last moment, by reason.",
+		}, []string{"reason"}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes,
+		m.EvacuatedZones, m.StartsHeldBack)
 	return m
 }
--- a/node/term.go
+++ b/node/term.go
@@ -66,6 +66,7 @@
 		Bounds:           bounds,
 		EarlierRunsEndBy: election.requestedAt + grace + dispatch.LongestLease(bounds) + graceMargin,
 		LogDecision:      t.logDecision,
+		RecordViolation:  t.logViolation,
 	})
 	t.delegator = newDelegator(t)
 	n.term.Store(t)
@@ -153,6 +154,7 @@
 	t.submitHeld()
 	t.sched.SetSuccessorPossible(!t.leaseValid())
 	t.sched.SetAdvisers(t.advisers())
+	t.updateEvacuated()
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
 		if !t.delegator.delegate(command) {
@@ -230,5 +232,9 @@
 		fields = append(fields, "age", d.Age.Round(time.Millisecond))
 	}
 	t.node.cfg.Metrics.Decisions.WithLabelValues(string(d.Event)).Inc()
+	if d.Event == dispatch.EventEvacuation {
+		t.node.cfg.Log.Info(string(d.Event), append(fields, "epoch", t.epoch)...) // Not limited in rate.
+		return
+	}
 	t.node.cfg.RequestLog.Info(string(d.Event), append(fields, "epoch", t.epoch)...)
 }
