Choose the path of a write to the store in a package of its own

Cause: each call in flight learned of a silent store for itself. A commit waited up to 900 ms, then the same two members were asked one after another, 700 ms each, though they might be without the store too; a timed-out call to a member cut the other calls on its connection, whose outcome then was unknown.

Change: core/storepath decides by what the node tells it: a breaker for the own path, members in an order of their own for each VM, hedging, refusal with a time to come back. Before a write goes out its path is tried by a call without effect, so that a store that has fallen silent leads to a refusal and not to an unknown outcome. Callers with the same workflow share its attempts. A VM remembers writes without an answer and does not refuse the same workflow afterwards.

Not measured yet.

--- a/io/member/client.go
+++ b/io/member/client.go
@@ -24,6 +24,8 @@
 	classCalls  connClass = "calls"
 	classAdvice connClass = "advice"
 	classOrders connClass = "orders"
+	classChecks connClass = "checks"
+	classStore  connClass = "store"
 )
 
 // connKey identifies the connection of one class to one address.
@@ -100,9 +102,15 @@
 	return err
 }
 
+// CheckStore returns an error unless the member at an address reaches the store; it has no effect.
+func (c *Client) CheckStore(ctx context.Context, address string) error {
+	_, err := call[empty, empty](ctx, c, connKey{address, classChecks}, methodCheckStore, empty{})
+	return err
+}
+
 // StoreWorkflow asks the member at an address to write a workflow to the store.
 func (c *Client) StoreWorkflow(ctx context.Context, address string, workflow *cyclamendyke.Workflow) error {
-	_, err := call[*cyclamendyke.Workflow, empty](ctx, c, connKey{address, classCalls}, methodStoreWorkflow, workflow)
+	_, err := call[*cyclamendyke.Workflow, empty](ctx, c, connKey{address, classStore}, methodStoreWorkflow, workflow)
 	return err
 }
 
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -16,6 +16,7 @@
 const (
 	methodNotifySubmitted = "submitted"
 	methodStoreWorkflow   = "store"
+	methodCheckStore      = "check-store"
 	methodStatus          = "status"
 	methodCancel          = "cancel"
 	methodPending         = "pending"
@@ -51,6 +52,8 @@
 	NotifySubmitted(ctx context.Context, submission Submission) error
 	// StoreWorkflow writes a workflow to the store for a member that cannot reach the store.
 	StoreWorkflow(ctx context.Context, workflow *cyclamendyke.Workflow) error
+	// CheckStore returns KindUnavailable unless this member reaches the store; it has no effect.
+	CheckStore(ctx context.Context) error
 	// Status returns a workflow's state, or KindNotFound.
 	Status(ctx context.Context, id cyclamendyke.WorkflowID) (WorkflowStatus, error)
 	// Cancel cancels a workflow and returns once that is stored, or KindNotFound.
@@ -104,6 +107,7 @@
 	methods := handler.Map{
 		methodNotifySubmitted: rpcHandlerNoResult(h.NotifySubmitted),
 		methodStoreWorkflow:   rpcHandlerNoResult(h.StoreWorkflow),
+		methodCheckStore:      rpcHandlerNoResult(func(ctx context.Context, _ empty) error { return h.CheckStore(ctx) }),
 		methodStatus:          rpcHandler(h.Status),
 		methodCancel:          rpcHandlerNoResult(h.Cancel),
 		methodPending:         rpcHandler(h.Pending),
--- a/node/admit.go
+++ b/node/admit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -79,11 +80,12 @@
 	return context.WithTimeout(ctx, max(answerMargin, call.Timeout-answerMargin))
 }
 
-// refuse returns the reply to a refused request, with a retry delay if the cause may be temporary.
+// refuse returns the reply to a refused request, with a retry delay if the cause may be temporary. The delay
+// is random, so that callers who were refused together do not come back together.
 func refuse(result cyclamendyke.IntakeResult) cyclamendyke.IntakeReply {
 	reply := cyclamendyke.IntakeReply{Result: result}
 	if result == cyclamendyke.IntakeUnavailable || result == cyclamendyke.IntakeLimited {
-		reply.RetryAfter = retryAfter
+		reply.RetryAfter = retryAfter/2 + rand.N(retryAfter)
 	}
 	return reply
 }
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"cyclamendyke"
+	"cyclamendyke/core/storepath"
 )
 
 // Cancel ends a workflow and answers once the cancellation is stored.
@@ -24,7 +25,7 @@
 	case cyclamendyke.KindNotFound:
 		reply = refuse(cyclamendyke.IntakeNoWorkflow)
 	case cyclamendyke.KindUnavailable, cyclamendyke.KindLimited:
-		reply = refuse(cyclamendyke.IntakeUnavailable)
+		reply = i.storePaths.unavailable()
 	default:
 		reply = refuse(cyclamendyke.IntakeUnknown)
 	}
@@ -44,6 +45,19 @@
 	if err == nil {
 		return nil
 	}
+	mayBeCancelled := cyclamendyke.KindOf(err) == cyclamendyke.KindUnknown
+	err = n.storeCancellation(ctx, id)
+	if mayBeCancelled && (cyclamendyke.KindOf(err) == cyclamendyke.KindUnavailable || cyclamendyke.KindOf(err) == cyclamendyke.KindLimited) {
+		return NewError("cancel", cyclamendyke.KindUnknown, err)
+	}
+	return err
+}
+
+// storeCancellation stores the cancellation of a workflow, unless it has ended.
+func (n *Node) storeCancellation(ctx context.Context, id cyclamendyke.WorkflowID) error {
+	if n.storePaths.ownState() == storepath.Broken {
+		return NewError("cancel", cyclamendyke.KindUnavailable, errOwnPathDown)
+	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
 	n.recordStoreResult(err)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
--- a/node/directory.go
+++ b/node/directory.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"cyclamendyke"
+	"cyclamendyke/core/storepath"
 )
 
 // schedulerRecord is the scheduler's entry in the store.
@@ -59,33 +60,19 @@
 	return view{d.loaded, d.scheduler, d.schedulerRevision, d.epoch, d.epochRevision, d.resignation}
 }
 
-// maxFallbackMembers limits how many other members are asked, one after another, to store a workflow.
-const maxFallbackMembers = 2
-
-// fallbackMembers returns members that may reach the store when this one does not: the scheduler
-// first, then members of other zones.
-func (d *directory) fallbackMembers(self cyclamendyke.FleetSettings) []memberRecord {
+// storeCandidates returns the other members, each of which may store a workflow for this one.
+func (d *directory) storeCandidates(self cyclamendyke.MemberName) []storepath.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []memberRecord
+	candidates := make([]storepath.Member, 0, len(d.members))
 	for name, m := range d.members {
-		if name != self.Node {
-			out = append(out, m)
-		}
-	}
-	rank := func(m memberRecord) int {
-		switch {
-		case d.scheduler != nil && m.Name == d.scheduler.Name:
-			return 0
-		case m.Zone != self.Zone:
-			return 1
+		if name == self {
+			continue
 		}
-		return 2
+		isScheduler := d.scheduler != nil && d.scheduler.Name == name
+		candidates = append(candidates, storepath.Member{Name: name, Zone: m.Zone, IsScheduler: isScheduler})
 	}
-	slices.SortFunc(out, func(a, b memberRecord) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
-	})
-	return out[:min(maxFallbackMembers, len(out))]
+	return candidates
 }
 
 // hasMemberWithMoreCores reports whether a member has more than the given number of cores.
--- a/node/handler.go
+++ b/node/handler.go
@@ -34,11 +34,6 @@
 	})
 }
 
-// StoreWorkflow stores a workflow for a member that cannot reach the store.
-func (n *Node) StoreWorkflow(ctx context.Context, workflow *cyclamendyke.Workflow) error {
-	return n.storeAndNotify(ctx, workflow)
-}
-
 // query runs a function on the term's control goroutine and waits for its answer.
 func query[R any](ctx context.Context, t *term, run func(answer func(R))) (R, error) {
 	answers := make(chan R, 1)
--- a/node/intake.go
+++ b/node/intake.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"cyclamendyke"
@@ -13,7 +12,7 @@
 // The limits of callers' requests.
 const (
 	answerMargin        = 300 * time.Millisecond // Part of a caller's deadline reserved for sending the answer.
-	retryAfter          = time.Second            // How long a caller should wait after a temporary refusal.
+	retryAfter          = time.Second            // Mean time that a caller should wait after a temporary refusal.
 	peerCallTimeout     = 700 * time.Millisecond // For one call to another member.
 	defaultMaxBodyBytes = 256 << 10
 )
@@ -25,8 +24,6 @@
 
 var _ cyclamendyke.Intake = Intake{}
 
-var errStoreDown = errors.New("the store is not responding")
-
 // Submit accepts a workflow once the store holds it.
 func (i Intake) Submit(ctx context.Context, call cyclamendyke.IntakeCall, read func(int64) (*cyclamendyke.Workflow, error)) cyclamendyke.IntakeReply {
 	request, refusal := i.admit(call)
@@ -35,7 +32,9 @@
 		i.logRequest("submit", call, request, reply, nil)
 		return reply
 	}
+	start := bootTime()
 	reply, err := i.accept(ctx, call, request, read)
+	i.cfg.Metrics.SubmitSeconds.WithLabelValues(string(reply.Result)).Observe((bootTime() - start).Seconds())
 	i.logRequest("submit", call, request, reply, err)
 	return reply
 }
@@ -55,53 +54,16 @@
 	case cyclamendyke.KindInvalid:
 		return refuse(cyclamendyke.IntakeInvalid), err
 	default:
-		return refuse(cyclamendyke.IntakeUnavailable), err
+		return n.storePaths.refusal(request.id), err
 	}
 	workflow.ID, workflow.Team, workflow.Queue = request.id, request.team, request.queue.Name
 	workflow.AcceptedAt = time.Now()
-	err = n.storeWithFallback(ctx, workflow)
-	switch cyclamendyke.KindOf(err) {
-	case "":
-		return cyclamendyke.IntakeReply{Result: cyclamendyke.IntakeAccepted}, nil
-	case cyclamendyke.KindUnavailable, cyclamendyke.KindLimited:
-		return refuse(cyclamendyke.IntakeUnavailable), err
-	}
-	return refuse(cyclamendyke.IntakeUnknown), err
-}
-
-// storeWithFallback stores a workflow or, if that fails, asks other members to store it.
-//
-// It returns KindUnavailable only if no attempt can have taken effect.
-func (n *Node) storeWithFallback(ctx context.Context, workflow *cyclamendyke.Workflow) error {
-	err := n.storeAndNotify(ctx, workflow)
-	if err == nil {
-		return nil
-	}
-	mayBeStored := cyclamendyke.KindOf(err) == cyclamendyke.KindUnknown
-	for _, other := range n.dir.fallbackMembers(n.cfg.Settings) {
-		if ctx.Err() != nil {
-			break
-		}
-		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		err = n.peers.StoreWorkflow(callCtx, other.Address, workflow)
-		cancel()
-		if err == nil {
-			return nil
-		}
-		mayBeStored = mayBeStored || cyclamendyke.KindOf(err) == cyclamendyke.KindUnknown
-	}
-	if mayBeStored {
-		return NewError("store", cyclamendyke.KindUnknown, err)
-	}
-	return NewError("store", cyclamendyke.KindUnavailable, err)
+	return n.storeWorkflow(ctx, workflow)
 }
 
 // storeAndNotify stores a workflow and notifies the scheduler. A workflow that is already in the
 // store, or has ended, counts as stored.
 func (n *Node) storeAndNotify(ctx context.Context, workflow *cyclamendyke.Workflow) error {
-	if n.storeDown() {
-		return NewError("store", cyclamendyke.KindUnavailable, errStoreDown)
-	}
 	value, err := json.Marshal(workflow)
 	if err != nil {
 		return NewError("store", cyclamendyke.KindInvalid, err)
--- a/node/intake_test.go
+++ b/node/intake_test.go
@@ -11,7 +11,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cyclamendyke"
-	"cyclamendyke/io/member"
 	"cyclamendyke/standin/kv"
 )
 
@@ -26,16 +25,10 @@
 
 // newIdleNode returns a node whose goroutines are not running, so that only the test changes it.
 func newIdleNode(store cyclamendyke.BatchStore) Intake {
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{
-		cfg: Config{
-			Settings: cyclamendyke.FleetSettings{Node: "self"}, Store: store, Log: log.New(io.Discard), RequestLog: newDiscardRequestLog(),
-			Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
-		},
-		peers: member.NewClient(), ctx: ctx, cancel: cancel,
-	}
-	n.dir.log = n.cfg.Log
-	n.dir.changed = make(chan struct{}, 1)
+	n := newNode(Config{
+		Settings: cyclamendyke.FleetSettings{Node: "self"}, Store: store, Log: log.New(io.Discard), RequestLog: newDiscardRequestLog(),
+		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
+	})
 	n.fleetConfig.Store(testFleet())
 	return Intake{n}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cyclamendyke/core/storepath"
+)
 
 // Metrics holds a node's Prometheus metrics.
 type Metrics struct {
@@ -14,6 +18,14 @@
 	DelegatedOrders *prometheus.CounterVec
 	// PassSeconds is the duration of scheduling passes in seconds.
 	PassSeconds prometheus.Histogram
+	// StorePathState is the state of this VM's own path to the store, one of storePathStates.
+	StorePathState *prometheus.GaugeVec
+	// StoredSubmissions counts accepted submissions by the path by which they were stored.
+	StoredSubmissions *prometheus.CounterVec
+	// RefusedSubmissions counts submissions that were refused for want of the store, by reason.
+	RefusedSubmissions *prometheus.CounterVec
+	// SubmitSeconds is the duration of submissions in seconds, by result.
+	SubmitSeconds *prometheus.HistogramVec
 	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
 	UnstoredEnds prometheus.Gauge
 }
@@ -49,10 +61,38 @@
 		PassSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cyclamendyke_fleet_pass_seconds", Help: "Passes of the scheduler over what waits.", Buckets: passBuckets,
 		}),
+		StorePathState: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_store_path_state", Help: "1 for the state of this VM's own path to the store.",
+		}, []string{"state"}),
+		StoredSubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_stored_submissions_total", Help: "Accepted submissions by the path by which they were stored.",
+		}, []string{"path"}),
+		RefusedSubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_refused_submissions_total", Help: "Submissions refused for want of the store, by reason.",
+		}, []string{"reason"}),
+		SubmitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cyclamendyke_fleet_submit_seconds", Help: "Submissions by result.", Buckets: storeCallBuckets,
+		}, []string{"result"}),
 		UnstoredEnds: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_unstored_ends", Help: "Ends of runs that this scheduler knows and has not stored yet.",
 		}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds,
+		m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+	m.setStorePathState(storepath.Good)
 	return m
 }
+
+// storePathStates are the values of the label of StorePathState.
+var storePathStates = []storepath.State{storepath.Good, storepath.Suspect, storepath.Broken}
+
+// setStorePathState sets the metric of one state to 1 and those of the others to 0.
+func (m *Metrics) setStorePathState(current storepath.State) {
+	for _, state := range storePathStates {
+		value := 0.0
+		if state == current {
+			value = 1
+		}
+		m.StorePathState.WithLabelValues(string(state)).Set(value)
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"cyclamendyke"
 	"cyclamendyke/io/member"
@@ -39,16 +40,16 @@
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
-	leaving     atomic.Bool                   // The process is shutting down.
-	lastClaim   roleClaim                     // The claim of the role that had no answer; only the election goroutine uses it.
+	storePaths  *storePaths
+	writes      singleflight.Group // Submissions that are being stored.
+	checks      singleflight.Group // Checks of the own path to the store.
+	leaving     atomic.Bool        // The process is shutting down.
+	lastClaim   roleClaim          // The claim of the role that had no answer; only the election goroutine uses it.
 }
 
 // New returns a running node, which watches the store and takes part in elections until Close.
 func New(cfg Config) *Node {
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel}
-	n.dir.log = cfg.Log
-	n.dir.changed = make(chan struct{}, 1)
+	n := newNode(cfg)
 	n.wg.Go(n.maintainSession)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followConfig)
@@ -56,6 +57,16 @@
 	return n
 }
 
+// newNode returns a node whose goroutines are not running.
+func newNode(cfg Config) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel, storePaths: newStorePaths(cfg)}
+	n.cfg.Store = trackedStore{store: cfg.Store, paths: n.storePaths}
+	n.dir.log = cfg.Log
+	n.dir.changed = make(chan struct{}, 1)
+	return n
+}
+
 // storeStaleAfter is the time without an answer from the store after which callers are sent elsewhere.
 const storeStaleAfter = 1500 * time.Millisecond
 
--- a/node/query.go
+++ b/node/query.go
@@ -6,6 +6,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
+	"cyclamendyke/core/storepath"
 	"cyclamendyke/io/member"
 )
 
@@ -31,7 +32,7 @@
 	case cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound:
 		reply = refuse(cyclamendyke.IntakeNoWorkflow)
 	default:
-		reply = refuse(cyclamendyke.IntakeUnavailable)
+		reply = i.storePaths.unavailable()
 	}
 	i.logRequest("look", call, request, reply, err)
 	return reply
@@ -54,6 +55,9 @@
 
 // storedStatus reads a workflow's state from the store.
 func (n *Node) storedStatus(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
+	if n.storePaths.ownState() == storepath.Broken {
+		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindUnavailable, errOwnPathDown)
+	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
 	n.recordStoreResult(err)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
--- a/node/session.go
+++ b/node/session.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/storepath"
 )
 
 // The timing of this process's lease in the store.
@@ -173,20 +174,23 @@
 
 // renewSession renews the lease until it is lost.
 func (n *Node) renewSession() {
-	for n.sleep(n.renewInterval()) {
+	failures := 0
+	for n.awaitRenewal() {
 		n.session.mu.Lock()
 		lease := n.session.lease
 		n.session.mu.Unlock()
 		if lease == 0 {
 			return
 		}
-		ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(n.ctx, renewTimeout(failures))
 		sent := bootTime()
 		err := n.cfg.Store.KeepAlive(ctx, lease)
 		cancel()
 		n.recordStoreResult(err)
+		failures++
 		switch cyclamendyke.KindOf(err) {
 		case "":
+			failures = 0
 			n.session.recordRenewal(lease, sent)
 		case cyclamendyke.KindNotFound:
 			n.cfg.Log.Warn("session lost", "lease", lease)
@@ -196,24 +200,41 @@
 	}
 }
 
-// storeDownAfter is how long the store may fail before new workflows go straight to other members.
-const storeDownAfter = 700 * time.Millisecond
-
-// storeDown reports whether the last call to the store failed and the store has not answered for
-// longer than storeDownAfter.
-func (n *Node) storeDown() bool {
-	return n.dir.storeFailing.Load() && bootTime()-n.session.lastStoreAnswer() > storeDownAfter
-}
-
 // renewInterval returns the delay before the next renewal. It is shorter while the store fails,
 // since a renewal also detects that the store answers again.
 func (n *Node) renewInterval() time.Duration {
-	if n.dir.storeFailing.Load() {
+	if n.dir.storeFailing.Load() || n.storePaths.ownState() != storepath.Good {
 		return retryDelay(nil)
 	}
 	return leaseRenewInterval
 }
 
+// awaitRenewal waits until the next renewal is due or a probe of the store is asked for, and returns false
+// if the node is closed first.
+func (n *Node) awaitRenewal() bool {
+	select {
+	case <-time.After(n.renewInterval()):
+	case <-n.storePaths.probe:
+	case <-n.ctx.Done():
+	}
+	return n.ctx.Err() == nil
+}
+
+// A renewal that probes a broken path is given up early, since the store may answer again just after it was
+// sent; but not each of them, since the store may also have become slow.
+const (
+	quickProbeTimeout = 300 * time.Millisecond
+	fullProbeEvery    = 3
+)
+
+// renewTimeout returns the timeout of a renewal after so many in a row that had no answer.
+func renewTimeout(failures int) time.Duration {
+	if failures == 0 || failures%fullProbeEvery == 0 {
+		return storeTimeout
+	}
+	return quickProbeTimeout
+}
+
 // recordStoreResult records whether the store answered a call, and logs when that changes.
 func (n *Node) recordStoreResult(err error) {
 	if errors.Is(err, context.Canceled) {
