Let no malformed workflow or panic of a handler end a process

A caller's body with a count of two billion tasks or occurrences was accepted and stored, and each scheduler in turn would have allocated them.

--- a/io/member/error.go
+++ b/io/member/error.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"github.com/creachadair/jrpc2"
+
 	"cyclamendyke"
 	"cyclamendyke/io/internal/rpccode"
 )
@@ -28,6 +30,7 @@
 	cyclamendyke.KindUnavailable: -32003,
 	cyclamendyke.KindUnknown:     -32004,
 	cyclamendyke.KindLimited:     -32005,
+	cyclamendyke.KindInvalid:     jrpc2.InvalidParams,
 }
 
 // decodeError converts the error of a call to an Error.
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 
@@ -34,6 +35,11 @@
 	Revision cyclamendyke.Revision  `json:"revision,omitempty"`
 }
 
+// Validate returns an error unless the submission holds a valid workflow.
+func (s Submission) Validate() error {
+	return s.Workflow.Validate()
+}
+
 // AdviceRequest asks the advice service which of the targets may run a step.
 type AdviceRequest struct {
 	Step    cyclamendyke.StepName   `json:"step"`
@@ -71,11 +77,22 @@
 // empty is the result of calls that return no data.
 type empty struct{}
 
-// rpcHandler adapts a Handler method to JSON-RPC.
+// rpcHandler adapts a Handler method to JSON-RPC. A panic ends the call, whose outcome then is unknown, and not
+// the process.
 func rpcHandler[P, R any](method func(context.Context, P) (R, error)) jrpc2.Handler {
-	return handler.New(func(ctx context.Context, params [1]P) (R, error) {
-		result, err := method(ctx, params[0])
-		return result, errorCodes.Encode(err)
+	return handler.New(func(ctx context.Context, params [1]P) (result R, err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				err = NewError("serve", cyclamendyke.KindUnknown, fmt.Errorf("panic: %v", cause))
+			}
+			err = errorCodes.Encode(err)
+		}()
+		if invalid, ok := any(params[0]).(interface{ Validate() error }); ok {
+			if err := invalid.Validate(); err != nil {
+				return result, err
+			}
+		}
+		return method(ctx, params[0])
 	})
 }
 
--- a/workflow.go
+++ b/workflow.go
@@ -31,6 +31,39 @@
 	return max(1, w.Repeat)
 }
 
+// MaxTasks limits the tasks of a workflow over all its occurrences, each of which costs memory.
+const MaxTasks = 200_000
+
+// Validate returns an error unless the workflow can be scheduled; it may be nil.
+func (w *Workflow) Validate() error {
+	if w == nil || len(w.Steps) == 0 {
+		return newWorkflowError("workflow has no steps")
+	}
+	tasks, limit := 0, MaxTasks/w.Occurrences()
+	for i, step := range w.Steps {
+		if step.Count < 1 || step.Count > limit {
+			return newWorkflowError("step %d has %d tasks", i, step.Count)
+		}
+		tasks += step.Count
+		if need := step.Need; min(int64(need.Cores), int64(need.Memory), need.Accelerators) < 0 {
+			return newWorkflowError("step %d needs a negative amount", i)
+		}
+		for _, dependency := range step.After {
+			if dependency < 0 || dependency >= i {
+				return newWorkflowError("step %d depends on step %d, which is not an earlier step", i, dependency)
+			}
+		}
+	}
+	if tasks > limit {
+		return newWorkflowError("workflow has %d tasks in each of %d occurrences", tasks, w.Occurrences())
+	}
+	return nil
+}
+
+func newWorkflowError(format string, args ...any) error {
+	return &Error{Op: "workflow.validate", Kind: KindInvalid, Err: fmt.Errorf(format, args...)}
+}
+
 // Step is a set of identical tasks.
 type Step struct {
 	Count          int           `json:"count"`
