Send callers elsewhere at once from a VM that can store nothing

Cause: a VM that no longer reaches the store or any member that does was ready until the store had been silent for 1.5 s, and its callers came back to it.

Change: it is not ready while its own path is broken and no member stored the last write. A VM whose work others store stays ready for the 1.5 s and no longer, since it does not learn of keys and queues that are withdrawn. Not measured yet.

--- a/core/storepath/paths.go
+++ b/core/storepath/paths.go
@@ -51,6 +51,12 @@
 	return state
 }
 
+// HasNoPath reports whether the own path is broken and no member stored the last writes, so that this VM can
+// store nothing.
+func (p *Paths) HasNoPath(now time.Duration) bool {
+	return p.State(now) == Broken && now < p.noMemberUntil
+}
+
 // ShouldCheck reports whether a write by the own path should be preceded by a call without effect. If the
 // store has fallen silent since its last answer, the write can then be refused instead of ending unknown.
 // A slow store is not asked twice.
--- a/node/node.go
+++ b/node/node.go
@@ -67,7 +67,8 @@
 	return n
 }
 
-// storeStaleAfter is the time without an answer from the store after which callers are sent elsewhere.
+// storeStaleAfter is the time without an answer from the store after which callers are sent elsewhere, even
+// if other members store their work: keys and queues that are withdrawn are learnt from the store only.
 const storeStaleAfter = 1500 * time.Millisecond
 
 // Ready reports whether callers should be sent here: the process has the fleet's configuration,
@@ -77,9 +78,9 @@
 }
 
 // Draining reports whether callers should reconnect elsewhere, because the process is shutting
-// down or does not reach the store.
+// down, can store nothing or has not reached the store for long.
 func (n *Node) Draining() bool {
-	return n.leaving.Load() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
+	return n.leaving.Load() || n.storePaths.hasNoPath() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
 }
 
 // Leave sends callers elsewhere, steps down as the scheduler and releases the lease. Calls are
--- a/node/storepath.go
+++ b/node/storepath.go
@@ -72,6 +72,12 @@
 	return state
 }
 
+// hasNoPath reports whether this VM can store nothing.
+func (s *storePaths) hasNoPath() (hasNoPath bool) {
+	s.update(func(now time.Duration, paths *storepath.Paths) { hasNoPath = paths.HasNoPath(now) })
+	return hasNoPath
+}
+
 // unavailable returns the reply to a request that had no effect for want of the store.
 func (s *storePaths) unavailable() (reply cyclamendyke.IntakeReply) {
 	s.update(func(now time.Duration, paths *storepath.Paths) {
--- a/node/storewrite_test.go
+++ b/node/storewrite_test.go
@@ -138,6 +138,7 @@
 	reply := submit(nodes[0], "00000000000000a1")
 	is.Equal(reply.Result, cyclamendyke.IntakeUnavailable)
 	is.True(reply.RetryAfter > 0)
+	is.True(!nodes[0].Ready())
 	commits, probes := stores[0].commits.Load(), stores[0].probes.Load()
 	for range 100 {
 		is.Equal(submit(nodes[0], "00000000000000a2").Result, cyclamendyke.IntakeUnavailable)
@@ -148,6 +149,7 @@
 		store.silent.Store(false)
 	}
 	eventually(t, "a good path", func() bool { return nodes[0].storePaths.ownState() == storepath.Good })
+	is.True(nodes[0].Ready())
 	is.Equal(submit(nodes[0], "00000000000000a3").Result, cyclamendyke.IntakeAccepted)
 }
 
