Notify the scheduler of work that an attempt without an answer has stored

Change: the conflict's entries hold the work and its revision, and these are announced. A scheduler leaves known and ended work unchanged. TestSchedulerIsNotifiedAfterLostAnswer fails without it.

--- a/node/intake.go
+++ b/node/intake.go
@@ -70,12 +70,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	revision, _, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{
+	revision, current, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{
 		Puts:   []cyclamendyke.Put{{Key: workKey(workflow.ID), Value: value}},
 		Guards: []cyclamendyke.Guard{{Key: doneKey(workflow.ID)}},
 	})
 	n.recordStoreResult(err)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindConflict {
+		n.notifyOfEarlierAttempt(workflow.ID, current)
 		return nil
 	}
 	if err != nil {
@@ -85,6 +86,22 @@
 	return nil
 }
 
+// notifyOfEarlierAttempt announces a workflow that an attempt without an answer has stored, since that attempt
+// could not announce it. The entries are those that the store returned with the conflict.
+func (n *Node) notifyOfEarlierAttempt(id cyclamendyke.WorkflowID, entries []cyclamendyke.Entry) {
+	for _, entry := range entries {
+		if entry.Key != workKey(id) || entry.Revision == 0 || entry.Deleted {
+			continue
+		}
+		var stored cyclamendyke.Workflow
+		if err := json.Unmarshal(entry.Value, &stored); err != nil {
+			n.cfg.Log.Error("cannot decode workflow", "workflow", id, "revision", entry.Revision, "err", err)
+			return
+		}
+		n.wg.Go(func() { n.notifyScheduler(member.Submission{Workflow: &stored, Revision: entry.Revision}) })
+	}
+}
+
 // notifyScheduler announces a stored workflow; if this fails, the scheduler finds it in the store.
 func (n *Node) notifyScheduler(submission member.Submission) {
 	ctx, cancel := context.WithTimeout(n.ctx, peerCallTimeout)
--- a/node/storewrite_test.go
+++ b/node/storewrite_test.go
@@ -207,6 +207,42 @@
 	is.True(store.commits.Load() <= 2) // Two if the first was hedged while its time was not yet known.
 }
 
+// notified is a scheduler that passes on what it is notified of.
+type notified struct {
+	*Node
+	submissions chan member.Submission
+}
+
+// NotifySubmitted passes on a submission.
+func (n notified) NotifySubmitted(_ context.Context, submission member.Submission) error {
+	n.submissions <- submission
+	return nil
+}
+
+// TestSchedulerIsNotifiedAfterLostAnswer checks that the scheduler is notified of a workflow that a first attempt
+// stored without an answer and a later one finds, with the revision at which it was stored.
+func TestSchedulerIsNotifiedAfterLostAnswer(t *testing.T) {
+	is := is.New(t)
+	store := kv.New(kv.Config{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	scheduler := notified{newIdleNode(store.As("other")).Node, make(chan member.Submission, 1)}
+	server := member.NewServer(member.ServerConfig{Listener: listener, Handler: scheduler})
+	defer server.Close()
+	n := newIdleNode(store.As("self"))
+	record := memberRecord{Name: "other", Address: listener.Addr().String(), Nonce: 1}
+	n.dir.scheduler, scheduler.dir.scheduler = &schedulerRecord{memberRecord: record}, &schedulerRecord{memberRecord: record}
+	n.dir.members = map[cyclamendyke.MemberName]memberRecord{"other": record}
+	store.SetFaults(kv.Faults{LoseAnswers: 1})
+	is.Equal(submit(n.Node, "00000000000000a1").Result, cyclamendyke.IntakeAccepted)
+	stored, err := store.As("test").Get(context.Background(), workKey("00000000000000a1"))
+	is.NoErr(err)
+	eventually(t, "the notification", func() bool { return len(scheduler.submissions) == 1 })
+	got := <-scheduler.submissions
+	is.Equal(got.Workflow.ID, cyclamendyke.WorkflowID("00000000000000a1"))
+	is.Equal(got.Revision, stored.Revision)
+}
+
 // lostCancel is a scheduler whose answers to cancellations are lost.
 type lostCancel struct{ *Node }
 
