Name runs of ended workflows in the record of a closed target; model cancellations

Cause: the record of a target that left did not name runs whose workflow had ended, so the scheduler after next did not count them against their team. Change: it names them. TestRunOfEndedWorkflowOnClosedVMCounts failed before.

--- /dev/null
+++ b/core/dispatch/cancellation_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamendyke"
+)
+
+// TestInvariantsWithCancellations adds cancellations and gangs to the faults of TestInvariantsUnderFaults.
+func TestInvariantsWithCancellations(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		sim := limitedFleet(t, rapid.Uint64().Draw(rt, "seed"), 5)
+		sim.fleet.Teams[0].Limit = cores(24)
+		sim.stopTime = time.Second
+		sim.batchEntries = smallBatch
+		sim.elect()
+		rounds := rapid.IntRange(3, 12).Draw(rt, "rounds")
+		for i := range rounds {
+			if !sim.storeAway() {
+				sim.submit(twoSteps(fmt.Sprint("job-", i)))
+				sim.submit(workflow(fmt.Sprint("gang-", i), cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: 3 * time.Second, Gang: true}))
+			}
+			sim.cancelOne(fmt.Sprint([]string{"job-", "gang-"}[i%2], rapid.IntRange(0, i).Draw(rt, "cancelled")))
+			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
+			sim.run(time.Duration(rapid.IntRange(300, 1500).Draw(rt, "pause")) * time.Millisecond)
+		}
+		sim.endFaults()
+		sim.run(2 * time.Minute)
+		for _, violation := range sim.violations {
+			rt.Error(violation)
+		}
+		if states := sim.states(); states[cyclamendyke.WorkflowQueued]+states[cyclamendyke.WorkflowRunning] > 0 {
+			rt.Errorf("not all workflows ended: %v\n%s", states, sim.sched.unfinished())
+		}
+	})
+}
+
+// cancelOne cancels a workflow, unless it was not submitted or the store is away.
+func (sim *simulation) cancelOne(id string) {
+	if _, isKnown := sim.workflows[cyclamendyke.WorkflowID(id)]; isKnown && !sim.storeAway() {
+		sim.sched.Advance(sim.now, sim.wall())
+		sim.sched.Cancel(cyclamendyke.WorkflowID(id), func() {})
+	}
+}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -209,12 +209,16 @@
 }
 
 // possibleTasks returns the names of all tasks that may run on the target. It includes tasks that have ended
-// but whose end is not stored yet: the next epoch can learn of such an end only from the target.
+// but whose end is not stored yet: the next epoch can learn of such an end only from the target. Runs of workflows
+// that have ended count against their teams.
 func (t *target) possibleTasks() []string {
 	out := make([]string, 0, len(t.runs)+len(t.unstoredEnds)+len(t.earlierRuns))
 	for key := range t.runs {
 		out = append(out, key.task.String())
 	}
+	for key := range t.orphans {
+		out = append(out, key.task.String())
+	}
 	for _, end := range t.unstoredEnds {
 		out = append(out, end.task.String())
 	}
--- a/core/dispatch/runlist_test.go
+++ b/core/dispatch/runlist_test.go
@@ -177,6 +177,38 @@
 	}
 }
 
+// TestRunOfEndedWorkflowOnClosedVMCounts closes a VM that is still stopping a run of a cancelled workflow, and
+// begins the third epoch.
+func TestRunOfEndedWorkflowOnClosedVMCounts(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.fleet.Teams[0].Limit = cores(16)
+	sim.stopTime = 5 * time.Second
+	sim.elect()
+	sim.submit(wholeVM("a", time.Minute))
+	sim.run(500 * time.Millisecond)
+	sim.addOtherVM()
+	v := sim.vms["vm-0"]
+	v.unreachable = true
+	is.True(sim.sched.Cancel("a", func() {}))
+	sim.run(time.Second)
+	v.unreachable = false
+	sim.elect()
+	sim.run(time.Second)
+	is.Equal(len(sim.sched.targets["vm-0"].orphans), 1)
+	sim.removeDescription(v)
+	v.unreachable = true
+	sim.run(time.Second)
+	is.True(sim.storedTargets["vm-0"].known.Closed)
+	sim.elect()
+	sim.submit(wholeVM("b", time.Second))
+	sim.run(2 * time.Second)
+	is.Equal(sim.starts, 1)
+	sim.run(LongestLease(sim.bounds()))
+	is.Equal(sim.status("b"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
+
 // TestInheritedTaskIsHeldWhileSuccessorIsPossible keeps a VM away from a scheduler that may have been replaced;
 // its successor may have renewed the VM's lease.
 func TestInheritedTaskIsHeldWhileSuccessorIsPossible(t *testing.T) {
