Plan the members' time for advice as a budget

Cause: where advice takes all of the members' time, steps with room waited ten seconds and longer for tickets, and a long-running task that had failed was left without a run for 12 s and more (LOST). Read from the log of a play: its step asked about 96 targets for one task, behind another such request of the same member. Both together take longer than the 3 s that a member waits for an answer, so the request was given up, the service did its work all the same, and the next one ended likewise. Right after a takeover every step of the earlier epoch asked, for all its tasks instead of those that wait. What ranked lower waited for 25 s without a first request.

Change: core/advice plans the members' time. A long request goes to a member that is (nearly) done with its others; as many members as urgent work kept busy lately are left to it, and half of them while an urgent request waits; every second of the other requests goes to a step that has waited for 2 s, tasks that must run again first, then the team that had least. A request names one more target while its part of the time is less than the request that it may save: by the room until the answer and while tickets are valid, what requests in flight count on, the part that advice allows and the part of the expected room that the queue's steps found lately. Members that are late or fail get one request at a time. A takeover asks when its end is near.

TestUrgentStepAsksBeforeItPreempts sets a part for each target, since naming all is right where it costs nothing; what it checks is unchanged. The simulation gives up requests after 3 s, as members do.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -1,102 +1,46 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/retry"
 )
 
-// The timing and size of requests to the advice service.
+// The timing of requests to the advice service.
 const (
-	ticketMargin           = 60 * time.Millisecond // A ticket is used only while it is valid for at least this long.
-	adviceRetryDelay       = 200 * time.Millisecond
-	prefetchMargin         = 800 * time.Millisecond // Added to the expected time of a request made before a step's release.
-	urgentInFlightLimit    = 4                      // A member with this many requests in flight gets no further urgent one.
-	nonUrgentInFlightLimit = 2                      // A member with this many requests in flight gets no further non-urgent one.
-	urgentAdviserDivisor   = 4                      // One member in this many makes urgent requests only.
+	ticketMargin   = 60 * time.Millisecond  // A ticket is used only while it is valid for at least this long.
+	prefetchMargin = 800 * time.Millisecond // Added to the expected time of a request made before a step's release.
 )
 
-// adviser is a member that requests advice; the service answers each member's requests one at a
-// time.
-type adviser struct {
-	requestsInFlight int
-	load             time.Duration // Expected cost of the requests in flight.
-}
+// adviceRetry is how long a step whose requests failed makes no other.
+var adviceRetry = retry.Backoff{Initial: 200 * time.Millisecond, Max: 1600 * time.Millisecond}
 
 // verdict is the advice service's answer about one target for one step.
 type verdict struct {
 	allowed   bool // The step's tasks may run on the target.
 	ticket    string
 	expiresAt time.Duration // When the ticket can no longer be used.
+	used      bool          // A task was started with the ticket.
 }
 
-// advice holds the verdicts for a step; whether a target is allowed does not change during the
+// stepAdvice holds the verdicts for a step; whether a target is allowed does not change during the
 // target's incarnation.
-type advice struct {
-	verdicts        map[cyclamendyke.TargetID]verdict
-	ticketsUntil    time.Duration // When the last ticket expires.
-	requestInFlight bool          // A request for this step is in flight.
-	retryAt         time.Duration // No request is made before then.
+type stepAdvice struct {
+	verdicts     map[cyclamendyke.TargetID]verdict
+	ticketsUntil time.Duration // When the last ticket expires.
+	call         int64         // Number of the request in flight; zero if there is none.
+	failures     int           // Failed requests since the last answer.
+	retryAt      time.Duration // No request is made before then.
+	expected     float64       // Tasks that were expected to start with the tickets of the last request.
+	started      float64       // Tasks that did.
+	wantedSince  time.Duration // Since when the step waits for a member to make its request.
+	wantedAt     time.Duration // When it last did.
 }
 
 // SetAdvisers sets the members that can request advice.
 func (s *Scheduler) SetAdvisers(members []cyclamendyke.MemberName) {
-	names := slices.Sorted(slices.Values(members))
-	if slices.Equal(names, s.adviserNames) {
-		return
-	}
-	previous := s.advisers
-	s.adviserNames, s.advisers = names, map[cyclamendyke.MemberName]*adviser{}
-	for _, name := range names {
-		s.advisers[name] = previous[name]
-		if previous[name] == nil {
-			s.advisers[name] = &adviser{}
-		}
-	}
-}
-
-// freeAdviser returns the least loaded member that may take one more request, or an empty name if
-// there is none.
-//
-// Urgent requests, those of queues with priority 0, take a few milliseconds and others up to half a
-// second, so some members are reserved for urgent ones: otherwise a burst of urgent work would wait
-// behind slow requests.
-func (s *Scheduler) freeAdviser(urgent bool) cyclamendyke.MemberName {
-	names := s.adviserNames
-	limit := urgentInFlightLimit
-	if !urgent {
-		names = names[len(names)/urgentAdviserDivisor:]
-		limit = nonUrgentInFlightLimit
-	}
-	best := cyclamendyke.MemberName("")
-	for _, name := range names {
-		a := s.advisers[name]
-		if a.requestsInFlight < limit && (best == "" || a.load < s.advisers[best].load) {
-			best = name
-		}
-	}
-	return best
-}
-
-// requestAdvice has a member request advice on targets for a step.
-func (s *Scheduler) requestAdvice(step *stepRun, targets []cyclamendyke.TargetID) {
-	queue := step.job.queue(s)
-	if queue == nil || len(targets) == 0 {
-		return
-	}
-	member := s.freeAdviser(queue.Priority == 0)
-	if member == "" {
-		return
-	}
-	cost := time.Duration(0)
-	if queue.Advice != nil {
-		cost = queue.Advice.Base + time.Duration(len(targets))*queue.Advice.PerTarget
-	}
-	s.advisers[member].requestsInFlight++
-	s.advisers[member].load += cost
-	step.advice.requestInFlight = true
-	s.emit(AdviseCommand{Member: member, Step: step.name(), Targets: targets, Cost: cost})
+	s.planner.SetMembers(members)
 }
 
 func (step *stepRun) name() cyclamendyke.StepName {
@@ -111,31 +55,53 @@
 
 // Advised handles the answer to a request for advice; ok is false if it failed.
 func (s *Scheduler) Advised(command AdviseCommand, times AdviceTimes, answer cyclamendyke.Advice, ok bool) {
-	if a := s.advisers[command.Member]; a != nil && a.requestsInFlight > 0 {
-		a.requestsInFlight--
-		a.load = max(0, a.load-command.Cost)
-	}
-	j := s.jobs[command.Step.Workflow]
-	if j == nil || command.Step.Occurrence >= len(j.occurrences) {
+	s.planner.Answered(command.Call, command.Member, s.now, ok)
+	s.requestEnded(command.Call)
+	step := s.adviceStep(command.Step)
+	if step == nil {
 		return
 	}
-	step := j.occurrences[command.Step.Occurrence].steps[command.Step.Step]
-	step.advice.requestInFlight = false
 	if !ok {
-		step.advice.retryAt = s.now + adviceRetryDelay
+		s.adviceUse(step.job.spec.Queue).Failed++
+		step.advice.failures++
+		if step.advice.failures > 1 { // The first time, another member may have more luck.
+			step.advice.retryAt = s.now + adviceRetry.Delay(step.advice.failures-1)
+		}
 		return
 	}
+	step.advice.failures = 0
 	s.cfg.LogDecision(Decision{
-		Event: EventAdvised, Workflow: j.spec.ID, Task: command.Step.String(), Count: len(answer.Tickets), Age: times.Answered - times.Sent,
+		Event: EventAdvised, Workflow: command.Step.Workflow, Task: command.Step.String(), Count: len(answer.Tickets), Age: times.Answered - times.Sent,
 	})
+	s.applyVerdicts(step, command, answer, times.Answered+answer.Valid-ticketMargin)
+}
+
+// adviceStep returns the step that a request was about, or nil if it is no longer known.
+func (s *Scheduler) adviceStep(name cyclamendyke.StepName) *stepRun {
+	j := s.jobs[name.Workflow]
+	if j == nil || name.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	return j.occurrences[name.Occurrence].steps[name.Step]
+}
+
+// applyVerdicts keeps the verdicts of an answer whose tickets can be used until expiresAt.
+func (s *Scheduler) applyVerdicts(step *stepRun, command AdviseCommand, answer cyclamendyke.Advice, expiresAt time.Duration) {
+	s.allowedPart(step.job.spec.Queue).learn(len(command.Targets), len(answer.Tickets))
+	use := s.adviceUse(step.job.spec.Queue)
+	use.Named += len(command.Targets)
+	use.Disallowed += len(command.Targets) - len(answer.Tickets)
+	if step.released && !step.active || step.job.state.IsFinal() {
+		use.Lapsed += len(answer.Tickets)
+		return
+	}
 	if step.advice.verdicts == nil {
 		step.advice.verdicts = map[cyclamendyke.TargetID]verdict{}
 	}
-	s.allowedPart(j.spec.Queue).learn(len(command.Targets), len(answer.Tickets))
 	for _, id := range command.Targets {
+		s.countLapsed(step, step.advice.verdicts[id])
 		step.advice.verdicts[id] = verdict{}
 	}
-	expiresAt := times.Answered + answer.Valid - ticketMargin
 	for _, ticket := range answer.Tickets {
 		step.advice.verdicts[ticket.Target] = verdict{allowed: true, ticket: ticket.Text, expiresAt: expiresAt}
 		step.advice.ticketsUntil = max(step.advice.ticketsUntil, expiresAt)
--- a/core/dispatch/commands.go
+++ b/core/dispatch/commands.go
@@ -40,6 +40,7 @@
 // AdviseCommand has a member request advice.
 type AdviseCommand struct {
 	Member  cyclamendyke.MemberName
+	Call    int64
 	Step    cyclamendyke.StepName
 	Targets []cyclamendyke.TargetID
 	Cost    time.Duration // Expected time that the advice service takes.
--- a/core/dispatch/draining.go
+++ b/core/dispatch/draining.go
@@ -37,7 +37,7 @@
 	if r.step.spec.LongRunning {
 		if !s.mayLeaveSoon(t) && s.bestTarget(r.step, s.candidates(r.step, queue), t.info.ID, nil) == nil {
 			s.projectFree()
-			s.requestMissingTickets(r.step, queue, 1, noFitCache{})
+			s.wantMissingTickets(r.step, queue, 1, noFitCache{})
 			return
 		}
 		s.stop(r, "target is draining")
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -141,6 +141,7 @@
 func (s *Scheduler) stepDone(step *stepRun) {
 	s.active.remove(step)
 	s.dropClaims(step)
+	s.dropTickets(step)
 	step.learnSpeeds()
 	occ, j := step.occ, step.job
 	occ.stepsDone++
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -90,6 +90,7 @@
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
 			s.active.remove(step)
+			s.dropTickets(step)
 			for i := range step.tasks {
 				for _, r := range step.tasks[i].runs {
 					s.stop(r, string(state))
--- a/core/dispatch/loadresult_test.go
+++ b/core/dispatch/loadresult_test.go
@@ -84,8 +84,8 @@
 		window := p.result(func(a *askedWorkflow) bool { return int(a.at/time.Second)/2*2 == second })
 		worst = min(worst, window.worth)
 	}
-	fmt.Fprintf(&out, "worst window %.3f nines %.2f starts %d stops %d advice %d wasted core-seconds %.0f asked core-seconds %.0f violations %d\n", worst,
-		-math.Log10(max(0.001, all.part(all.asked-all.onTime-all.late)))/3, p.starts, p.stops, p.adviceRequests, p.wasted, p.askedCoreSeconds(), len(p.violations))
+	fmt.Fprintf(&out, "worst window %.3f nines %.2f starts %d stops %d advice %d in %.0f s wasted core-seconds %.0f asked core-seconds %.0f violations %d\n", worst,
+		-math.Log10(max(0.001, all.part(all.asked-all.onTime-all.late)))/3, p.starts, p.stops, p.adviceRequests, p.adviceTime.Seconds(), p.wasted, p.askedCoreSeconds(), len(p.violations))
 	return out.String()
 }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,7 +22,7 @@
 		}
 		if step.job.inherited && !s.earlierRunsKnown {
 			step.enterPhase(s.now, phaseTakeover)
-			s.requestInitialAdvice(step, queue)
+			s.wantAdviceInTakeover(step, queue, len(waiting))
 			continue
 		}
 		waiting = s.admitted(step, waiting)
@@ -52,7 +52,7 @@
 			noRoom.add(queue.Service, step.spec.Reserved())
 		}
 		s.makeRoom(step, queue, unplaced, &waitClaims)
-		s.requestMissingTickets(step, queue, unplaced, noProjectedRoom)
+		s.wantMissingTickets(step, queue, unplaced, noProjectedRoom)
 	}
 }
 
--- a/core/dispatch/room_test.go
+++ b/core/dispatch/room_test.go
@@ -15,6 +15,7 @@
 func TestUrgentStepAsksBeforeItPreempts(t *testing.T) {
 	is := is.New(t)
 	sim := urgentAndBatch(t)
+	sim.fleet.Queues[0].Advice.PerTarget = 500 * time.Microsecond // So that naming all targets is not worth it.
 	for i := range 60 {
 		sim.addVM(cyclamendyke.Target{ID: cyclamendyke.TargetID(fmt.Sprint("added-", i)), Service: "s", Capacity: cores(16)})
 	}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/advice"
 )
 
 // Config configures a Scheduler.
@@ -30,9 +32,13 @@
 	targets           map[cyclamendyke.TargetID]*target
 	active            activeSteps
 	unreleased        map[*job]struct{} // Workflows with occurrences that are not due yet.
-	advisers          map[cyclamendyke.MemberName]*adviser
-	adviserNames      []cyclamendyke.MemberName // Sorted.
-	ended             []*job                    // Workflows whose final state is stored, until their runs have ended.
+	planner           *advice.Planner   // Plans the members' requests for advice.
+	adviceWants       []adviceWant      // Of the present pass.
+	foundParts        map[cyclamendyke.QueueName]*float64
+	adviceBacklog     int                                   // Steps that wait for a member to make their request.
+	adviceUses        map[cyclamendyke.QueueName]*AdviceUse // Since the last TakeAdviceUse.
+	adviceCalls       map[int64]AdviseCommand               // Requests for advice in flight, by their numbers.
+	ended             []*job                                // Workflows whose final state is stored, until their runs have ended.
 	endedJobs         map[cyclamendyke.WorkflowID]endedJob
 	forgetAt          time.Duration // When endedJobs is next searched for workflows to forget.
 	dirty             []*job        // Workflows whose progress must be stored.
@@ -65,7 +71,10 @@
 		endedJobs:     map[cyclamendyke.WorkflowID]endedJob{},
 		targets:       map[cyclamendyke.TargetID]*target{},
 		unreleased:    map[*job]struct{}{},
-		advisers:      map[cyclamendyke.MemberName]*adviser{},
+		planner:       advice.NewPlanner(),
+		adviceUses:    map[cyclamendyke.QueueName]*AdviceUse{},
+		foundParts:    map[cyclamendyke.QueueName]*float64{},
+		adviceCalls:   map[int64]AdviseCommand{},
 		allowedParts:  map[cyclamendyke.QueueName]*allowedPart{},
 		knownRecords:  map[cyclamendyke.TargetID]*knownRecord{},
 		forecasts:     map[cyclamendyke.ServiceName]*forecast{},
@@ -90,6 +99,7 @@
 	maxUnlistedUse  cyclamendyke.Resources // Upper bound of what runs of earlier epochs use on targets that have not answered.
 	shareTokens     float64                // Workflows that the team may submit now without exceeding its share.
 	shareRefilledAt time.Duration
+	adviceUse       advice.Load // Time that requests for its steps have taken.
 }
 
 func (s *Scheduler) team(name cyclamendyke.TeamName) *team {
@@ -117,6 +127,7 @@
 		queue := &fleet.Queues[i]
 		s.queues[queue.Name] = queue // A removed queue keeps its last settings for the workflows still in it.
 	}
+	s.planner.SetHasUrgent(slices.ContainsFunc(fleet.Queues, func(q cyclamendyke.Queue) bool { return q.Advice != nil && q.Priority == 0 }))
 	for _, t := range s.teams {
 		t.config = cyclamendyke.TeamConfig{Team: t.config.Team}
 	}
@@ -144,6 +155,7 @@
 // Run makes one scheduling pass and returns the commands to carry out.
 func (s *Scheduler) Run() []Command {
 	s.forgetEnded()
+	s.dropOverdue()
 	s.checkEarlierRuns()
 	s.releaseDue()
 	s.indexUsable()
@@ -151,6 +163,7 @@
 	s.resetRoomIndex()
 	s.updateHeadroom()
 	s.placeAll()
+	s.requestAdvice()
 	s.renewAll()
 	commands := s.commands
 	s.commands = nil
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -16,6 +16,7 @@
 	simPassDelay     = 4 * time.Millisecond   // Between an answer and the pass that follows it.
 	simAnswerTimeout = 600 * time.Millisecond // After which a sender gives up.
 	simStopTime      = 100 * time.Millisecond
+	simAdviceTimeout = 3 * time.Second // After which a member gives up a request for advice.
 )
 
 // simFaults holds the probabilities of the faults that are injected.
@@ -47,6 +48,8 @@
 	starts         int
 	stops          int
 	adviceRequests int
+	adviceTime     time.Duration // Time that the advice service took for all requests.
+	adviceTimeouts int           // Requests that members gave up.
 	violations     []string
 	passes         int
 	passDue        bool          // A pass is scheduled.
@@ -66,6 +69,7 @@
 	members         int                                       // Number of members that request advice.
 	ticketTTL       time.Duration                             // How long tickets are valid.
 	adviceBusyUntil map[cyclamendyke.MemberName]time.Duration // When each member's requests are all answered.
+	silentAdvisers  map[cyclamendyke.MemberName]bool          // Members whose requests are not answered.
 	commitsInFlight int                                       // Batches that are being written to the store.
 	batchEntries    int                                       // Most entries of a batch.
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -35,20 +35,35 @@
 	case PaceCommand:
 		sim.paces[c.Task.Workflow] = c.Percent
 	case AdviseCommand:
-		sim.adviceRequests++
-		sent := sim.now
-		sim.adviceBusyUntil[c.Member] = max(sim.now, sim.adviceBusyUntil[c.Member]) + c.Cost
-		sim.after(sim.adviceBusyUntil[c.Member]-sim.now+2*simLatency, func() {
-			advice := cyclamendyke.Advice{Valid: sim.ticketTTL}
-			ticketText := strconv.FormatInt(int64(sim.now+sim.ticketTTL), 10)
-			for _, id := range c.Targets {
-				if sim.adviceAllows(c.Step, id) {
-					advice.Tickets = append(advice.Tickets, cyclamendyke.Ticket{Target: id, Text: ticketText})
-				}
-			}
-			sim.answer(sched, func() { sched.Advised(c, AdviceTimes{Sent: sent, Answered: sim.now}, advice, true) })
+		sim.advise(sched, c)
+	}
+}
+
+// advise has the advice service answer a request, in turn with the member's others. The service does the work
+// of a request that its member has given up, too.
+func (sim *simulation) advise(sched *Scheduler, c AdviseCommand) {
+	sim.adviceRequests++
+	sim.adviceTime += c.Cost
+	sent := sim.now
+	sim.adviceBusyUntil[c.Member] = max(sim.now, sim.adviceBusyUntil[c.Member]) + c.Cost
+	took := sim.adviceBusyUntil[c.Member] - sim.now + 2*simLatency
+	if took > simAdviceTimeout || sim.silentAdvisers[c.Member] {
+		sim.adviceTimeouts++
+		sim.after(simAdviceTimeout, func() {
+			sim.answer(sched, func() { sched.Advised(c, AdviceTimes{Sent: sent, Answered: sim.now}, cyclamendyke.Advice{}, false) })
 		})
+		return
 	}
+	sim.after(took, func() {
+		advice := cyclamendyke.Advice{Valid: sim.ticketTTL}
+		ticketText := strconv.FormatInt(int64(sim.now+sim.ticketTTL), 10)
+		for _, id := range c.Targets {
+			if sim.adviceAllows(c.Step, id) {
+				advice.Tickets = append(advice.Tickets, cyclamendyke.Ticket{Target: id, Text: ticketText})
+			}
+		}
+		sim.answer(sched, func() { sched.Advised(c, AdviceTimes{Sent: sent, Answered: sim.now}, advice, true) })
+	})
 }
 
 // answer calls handle and schedules a pass if none is, unless another scheduler has replaced sched.
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -36,7 +36,7 @@
 		}
 		t := s.bestTarget(step, s.candidates(step, queue), slow.target.info.ID, nil)
 		if t == nil || t == slow.target {
-			s.requestMissingTickets(step, queue, 1, noFitCache{})
+			s.wantMissingTickets(step, queue, 1, noFitCache{})
 			continue
 		}
 		if s.copyWorthwhile(slow, t) {
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -19,6 +19,7 @@
 	s.reserve(r)
 	queue := step.job.queue(s)
 	ticket, _ := step.ticket(queue, t, s.now)
+	s.useTicket(step, t.info.ID)
 	until := s.newLeaseEnd(t)
 	t.leaseUntil = max(t.leaseUntil, until)
 	step.unplacedReason = ""
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -20,7 +20,7 @@
 	inActiveList   bool          // Present in activeSteps.steps.
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
-	advice         advice
+	advice         stepAdvice
 	rankKey        rankKey
 	haste          float64 // How much it gains by a fast target, from -1 to 1.
 	unplacedReason string  // Last logged reason for not being placed.
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -25,6 +25,7 @@
 	used          cyclamendyke.Resources
 	urgentRuns    int                    // Runs of queues with priority 0.
 	projectedFree cyclamendyke.Resources // Free now or soon, less what earlier steps of this pass have taken.
+	asked         []askedRoom            // Room that requests for advice in flight count on.
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
 
 	renewalInFlight  bool          // A regular renewal is in flight.
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -12,9 +11,6 @@
 // The size of requests for advice.
 const (
 	maxAdviceTargets  = 96  // Most targets in one request.
-	minAdviceTargets  = 8   // Fewest targets in the first request of a step.
-	adviceSurplus     = 8.0 // Expected room on the allowed targets of a first request, relative to what the step needs.
-	candidateSurplus  = 3   // Targets looked at for each one in a first request.
 	allowedPartWeight = 0.1 // Weight of one request in the part of the targets that is expected to be allowed.
 	firstAllowedPart  = 0.4 // Part expected before any answer.
 )
@@ -40,52 +36,24 @@
 	return part
 }
 
-// requestInitialAdvice requests advice for a step that has none yet, on as many targets as its tasks are
-// likely to need.
-func (s *Scheduler) requestInitialAdvice(step *stepRun, queue *cyclamendyke.Queue) {
-	if step.advice.requestInFlight || s.now < step.advice.retryAt || len(step.advice.verdicts) > 0 || s.freeAdviser(queue.Priority == 0) == "" {
-		return
+// wantInitialAdvice wants advice for a step that has none yet and of which some tasks wait.
+func (s *Scheduler) wantInitialAdvice(step *stepRun, queue *cyclamendyke.Queue, waiting int) {
+	if queue.Advice != nil && len(step.advice.verdicts) == 0 {
+		s.wantAdvice(adviceWant{step: step, queue: queue, waiting: waiting})
 	}
-	s.requestAdvice(step, s.adviceTargets(step, queue))
 }
 
-// adviceTargets returns the targets of a step's first request: those with the most room or, among the
-// first ones, those whose speed suits the step.
-func (s *Scheduler) adviceTargets(step *stepRun, queue *cyclamendyke.Queue) []cyclamendyke.TargetID {
-	var candidates []*target
-	for _, indexed := range s.targetsByRoom(queue.Service) {
-		if len(candidates) == candidateSurplus*maxAdviceTargets {
-			break
-		}
-		if s.eligible(step, queue, indexed.target) {
-			candidates = append(candidates, indexed.target)
-		}
+// wantAdviceInTakeover wants advice for a step that waits until the runs of earlier epochs are known, if that
+// takes a short time only for certain or the step is urgent: otherwise its tickets would lapse.
+func (s *Scheduler) wantAdviceInTakeover(step *stepRun, queue *cyclamendyke.Queue, waiting int) {
+	if queue.Priority == 0 || queue.Advice != nil && s.now+adviceLead(queue) >= s.cfg.EarlierRunsEndBy {
+		s.wantInitialAdvice(step, queue, waiting)
 	}
-	need := step.spec.Reserved()
-	preference := func(t *target) float64 {
-		room := float64(t.projectedFree.Cores) / float64(max(1, t.info.Capacity.Cores))
-		if need.FitsIn(t.projectedFree) {
-			room++
-		}
-		return speedWeight*step.haste*t.speed.slowness - room
-	}
-	slices.SortStableFunc(candidates, func(a, b *target) int { return cmp.Compare(preference(a), preference(b)) })
-	return targetIDs(candidates, s.adviceCount(step, queue, candidates))
 }
 
-// adviceCount returns on how many of the candidates, in their order, a step requests advice.
-func (s *Scheduler) adviceCount(step *stepRun, queue *cyclamendyke.Queue, candidates []*target) int {
-	part := float64(*s.allowedPart(queue.Name))
-	wanted := adviceSurplus * float64(len(step.tasks)-step.tasksDone)
-	expected, count := 0.0, 0
-	for _, t := range candidates {
-		if count >= maxAdviceTargets || count >= minAdviceTargets && expected >= wanted {
-			break
-		}
-		count++
-		expected += part * math.Max(0.5, step.fitsIn(t.projectedFree))
-	}
-	return count
+// adviceLead returns how long before a step's expected start advice for it is asked.
+func adviceLead(queue *cyclamendyke.Queue) time.Duration {
+	return queue.Advice.Base + maxAdviceTargets*queue.Advice.PerTarget + prefetchMargin
 }
 
 // fitsIn returns how many of the step's tasks fit in free, by cores and memory.
@@ -107,43 +75,23 @@
 	return max(0, fits)
 }
 
-func targetIDs(targets []*target, limit int) []cyclamendyke.TargetID {
-	ids := make([]cyclamendyke.TargetID, 0, min(limit, len(targets)))
-	for _, t := range targets[:min(limit, len(targets))] {
-		ids = append(ids, t.info.ID)
-	}
-	return ids
-}
-
-// requestMissingTickets requests tickets for a step's waiting tasks on targets that are expected to
+// wantMissingTickets wants tickets for a step's waiting tasks on targets that are expected to
 // have room left after the steps of higher rank.
 //
 // A request for advice takes far longer than a start, so under a backlog the requests of steps
 // without room would delay those of steps that can start. The exception is a step without verdicts
 // that is urgent or may preempt: it makes a request even if it finds no room.
-func (s *Scheduler) requestMissingTickets(step *stepRun, queue *cyclamendyke.Queue, waiting int, noProjectedRoom noFitCache) {
+func (s *Scheduler) wantMissingTickets(step *stepRun, queue *cyclamendyke.Queue, waiting int, noProjectedRoom noFitCache) {
 	if queue.Advice == nil || len(step.claims) == 0 && noProjectedRoom.has(queue.Service, step.spec.Reserved()) && !s.mayPreempt(step, queue) {
 		return
 	}
 	targets := s.allocateProjected(step, queue, waiting, noProjectedRoom)
-	if step.advice.requestInFlight || s.now < step.advice.retryAt || s.freeAdviser(queue.Priority == 0) == "" {
-		return
-	}
-	if len(step.advice.verdicts) == 0 && (queue.Priority == 0 || (len(targets) > 0 || s.mayPreempt(step, queue)) && s.hasIdleAdviser()) {
-		s.requestInitialAdvice(step, queue)
-		return
-	}
-	s.requestAdvice(step, targets)
-}
-
-// hasIdleAdviser reports whether some member has no request in flight.
-func (s *Scheduler) hasIdleAdviser() bool {
-	for _, a := range s.advisers {
-		if a.requestsInFlight == 0 {
-			return true
-		}
+	switch {
+	case len(targets) > 0:
+		s.wantAdvice(adviceWant{step: step, queue: queue, waiting: waiting, targets: targets})
+	case queue.Priority == 0 || s.mayPreempt(step, queue):
+		s.wantInitialAdvice(step, queue, waiting)
 	}
-	return false
 }
 
 // prefetchAdvice requests advice for the steps after the given one, if all its remaining tasks are
@@ -156,13 +104,12 @@
 	if queue == nil || queue.Advice == nil {
 		return
 	}
-	leadTime := queue.Advice.Base + maxAdviceTargets*queue.Advice.PerTarget + prefetchMargin
-	if step.remaining(s.now) > leadTime {
+	if step.remaining(s.now) > adviceLead(queue) {
 		return
 	}
 	for _, next := range step.occ.steps {
 		if !next.released && slices.Contains(next.spec.After, step.index) {
-			s.requestInitialAdvice(next, queue)
+			s.wantInitialAdvice(next, queue, len(next.tasks))
 		}
 	}
 }
