Count what advice takes and what it is good for

Cause: whether the members' time for advice is used up, by which queue, and how much of it is wasted could be seen from no metric.

Change: counters by queue of the service's time, targets by verdict, tickets used and lapsed and failed requests, and a gauge of the steps that wait for a member.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,11 @@
 package node
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cyclamendyke"
+	"cyclamendyke/core/dispatch"
+)
 
 // Metrics holds a node's Prometheus metrics.
 type Metrics struct {
@@ -16,6 +21,16 @@
 	PassSeconds prometheus.Histogram
 	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
 	UnstoredEnds prometheus.Gauge
+	// AdviceSeconds is the time that the advice service takes for this scheduler's requests, by queue.
+	AdviceSeconds *prometheus.CounterVec
+	// AdviceTargets counts the targets named in answered requests, by queue and verdict.
+	AdviceTargets *prometheus.CounterVec
+	// AdviceTickets counts tickets that were used or lapsed, by queue.
+	AdviceTickets *prometheus.CounterVec
+	// AdviceFailures counts requests that failed or were overdue, by queue.
+	AdviceFailures *prometheus.CounterVec
+	// AdviceBacklog is the number of steps that wait for a member to make their request.
+	AdviceBacklog prometheus.Gauge
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -52,7 +67,37 @@
 		UnstoredEnds: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_unstored_ends", Help: "Ends of runs that this scheduler knows and has not stored yet.",
 		}),
+		AdviceSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_seconds_total", Help: "Time that the advice service takes for requests, by queue.",
+		}, []string{"queue"}),
+		AdviceTargets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_targets_total", Help: "Targets named in answered requests for advice, by queue and verdict.",
+		}, []string{"queue", "verdict"}),
+		AdviceTickets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_tickets_total", Help: "Tickets with which a task was started, or none, by queue.",
+		}, []string{"queue", "outcome"}),
+		AdviceFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_failures_total", Help: "Requests for advice that failed or were overdue, by queue.",
+		}, []string{"queue"}),
+		AdviceBacklog: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_advice_backlog", Help: "Steps that wait for a member to make their request for advice.",
+		}),
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds)
+	registry.MustRegister(m.AdviceSeconds, m.AdviceTargets, m.AdviceTickets, m.AdviceFailures, m.AdviceBacklog)
 	return m
 }
+
+// countAdvice adds the use of advice since the last call, and sets the number of steps that wait for a member.
+func (m *Metrics) countAdvice(uses map[cyclamendyke.QueueName]*dispatch.AdviceUse, backlog int) {
+	m.AdviceBacklog.Set(float64(backlog))
+	for name, use := range uses {
+		queue := string(name)
+		m.AdviceSeconds.WithLabelValues(queue).Add(use.Time.Seconds())
+		m.AdviceTargets.WithLabelValues(queue, "allowed").Add(float64(use.Named - use.Disallowed))
+		m.AdviceTargets.WithLabelValues(queue, "not allowed").Add(float64(use.Disallowed))
+		m.AdviceTickets.WithLabelValues(queue, "used").Add(float64(use.Used))
+		m.AdviceTickets.WithLabelValues(queue, "lapsed").Add(float64(use.Lapsed))
+		m.AdviceFailures.WithLabelValues(queue).Add(float64(use.Failed))
+	}
+}
--- a/node/term.go
+++ b/node/term.go
@@ -101,6 +101,7 @@
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
 	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
+	defer t.node.cfg.Metrics.AdviceBacklog.Set(0)
 	for {
 		select {
 		case change := <-t.inbox:
@@ -116,6 +117,7 @@
 			t.lastPassDuration = bootTime() - start
 			t.node.cfg.Metrics.PassSeconds.Observe(t.lastPassDuration.Seconds())
 			t.node.cfg.Metrics.UnstoredEnds.Set(float64(t.sched.UnstoredEnds()))
+			t.node.cfg.Metrics.countAdvice(t.sched.TakeAdviceUse(), t.sched.AdviceBacklog())
 		}
 	}
 }
