Let gangs without room leave the members' time to others

Cause: a gang of which only a part has room asked for tickets again each time that they lapsed.

Change: a gang that knows verdicts and is not expected to have room for all members while the tickets are valid (claimed, free, or given up by less urgent runs) asks after all other steps, if members are left.

--- a/core/dispatch/adviceplan_test.go
+++ b/core/dispatch/adviceplan_test.go
@@ -95,6 +95,29 @@
 	is.Equal(len(sim.violations), 0)
 }
 
+// TestGangWithoutRoomLeavesAdviceToOthers lets a gang wait of which only a part has room; its tickets would
+// lapse until the room of the whole gang is near.
+func TestGangWithoutRoomLeavesAdviceToOthers(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 4)
+	sim.fleet.Teams = nil
+	sim.fleet.Queues[0].Priority = 1
+	sim.fleet.Queues[0].Advice.Base = 200 * time.Millisecond
+	sim.elect()
+	sim.submit(workflow("long", cyclamendyke.Step{Count: 3, Need: cores(16), Estimate: 12 * time.Second}))
+	sim.run(time.Second)
+	sim.submit(workflow("gang", cyclamendyke.Step{Count: 2, Gang: true, Need: cores(14), Estimate: time.Second}))
+	sim.run(time.Second)
+	want := adviceWant{step: sim.sched.adviceStep(cyclamendyke.StepName{Workflow: "gang"}), queue: &sim.fleet.Queues[0], waiting: 2}
+	is.True(len(want.step.advice.verdicts) > 0)
+	is.True(sim.sched.lapses(want))
+	sim.run(8500 * time.Millisecond) // The other steps end 0.2 s to 1.5 s from now.
+	is.True(!sim.sched.lapses(want))
+	sim.run(4 * time.Second)
+	is.Equal(sim.status("gang"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
+
 // TestUseOfAdviceIsCounted runs a step on targets of which advice allows a part.
 func TestUseOfAdviceIsCounted(t *testing.T) {
 	is := is.New(t)
--- a/core/dispatch/advicerequests.go
+++ b/core/dispatch/advicerequests.go
@@ -37,16 +37,27 @@
 	s.adviceWants = nil
 	s.adviceBacklog = len(wants)
 	s.planner.SetUrgentWaiting(false)
+	var later []adviceWant
 	for _, i := range s.planner.Order(s.describeWants(wants)) {
 		w := wants[i]
 		urgent := w.queue.Priority == 0
 		switch {
-		case s.planner.CanTake(urgent):
+		case s.planner.CanTake(urgent) && !s.lapses(w):
 			s.sendRequest(w, urgent)
+		case s.planner.CanTake(urgent):
+			later = append(later, w)
 		case urgent:
 			s.planner.SetUrgentWaiting(true)
 		}
 	}
+	for _, w := range later { // They cost nothing while members are idle.
+		s.sendRequest(w, w.queue.Priority == 0)
+	}
+}
+
+// lapses reports whether tickets of a request made now would lapse, as far as is known.
+func (s *Scheduler) lapses(w adviceWant) bool {
+	return w.step.spec.Gang && len(w.step.advice.verdicts) > 0 && !s.gangMayStart(w)
 }
 
 // describeWants describes wants for the planner.
@@ -63,6 +74,9 @@
 
 // sendRequest has a member request advice for a step.
 func (s *Scheduler) sendRequest(w adviceWant, urgent bool) {
+	if !s.planner.CanTake(urgent) {
+		return
+	}
 	request := s.planRequest(w)
 	if len(request.targets) == 0 {
 		return
--- a/core/dispatch/advicetargets.go
+++ b/core/dispatch/advicetargets.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// maxAdviceOptions is the number of options from which the best are named.
+const maxAdviceOptions = 3 * maxAdviceTargets
+
 // adviceOption is a target that a request may name.
 type adviceOption struct {
 	id    cyclamendyke.TargetID
@@ -105,18 +108,31 @@
 	order float64
 }
 
-// adviceOptions returns the targets about which advice may be asked besides those of the want, the best first.
+// adviceOptions returns the targets about which advice may be asked besides those of the want, the best first:
+// those that are allowed, and of the others those with the most room.
 func (s *Scheduler) adviceOptions(w adviceWant, answerAt time.Duration) []adviceOption {
 	var options []adviceOption
-	for _, t := range s.usableByService[w.queue.Service] {
-		v, hasVerdict := w.step.advice.verdicts[t.info.ID]
-		if hasVerdict && !v.allowed || v.expiresAt > answerAt || !s.eligible(w.step, w.queue, t) || slices.Contains(w.targets, t.info.ID) {
-			continue
+	add := func(t *target) {
+		if !s.eligible(w.step, w.queue, t) || slices.Contains(w.targets, t.info.ID) {
+			return
 		}
 		if value := s.adviceValue(w, t, answerAt); value > 0 {
 			options = append(options, adviceOption{t.info.ID, value, value * math.Exp(-speedWeight*w.step.haste*t.speed.slowness)})
 		}
 	}
+	for id, v := range w.step.advice.verdicts {
+		if t := s.targets[id]; v.allowed && v.expiresAt <= answerAt && t != nil && s.usable(t) {
+			add(t)
+		}
+	}
+	for _, indexed := range s.targetsByRoom(w.queue.Service) {
+		if _, hasVerdict := w.step.advice.verdicts[indexed.target.info.ID]; hasVerdict {
+			continue
+		}
+		if add(indexed.target); len(options) >= maxAdviceOptions {
+			break
+		}
+	}
 	slices.SortFunc(options, func(a, b adviceOption) int {
 		return cmp.Or(cmp.Compare(b.order, a.order), cmp.Compare(a.id, b.id))
 	})
@@ -151,3 +167,49 @@
 	}
 	return free
 }
+
+// gangMayStart reports whether all members of a gang are expected to have room while tickets of a request made
+// now are valid: on room that it claims, that no other step claims, or that less urgent runs would give up.
+// Other tickets would lapse.
+func (s *Scheduler) gangMayStart(w adviceWant) bool {
+	validFrom := s.now + w.queue.Advice.Base
+	if len(w.step.claims) == w.waiting && w.step.claimedFrom < validFrom+w.queue.Advice.ValidFor {
+		return true
+	}
+	expected := 0.0
+	for _, t := range s.usableByService[w.queue.Service] {
+		v, hasVerdict := w.step.advice.verdicts[t.info.ID]
+		if hasVerdict && !v.allowed || !s.eligible(w.step, w.queue, t) {
+			continue
+		}
+		chance := 1.0
+		if !v.allowed {
+			chance = float64(*s.allowedPart(w.queue.Name))
+		}
+		expected += chance * min(w.step.fitsIn(s.freeWithPreemption(w, t, validFrom)), float64(w.waiting))
+		if expected >= float64(w.waiting) {
+			return true
+		}
+	}
+	return false
+}
+
+// freeWithPreemption returns what a step may use on a target at a given time: what is free, unless another step
+// claims it, and what less urgent runs would give up.
+func (s *Scheduler) freeWithPreemption(w adviceWant, t *target, at time.Duration) cyclamendyke.Resources {
+	free := s.freeBy(t, at)
+	for _, c := range t.claims {
+		if c.step != w.step {
+			free = free.Sub(c.need)
+		}
+	}
+	if !s.mayPreempt(w.step, w.queue) {
+		return free
+	}
+	for _, r := range t.runs {
+		if s.now+r.remaining(s.now) > at && s.preemptible(r, w.queue) {
+			free = free.Add(r.step.spec.Reserved())
+		}
+	}
+	return free
+}
