--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cyclamendyke"
+	"cyclamendyke/core/dispatch"
 	"cyclamendyke/core/storepath"
 )
 
@@ -34,6 +36,16 @@
 	EvacuatedZones *prometheus.GaugeVec
 	// StartsHeldBack counts the starts that were not sent at the last moment, by reason.
 	StartsHeldBack *prometheus.CounterVec
+	// AdviceSeconds is the time that the advice service takes for this scheduler's requests, by queue.
+	AdviceSeconds *prometheus.CounterVec
+	// AdviceTargets counts the targets named in answered requests, by queue and verdict.
+	AdviceTargets *prometheus.CounterVec
+	// AdviceTickets counts tickets that were used or lapsed, by queue.
+	AdviceTickets *prometheus.CounterVec
+	// AdviceFailures counts requests that failed or were overdue, by queue.
+	AdviceFailures *prometheus.CounterVec
+	// AdviceBacklog is the number of steps that wait for a member to make their request.
+	AdviceBacklog prometheus.Gauge
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -91,9 +103,25 @@
 		StartsHeldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cyclamendyke_fleet_held_starts_total", Help: "Starts that this process did not send at the last moment, by reason.",
 		}, []string{"reason"}),
+		AdviceSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_seconds_total", Help: "Time that the advice service takes for requests, by queue.",
+		}, []string{"queue"}),
+		AdviceTargets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_targets_total", Help: "Targets named in answered requests for advice, by queue and verdict.",
+		}, []string{"queue", "verdict"}),
+		AdviceTickets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_tickets_total", Help: "Tickets with which a task was started, or none, by queue.",
+		}, []string{"queue", "outcome"}),
+		AdviceFailures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_advice_failures_total", Help: "Requests for advice that failed or were overdue, by queue.",
+		}, []string{"queue"}),
+		AdviceBacklog: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_advice_backlog", Help: "Steps that wait for a member to make their request for advice.",
+		}),
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes,
 		m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+	registry.MustRegister(m.AdviceSeconds, m.AdviceTargets, m.AdviceTickets, m.AdviceFailures, m.AdviceBacklog)
 	m.setStorePathState(storepath.Good)
 	return m
 }
@@ -111,3 +139,17 @@
 		m.StorePathState.WithLabelValues(string(state)).Set(value)
 	}
 }
+
+// countAdvice adds the use of advice since the last call, and sets the number of steps that wait for a member.
+func (m *Metrics) countAdvice(uses map[cyclamendyke.QueueName]*dispatch.AdviceUse, backlog int) {
+	m.AdviceBacklog.Set(float64(backlog))
+	for name, use := range uses {
+		queue := string(name)
+		m.AdviceSeconds.WithLabelValues(queue).Add(use.Time.Seconds())
+		m.AdviceTargets.WithLabelValues(queue, "allowed").Add(float64(use.Named - use.Disallowed))
+		m.AdviceTargets.WithLabelValues(queue, "not allowed").Add(float64(use.Disallowed))
+		m.AdviceTickets.WithLabelValues(queue, "used").Add(float64(use.Used))
+		m.AdviceTickets.WithLabelValues(queue, "lapsed").Add(float64(use.Lapsed))
+		m.AdviceFailures.WithLabelValues(queue).Add(float64(use.Failed))
+	}
+}
