Do not try a write elsewhere that the store does not take

An answer that the write is invalid, too large or in conflict holds for every path; the member that gave it is not to be avoided for it. storeDown says again whether the own path is broken.

--- a/core/storepath/members.go
+++ b/core/storepath/members.go
@@ -90,7 +90,7 @@
 	case Answered:
 		h.storedAt, h.isUnreachable = now, false
 		p.noMemberUntil = 0
-	case Abandoned:
+	case Abandoned, Rejected:
 	default:
 		h.failedAt, h.isUnreachable = now, outcome != Refused
 	}
--- a/core/storepath/outcome.go
+++ b/core/storepath/outcome.go
@@ -9,6 +9,7 @@
 	Refused                    // The call had no effect.
 	Unreachable                // The call was not sent, since there was no connection; it had no effect.
 	Unknown                    // The call may take effect.
+	Rejected                   // The path works, but the store does not take this write by any path; it had no effect.
 	Abandoned                  // The caller gave up, which says nothing about the path; the call may take effect.
 )
 
--- a/core/storepath/storepath_test.go
+++ b/core/storepath/storepath_test.go
@@ -84,6 +84,19 @@
 	is.Equal(p.NewWrite("w", testDeadline, nil).Next(doubtFor+time.Second).Kind, StepRefused)
 }
 
+// TestRejectedWriteIsNotTriedElsewhere checks that a write that the store does not take is refused without asking
+// another member, and says nothing against the member that tried.
+func TestRejectedWriteIsNotTriedElsewhere(t *testing.T) {
+	is, p := is.New(t), newTestPaths()
+	breakOwn(p)
+	w := p.NewWrite("w", testDeadline, testMembers)
+	step := w.Next(3)
+	is.True(w.Proceed(step.Attempt))
+	w.Ended(4, step.Attempt, Rejected)
+	is.Equal(w.Next(5).Reason, ReasonRejected)
+	is.Equal(p.NewWrite("v", testDeadline, testMembers).Next(6).Member, step.Member)
+}
+
 // TestAttemptWithoutWriteIsRefused checks that an attempt that only checked its path leaves nothing unknown and
 // does not write after the caller has been answered.
 func TestAttemptWithoutWriteIsRefused(t *testing.T) {
--- a/core/storepath/write.go
+++ b/core/storepath/write.go
@@ -28,6 +28,7 @@
 	ReasonNoPath   Reason = "no-path"  // The own path is broken and no member was worth asking.
 	ReasonMembers  Reason = "members"  // No member that was asked stored it.
 	ReasonStore    Reason = "store"    // The store refused it, and there is no other member.
+	ReasonRejected Reason = "rejected" // The store does not take this write.
 	ReasonDeadline Reason = "deadline" // The caller's deadline passed.
 )
 
@@ -62,6 +63,8 @@
 	asked    []Member
 	isStored bool
 	isOver   bool // The caller has been answered.
+
+	isRejected bool // The store does not take it by any path.
 }
 
 // NewWrite returns the write of a workflow whose caller must be answered by the deadline.
@@ -77,6 +80,9 @@
 		w.isOver = true
 		return Step{Kind: StepStored}
 	}
+	if w.isRejected {
+		return w.giveUp(now, ReasonRejected)
+	}
 	if now >= w.deadline {
 		return w.giveUp(now, ReasonDeadline)
 	}
@@ -127,6 +133,7 @@
 			w.paths.memberLatency.observe(now - a.sent)
 		}
 	}
+	w.isRejected = w.isRejected || outcome == Rejected
 	if outcome == Answered {
 		w.isStored = true
 		w.paths.doubts.settle(w.id)
@@ -211,7 +218,7 @@
 
 // giveUp ends a write that no attempt has stored.
 func (w *Write) giveUp(now time.Duration, reason Reason) Step {
-	if len(w.asked) > 0 && !w.paths.hasStoringMember(now) {
+	if len(w.asked) > 0 && !w.isRejected && !w.paths.hasStoringMember(now) {
 		w.paths.noMemberUntil = max(w.paths.noMemberUntil, now+w.paths.spread(noMemberFor))
 	}
 	w.isOver = true
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"cyclamendyke"
-	"cyclamendyke/core/storepath"
 )
 
 // Cancel ends a workflow and answers once the cancellation is stored.
@@ -55,7 +54,7 @@
 
 // storeCancellation stores the cancellation of a workflow, unless it has ended.
 func (n *Node) storeCancellation(ctx context.Context, id cyclamendyke.WorkflowID) error {
-	if n.storePaths.ownState() == storepath.Broken {
+	if n.storeDown() {
 		return NewError("cancel", cyclamendyke.KindUnavailable, errOwnPathDown)
 	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
--- a/node/query.go
+++ b/node/query.go
@@ -6,7 +6,6 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
-	"cyclamendyke/core/storepath"
 	"cyclamendyke/io/member"
 )
 
@@ -55,7 +54,7 @@
 
 // storedStatus reads a workflow's state from the store.
 func (n *Node) storedStatus(ctx context.Context, id cyclamendyke.WorkflowID) (member.WorkflowStatus, error) {
-	if n.storePaths.ownState() == storepath.Broken {
+	if n.storeDown() {
 		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindUnavailable, errOwnPathDown)
 	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
--- a/node/storepath.go
+++ b/node/storepath.go
@@ -120,5 +120,9 @@
 	case errors.As(err, &connection):
 		return storepath.Unreachable
 	}
+	switch cyclamendyke.KindOf(err) {
+	case cyclamendyke.KindInvalid, cyclamendyke.KindTooLarge, cyclamendyke.KindConflict:
+		return storepath.Rejected
+	}
 	return storepath.Refused
 }
--- a/node/storewrite.go
+++ b/node/storewrite.go
@@ -103,6 +103,11 @@
 	})
 }
 
+// storeDown reports whether this VM's own path to the store is known to be broken.
+func (n *Node) storeDown() bool {
+	return n.storePaths.ownState() == storepath.Broken
+}
+
 // proceed reports whether an attempt whose path works may send the write.
 func (n *Node) proceed(w *storepath.Write, step storepath.Step) (proceed bool) {
 	n.storePaths.update(func(time.Duration, *storepath.Paths) { proceed = w.Proceed(step.Attempt) })
