Let a new epoch begin with the final list of the last one

Cause: a target that vanishes while the scheduler cannot store has runs that the store does not name. The successor cannot know them, so all work of before waits for the longest lease and the old one's grace, and again at each takeover before that is over.

Change: Scheduler.FinalList says of each target whether its runs are all listed, and how long leases granted there last; AddFinalList applies it, in the form of the list of runs. Then only listed tasks wait for a silent target, until its own lease is over. The end of earlier leases is kept for each target.

Tests: the simulation's elections ask the last scheduler, or not, as it is drawn; a last scheduler that is asked late goes on without the store until then.

--- a/core/dispatch/cancellation_test.go
+++ b/core/dispatch/cancellation_test.go
@@ -25,6 +25,7 @@
 				sim.submit(workflow(fmt.Sprint("gang-", i), cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: 3 * time.Second, Gang: true}))
 			}
 			sim.cancelOne(fmt.Sprint([]string{"job-", "gang-"}[i%2], rapid.IntRange(0, i).Draw(rt, "cancelled")))
+			sim.drawAsking(rt)
 			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
 			sim.run(time.Duration(rapid.IntRange(300, 1500).Draw(rt, "pause")) * time.Millisecond)
 		}
@@ -39,6 +40,13 @@
 	})
 }
 
+// drawAsking draws whether the schedulers elected from now on ask the last one, and how long that takes.
+func (sim *simulation) drawAsking(rt *rapid.T) {
+	delay := rapid.IntRange(-1, 2).Draw(rt, "delay of the final list")
+	sim.asksLast = delay >= 0
+	sim.askDelay = time.Duration(max(0, delay)) * time.Second
+}
+
 // cancelOne cancels a workflow, unless it was not submitted or the store is away.
 func (sim *simulation) cancelOne(id string) {
 	if _, isKnown := sim.workflows[cyclamendyke.WorkflowID(id)]; isKnown && !sim.storeAway() {
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -95,9 +95,26 @@
 // back. Only those tasks wait for it.
 func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
 	if t.presumedGone() || !s.mayHoldDoneTasks(t) {
-		return s.cfg.EarlierRunsEndBy
+		return s.earlierLeaseEnd(t)
 	}
-	return s.cfg.EarlierRunsEndBy + s.cfg.Bounds.MaxLease
+	return s.earlierLeaseEnd(t) + s.cfg.Bounds.MaxLease
+}
+
+// earlierLeaseEnd returns when all leases that earlier epochs granted on a target are over.
+func (s *Scheduler) earlierLeaseEnd(t *target) time.Duration {
+	if t.earlierLeaseEnd != 0 {
+		return t.earlierLeaseEnd
+	}
+	return s.cfg.EarlierRunsEndBy
+}
+
+// isEarlierLeaseOver reports whether nothing that an earlier epoch started still runs on a target that has
+// not answered.
+func (s *Scheduler) isEarlierLeaseOver(t *target) bool {
+	if t.earlierLeaseEnd == 0 {
+		return s.earlierLeasesOver
+	}
+	return t.earlierLeaseOver || !s.successorPossible && s.now >= t.earlierLeaseEnd
 }
 
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -11,16 +11,21 @@
 )
 
 // runList is what is stored of all runs, so that the next epoch knows what may run or be done on targets
-// that do not answer it.
+// that do not answer it. A scheduler whose term has ended gives the next one its final list directly.
 type runList struct {
 	WrittenAt time.Time       `json:"written"`
 	Targets   []runListTarget `json:"targets"`
 	Steps     []runListStep   `json:"steps"`
+
+	// Only in a final list:
+	Epoch           uint64 `json:"epoch,omitempty"`
+	LeaseLeftMillis int64  `json:"lease-left-ms,omitempty"` // How long leases of earlier epochs can last on targets without an answer.
 }
 
 type runListTarget struct {
 	ID            cyclamendyke.TargetID `json:"id"`
 	StartedMillis int64                 `json:"born-ms"`
+	Final         *finalTarget          `json:"final,omitempty"` // Only in a final list.
 }
 
 // runListStep holds the runs of one step, with what they count against, as the workflow may have ended.
@@ -108,7 +113,31 @@
 		return nil, err
 	}
 	list := &runList{}
-	return list, json.NewDecoder(compressed).Decode(list)
+	if err := json.NewDecoder(compressed).Decode(list); err != nil {
+		return nil, err
+	}
+	for _, step := range list.Steps {
+		for _, r := range step.Runs {
+			if r.Target < 0 || r.Target >= len(list.Targets) {
+				return nil, NewError("decode", cyclamendyke.KindInvalid, nil)
+			}
+		}
+	}
+	return list, nil
+}
+
+// each passes the runs to visit; writtenAt is the earliest time at which the list may have been written.
+func (l *runList) each(writtenAt time.Duration, visit func(runListTarget, earlierRun)) {
+	for _, step := range l.Steps {
+		for _, r := range step.Runs {
+			name := cyclamendyke.TaskName{Workflow: step.Workflow, Occurrence: step.Occurrence, Step: step.Step, Index: r.Task}
+			earlier := earlierRun{task: name, team: step.Team, need: step.Need, ended: r.Ended}
+			if r.WorkMillis > 0 {
+				earlier.worksUntil = writtenAt + time.Duration(r.WorkMillis)*time.Millisecond
+			}
+			visit(l.Targets[r.Target], earlier)
+		}
+	}
 }
 
 // runListBuilder gathers runs by step.
@@ -122,7 +151,7 @@
 	b := runListBuilder{now: s.now, steps: map[cyclamendyke.StepName]int{}}
 	b.list.WrittenAt = s.wall
 	for id, t := range s.targets {
-		b.list.Targets = append(b.list.Targets, runListTarget{id, t.info.StartedMillis})
+		b.list.Targets = append(b.list.Targets, runListTarget{ID: id, StartedMillis: t.info.StartedMillis})
 		for _, r := range t.runs {
 			b.add(r.describe())
 		}
@@ -172,27 +201,24 @@
 		return NewError("run list", cyclamendyke.KindInvalid, err)
 	}
 	writtenAt := s.now - max(0, s.wall.Sub(list.WrittenAt)) - wallMargin
-	for _, step := range list.Steps {
-		for _, r := range step.Runs {
-			if r.Target < 0 || r.Target >= len(list.Targets) {
-				return NewError("run list", cyclamendyke.KindInvalid, nil)
-			}
-			name := cyclamendyke.TaskName{Workflow: step.Workflow, Occurrence: step.Occurrence, Step: step.Step, Index: r.Task}
-			earlier := earlierRun{task: name, team: step.Team, need: step.Need, ended: r.Ended}
-			if r.WorkMillis > 0 {
-				earlier.worksUntil = writtenAt + time.Duration(r.WorkMillis)*time.Millisecond
-			}
-			s.addEarlierRun(list.Targets[r.Target], earlier)
-		}
-	}
+	list.each(writtenAt, s.addEarlierRun)
 	return nil
 }
 
+// sameTarget returns the target that a list names, or nil if it has gone or restarted since.
+func (s *Scheduler) sameTarget(on runListTarget) *target {
+	t := s.targets[on.ID]
+	if t == nil || on.StartedMillis < t.info.StartedMillis {
+		return nil
+	}
+	return t
+}
+
 // addEarlierRun adds a stored run, unless its target has gone or restarted since, or is closed and its
 // record names all tasks and not this one.
 func (s *Scheduler) addEarlierRun(on runListTarget, r earlierRun) {
-	t := s.targets[on.ID]
-	if t == nil || on.StartedMillis < t.info.StartedMillis {
+	t := s.sameTarget(on)
+	if t == nil {
 		return
 	}
 	if !t.unlistedTasksComplete {
@@ -224,15 +250,16 @@
 
 // lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends. Then all runs
 // on that target are known to have lapsed, and ends before that count for nothing.
-func (s *Scheduler) lapsesOnTarget(r earlierRun) bool {
+func (s *Scheduler) lapsesOnTarget(t *target, r earlierRun) bool {
 	step := s.findStep(r.task)
 	if r.worksUntil == 0 || step == nil {
 		return false
 	}
-	return (step.spec.LongRunning || r.worksUntil > s.cfg.EarlierRunsEndBy) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
+	return (step.spec.LongRunning || r.worksUntil > s.earlierLeaseEnd(t)) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
 }
 
 // mayHoldDoneTasks reports whether an end that only a target knows may still count.
 func (s *Scheduler) mayHoldDoneTasks(t *target) bool {
-	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) && !slices.ContainsFunc(t.earlierRuns, s.lapsesOnTarget)
+	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) &&
+		!slices.ContainsFunc(t.earlierRuns, func(r earlierRun) bool { return s.lapsesOnTarget(t, r) })
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -50,7 +50,7 @@
 	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
 	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
 	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
-	earlierLeasesOver bool                           // Nothing that an earlier epoch started still runs on a target that has not answered.
+	earlierLeasesOver bool                           // EarlierRunsEndBy has come while no successor was possible.
 	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
 	runListDirty      bool                           // Runs have begun since the list of runs was last taken to be stored.
 	runListStale      bool                           // Runs that it names have ended; that alone is no reason to store it.
@@ -178,13 +178,14 @@
 	var unlistedCapacity cyclamendyke.Resources
 	s.unlistedTasks = map[cyclamendyke.TaskName]bool{}
 	for _, t := range s.targets {
+		t.earlierLeaseOver = s.isEarlierLeaseOver(t)
 		switch {
 		case !s.mayHaveUnlistedRuns(t):
 			if t.expired || len(t.orphans) == 0 {
 				t.earlierRuns = nil
 			}
 			s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
-		case t.unlistedTasksComplete || s.earlierLeasesOver:
+		case t.unlistedTasksComplete || t.earlierLeaseOver:
 			silentTargets++
 			s.addUnlistedTasks(t)
 		default:
@@ -205,7 +206,7 @@
 // addUnlistedTasks adds the tasks that wait for a target to answer.
 func (s *Scheduler) addUnlistedTasks(t *target) {
 	for _, r := range t.earlierRuns {
-		if !s.earlierLeasesOver || s.mayBeDone(r) {
+		if !t.earlierLeaseOver || s.mayBeDone(r) {
 			s.unlistedTasks[r.task] = true
 		}
 	}
@@ -244,7 +245,7 @@
 		return false
 	case t.listed:
 		return t.hasOrphan(r.task)
-	case !s.mayHaveUnlistedRuns(t) || s.earlierLeasesOver:
+	case !s.mayHaveUnlistedRuns(t) || t.earlierLeaseOver:
 		return false
 	case t.unlistedTasksComplete:
 		return true
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -72,6 +72,10 @@
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
 	storedRuns      []byte                                                  // The list of runs.
+	asksLast        bool                                                    // A new epoch asks the last scheduler for its final list.
+	grace           time.Duration                                           // The longest askDelay of those that go on.
+	askDelay        time.Duration                                           // How long the last scheduler goes on at most, and how long its answer takes.
+	goingOn         map[*Scheduler]bool                                     // Last schedulers that go on without the store until they are asked.
 	batches         int                                                     // Batches written to the store.
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
 	servingLatency  float64                                                 // Tail latency of all serving tasks, in milliseconds.
@@ -127,6 +131,7 @@
 		maxLease: 10 * time.Second,
 		saved:    map[cyclamendyke.TaskName]float64{},
 		gangs:    map[gangKey]*gangRun{},
+		goingOn:  map[*Scheduler]bool{},
 
 		adviceBusyUntil: map[cyclamendyke.MemberName]time.Duration{},
 		paces:           map[cyclamendyke.WorkflowID]int{},
@@ -157,11 +162,12 @@
 // elect starts a new epoch whose scheduler loads what the store holds; requests of the old one
 // still arrive, but it gets no answers.
 func (sim *simulation) elect() {
+	last := sim.sched
 	sim.epoch++
 	sim.revision++
 	sim.commitsInFlight = 0
 	sched := New(Config{
-		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + LongestLease(sim.bounds()) + leaseMargin,
+		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + sim.graceOfLast() + LongestLease(sim.bounds()) + leaseMargin,
 	})
 	sim.sched = sched
 	sched.Advance(sim.now, sim.wall())
@@ -190,9 +196,64 @@
 		}
 	}
 	sched.SetAdvisers(memberNames(sim.members))
+	if last != nil && sim.asksLast {
+		sim.askLast(last, sched)
+	}
 	sim.runPeriodically(sched)
 }
 
+// askLast gives a new scheduler the final list of the last one: at once, or after the last one has gone on for
+// a while without the store.
+func (sim *simulation) askLast(last, next *Scheduler) {
+	if sim.askDelay == 0 {
+		sim.addFinalList(next, sim.takeFinalList(last), sim.now)
+		return
+	}
+	sim.goingOn[last] = true
+	last.SetSuccessorPossible(true)
+	answerTime := sim.randomTime(sim.askDelay)
+	sim.after(sim.randomTime(sim.askDelay), func() {
+		delete(sim.goingOn, last)
+		value, takenAt := sim.takeFinalList(last), sim.now
+		sim.after(answerTime, func() { sim.addFinalList(next, value, takenAt) })
+	})
+}
+
+func (sim *simulation) takeFinalList(last *Scheduler) []byte {
+	last.Advance(sim.now, sim.wall())
+	value, err := last.FinalList(true)
+	if err != nil {
+		sim.t.Fatal(err)
+	}
+	return value
+}
+
+func (sim *simulation) addFinalList(next *Scheduler, value []byte, takenAt time.Duration) {
+	if sim.sched != next {
+		return
+	}
+	next.Advance(sim.now, sim.wall())
+	if _, err := next.AddFinalList(value, FinalListTimes{NotBefore: takenAt, NotAfter: sim.now}); err != nil {
+		sim.t.Fatal(err)
+	}
+}
+
+// acts reports whether a scheduler is the current one, or goes on without the store.
+func (sim *simulation) acts(sched *Scheduler) bool {
+	return sim.sched == sched || sim.goingOn[sched] && !sched.Superseded()
+}
+
+// graceOfLast bounds for how long last schedulers go on.
+func (sim *simulation) graceOfLast() time.Duration {
+	if len(sim.goingOn) == 0 {
+		sim.grace = 0
+	}
+	if sim.asksLast {
+		sim.grace = max(sim.grace, sim.askDelay)
+	}
+	return sim.grace
+}
+
 func memberNames(count int) []cyclamendyke.MemberName {
 	names := make([]cyclamendyke.MemberName, count)
 	for i := range names {
@@ -207,7 +268,7 @@
 
 // runPeriodically makes a pass of a scheduler every simTick, for as long as it is the current one.
 func (sim *simulation) runPeriodically(sched *Scheduler) {
-	if sim.sched != sched {
+	if !sim.acts(sched) {
 		return
 	}
 	sim.pass(sched)
@@ -215,7 +276,7 @@
 }
 
 func (sim *simulation) pass(sched *Scheduler) {
-	if sim.sched != sched {
+	if !sim.acts(sched) {
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
@@ -226,7 +287,9 @@
 	for _, command := range commands {
 		sim.deliver(sched, command)
 	}
-	sim.storeRecords(sched)
+	if sim.sched == sched {
+		sim.storeRecords(sched)
+	}
 }
 
 // status returns a workflow's state from the scheduler or, if it does not know the workflow, from the
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -51,9 +51,9 @@
 	}
 }
 
-// answer calls handle and schedules a pass if none is, unless another scheduler has replaced sched.
+// answer calls handle and schedules a pass if none is, unless sched acts no more.
 func (sim *simulation) answer(sched *Scheduler, handle func()) {
-	if sim.sched != sched {
+	if !sim.acts(sched) {
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -148,6 +148,7 @@
 			if i%4 == 3 && !sim.storeAway() {
 				sim.submit(longStep(fmt.Sprint("long-", i)))
 			}
+			sim.drawAsking(rt)
 			sim.injectFault(rapid.IntRange(0, 11).Draw(rt, "trouble"))
 			sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
 		}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -16,6 +16,8 @@
 	wasDraining           bool // It was draining in an earlier epoch.
 	unlistedTasksComplete bool // earlierRuns names every task that an earlier epoch may have left here.
 	earlierRuns           []earlierRun
+	earlierLeaseEnd       time.Duration // When leases that earlier epochs granted here are over, by the last one's final list; else zero.
+	earlierLeaseOver      bool          // That time has come while no successor was possible.
 
 	clock       time.Duration // Last reading of the target's clock.
 	clockReadAt time.Duration // When the answer with that reading arrived.
@@ -179,6 +181,7 @@
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
 	t.listed, t.expired, t.wasDraining, t.unlistedTasksComplete, t.earlierRuns = false, false, false, false, nil
+	t.earlierLeaseEnd, t.earlierLeaseOver = 0, false
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
