Ask the last scheduler for its final list after an election

Change: members answer "final-list". The asked process ends an earlier term and answers with the list that its control goroutine took after its last command; a term that has ended otherwise leaves its list in memory. A process that is elected again takes its own. The directory remembers the last two schedulers. Earlier versions do not know the method: as before.

TestResignationSpeaksForEarlierSchedulers wants a first scheduler that goes on while two others follow; being asked now ends its term, so that the test closes its members' server.

--- a/io/member/client.go
+++ b/io/member/client.go
@@ -24,6 +24,7 @@
 	classCalls  connClass = "calls"
 	classAdvice connClass = "advice"
 	classOrders connClass = "orders"
+	classFinal  connClass = "final"
 )
 
 // connKey identifies the connection of one class to one address.
@@ -147,6 +148,12 @@
 	return err
 }
 
+// FinalList asks the last scheduler at an address for its final list; KindInvalid means that it is of a version
+// without one.
+func (c *Client) FinalList(ctx context.Context, address string, request FinalListRequest) (FinalList, error) {
+	return call[FinalListRequest, FinalList](ctx, c, connKey{address, classFinal}, methodFinalList, request)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -22,6 +22,7 @@
 	methodAdvise          = "advise"
 	methodExecuteOrders   = "carry"
 	methodReportOutcomes  = "carried"
+	methodFinalList       = "final-list"
 )
 
 // maxConcurrentCalls limits the calls that are handled concurrently on one connection.
@@ -63,6 +64,8 @@
 	ExecuteOrders(ctx context.Context, orders Orders) error
 	// ReportOutcomes accepts the outcomes of orders, or returns KindNotScheduler.
 	ReportOutcomes(ctx context.Context, outcomes Outcomes) error
+	// FinalList ends an earlier term and returns its final list, or KindNotFound.
+	FinalList(ctx context.Context, request FinalListRequest) (FinalList, error)
 }
 
 // empty is the result of calls that return no data.
@@ -110,6 +113,7 @@
 		methodAdvise:          rpcHandler(h.Advise),
 		methodExecuteOrders:   rpcHandlerNoResult(h.ExecuteOrders),
 		methodReportOutcomes:  rpcHandlerNoResult(h.ReportOutcomes),
+		methodFinalList:       rpcHandler(h.FinalList),
 	}
 	go func() {
 		for {
--- a/node/directory.go
+++ b/node/directory.go
@@ -30,6 +30,7 @@
 	members           map[cyclamendyke.MemberName]memberRecord
 	scheduler         *schedulerRecord
 	schedulerRevision cyclamendyke.Revision // Revision of the scheduler's record; zero if there is none.
+	lastSchedulers    [2]schedulerRecord    // Of the latest epochs seen, also after their records were removed; latest first.
 	epoch             uint64
 	epochRevision     cyclamendyke.Revision // Revision of the key that holds the epoch.
 	resignation       epochRecord           // The last epoch whose scheduler stepped down.
@@ -153,6 +154,7 @@
 		var record schedulerRecord
 		if d.decode(entry, &record) {
 			d.scheduler, d.schedulerRevision = &record, entry.Revision
+			d.rememberScheduler(record)
 		}
 	case epochKey:
 		var epoch uint64
@@ -171,6 +173,24 @@
 	}
 }
 
+func (d *directory) rememberScheduler(record schedulerRecord) {
+	if record.Epoch > d.lastSchedulers[0].Epoch {
+		d.lastSchedulers = [2]schedulerRecord{record, d.lastSchedulers[0]}
+	}
+}
+
+// schedulerOf returns the scheduler of one of the latest epochs, if its record was seen.
+func (d *directory) schedulerOf(epoch uint64) (memberRecord, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, record := range d.lastSchedulers {
+		if epoch > 0 && record.Epoch == epoch {
+			return record.memberRecord, true
+		}
+	}
+	return memberRecord{}, false
+}
+
 func (d *directory) applyMember(name cyclamendyke.MemberName, entry cyclamendyke.Entry) {
 	var record memberRecord
 	if !d.decode(entry, &record) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -18,6 +18,8 @@
 	UnstoredEnds prometheus.Gauge
 	// RunListBytes is the length of the list of runs that this scheduler stored last.
 	RunListBytes prometheus.Gauge
+	// FinalLists counts the final lists of last schedulers that this process asked for, by outcome.
+	FinalLists *prometheus.CounterVec
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -57,7 +59,10 @@
 		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
 		}),
+		FinalLists: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_final_lists_total", Help: "Final lists of last schedulers that this process asked for, by outcome.",
+		}, []string{"outcome"}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes)
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.FinalLists)
 	return m
 }
--- a/node/node.go
+++ b/node/node.go
@@ -39,6 +39,7 @@
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
+	final       atomic.Pointer[finalList]     // Of this process's last term.
 	leaving     atomic.Bool                   // The process is shutting down.
 	lastClaim   roleClaim                     // The claim of the role that had no answer; only the election goroutine uses it.
 }
--- a/node/predecessors_test.go
+++ b/node/predecessors_test.go
@@ -49,6 +49,7 @@
 	store := &cutStore{BatchStore: c.store.As("first")}
 	first := c.start("first", store, awayTarget{c.target}, 0)
 	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
+	c.servers["first"].Close() // Nobody can ask it for its final list, which would end its term.
 	store.cut.Store(true)
 	second := c.start("second", c.store.As("second"), awayTarget{c.target}, 0)
 	eventually(t, "the second term", func() bool { return epochOf(second) == 2 })
--- a/node/term.go
+++ b/node/term.go
@@ -33,6 +33,7 @@
 	inbox    chan func() // Changes for the control goroutine to apply.
 	wg       sync.WaitGroup
 	endOnce  sync.Once
+	final    *finalList
 
 	predecessorsEnded atomic.Bool // No earlier scheduler acts any more, and the store says so.
 
@@ -55,6 +56,7 @@
 func (n *Node) beginTerm(election electionResult) {
 	ctx, cancel := context.WithCancel(n.ctx)
 	t := &term{node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize), cancellations: map[cyclamendyke.WorkflowID]bool{}}
+	t.final = &finalList{epoch: t.epoch, ready: make(chan struct{})}
 	bounds := n.cfg.Settings.Bounds
 	grace := authorityGrace
 	if election.predecessorsEnded {
@@ -69,12 +71,15 @@
 	})
 	t.delegator = newDelegator(t)
 	n.term.Store(t)
+	own := n.final.Swap(t.final)
 	n.cfg.Metrics.Terms.Inc()
 	n.wg.Go(func() {
 		t.runControlLoop()
+		t.leaveFinalList()
 		t.wg.Wait()
 	})
 	t.wg.Go(t.loadAndFollow)
+	t.wg.Go(func() { t.askForFinalList(own) })
 	t.predecessorsEnded.Store(election.predecessorsEnded)
 	t.wg.Go(t.declarePredecessorsEnded)
 }
