--- a/core/dispatch/simulatedfaults_test.go
+++ b/core/dispatch/simulatedfaults_test.go
@@ -39,6 +39,8 @@
 		sim.storeBackAt = sim.now + sim.randomTime(6*time.Second)
 	case 11:
 		sim.loseStoreAndVM(v)
+	case 12:
+		sim.evacuateFor(v.info.Zone, sim.randomTime(8*time.Second))
 	}
 }
 
@@ -64,6 +66,8 @@
 func (sim *simulation) endFaults() {
 	sim.faults = simFaults{}
 	sim.storeBackAt = 0
+	sim.evacuations.stored = nil
+	sim.tellEvacuations()
 	for _, v := range sim.vms {
 		v.unreachable, v.removed = false, false
 		if v.down {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/invariant"
 )
 
 const (
@@ -70,6 +71,8 @@
 	batchEntries    int                                       // Most entries of a batch.
 	writeDelay      func() time.Duration                      // How long the store takes for the next batch.
 	storeBackAt     time.Duration                             // The store writes nothing before this time.
+	evacuations     simEvacuations
+	heldBack        map[cyclamendyke.ZoneName]bool // Zones in which members hold all starts back.
 	storedTargets   map[cyclamendyke.TargetID]storedTarget
 	storedRuns      []byte                                                  // The list of runs.
 	asksLast        bool                                                    // A new epoch asks the last scheduler for its final list.
@@ -168,6 +171,7 @@
 	sim.commitsInFlight = 0
 	sched := New(Config{
 		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + sim.graceOfLast() + LongestLease(sim.bounds()) + leaseMargin,
+		RecordViolation: func(name invariant.Name, detail string) { sim.reportViolation("%s: %s", name, detail) },
 	})
 	sim.sched = sched
 	sched.Advance(sim.now, sim.wall())
@@ -196,6 +200,7 @@
 		}
 	}
 	sched.SetAdvisers(memberNames(sim.members))
+	sim.tellEvacuations()
 	if last != nil && sim.asksLast {
 		sim.askLast(last, sched)
 	}
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 
@@ -16,6 +17,7 @@
 const (
 	methodNotifySubmitted = "submitted"
 	methodStoreWorkflow   = "store"
+	methodCheckStore      = "check-store"
 	methodStatus          = "status"
 	methodCancel          = "cancel"
 	methodPending         = "pending"
@@ -34,6 +36,11 @@
 	Revision cyclamendyke.Revision  `json:"revision,omitempty"`
 }
 
+// Validate returns an error unless the submission holds a valid workflow.
+func (s Submission) Validate() error {
+	return s.Workflow.Validate()
+}
+
 // AdviceRequest asks the advice service which of the targets may run a step.
 type AdviceRequest struct {
 	Step    cyclamendyke.StepName   `json:"step"`
@@ -52,6 +59,8 @@
 	NotifySubmitted(ctx context.Context, submission Submission) error
 	// StoreWorkflow writes a workflow to the store for a member that cannot reach the store.
 	StoreWorkflow(ctx context.Context, workflow *cyclamendyke.Workflow) error
+	// CheckStore returns KindUnavailable unless this member reaches the store; it has no effect.
+	CheckStore(ctx context.Context) error
 	// Status returns a workflow's state, or KindNotFound.
 	Status(ctx context.Context, id cyclamendyke.WorkflowID) (WorkflowStatus, error)
 	// Cancel cancels a workflow and returns once that is stored, or KindNotFound.
@@ -71,11 +80,22 @@
 // empty is the result of calls that return no data.
 type empty struct{}
 
-// rpcHandler adapts a Handler method to JSON-RPC.
+// rpcHandler adapts a Handler method to JSON-RPC. A panic ends the call, whose outcome then is unknown, and not
+// the process.
 func rpcHandler[P, R any](method func(context.Context, P) (R, error)) jrpc2.Handler {
-	return handler.New(func(ctx context.Context, params [1]P) (R, error) {
-		result, err := method(ctx, params[0])
-		return result, errorCodes.Encode(err)
+	return handler.New(func(ctx context.Context, params [1]P) (result R, err error) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				err = NewError("serve", cyclamendyke.KindUnknown, fmt.Errorf("panic: %v", cause))
+			}
+			err = errorCodes.Encode(err)
+		}()
+		if invalid, ok := any(params[0]).(interface{ Validate() error }); ok {
+			if err := invalid.Validate(); err != nil {
+				return result, err
+			}
+		}
+		return method(ctx, params[0])
 	})
 }
 
@@ -107,6 +127,7 @@
 	methods := handler.Map{
 		methodNotifySubmitted: rpcHandlerNoResult(h.NotifySubmitted),
 		methodStoreWorkflow:   rpcHandlerNoResult(h.StoreWorkflow),
+		methodCheckStore:      rpcHandlerNoResult(func(ctx context.Context, _ empty) error { return h.CheckStore(ctx) }),
 		methodStatus:          rpcHandler(h.Status),
 		methodCancel:          rpcHandlerNoResult(h.Cancel),
 		methodPending:         rpcHandler(h.Pending),
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -47,8 +47,9 @@
 
 // orderBatch holds the orders for one member that were decided in one pass.
 type orderBatch struct {
-	address string // Address of the member.
-	orders  []member.Order
+	address   string // Address of the member.
+	decidedAt time.Duration
+	orders    []member.Order
 }
 
 // delegatedOrder is an order whose outcome a member has yet to report.
@@ -154,7 +155,7 @@
 	var target cyclamendyke.Target
 	switch c := command.(type) {
 	case dispatch.StartCommand:
-		target, order.Start = c.Target, &c.Order
+		target, order.Start, order.Zone = c.Target, &c.Order, c.Target.Zone
 		timeout += startTimeout
 	case dispatch.StopCommand:
 		target, order.Stop = c.Target, &member.StopOrder{Task: c.Task, Run: c.Run, Fence: d.term.epoch}
@@ -174,7 +175,7 @@
 	now := bootTime()
 	d.pending[order.Number] = delegatedOrder{to.Name, to.Address, command, now, now + timeout}
 	if d.outbox[to.Name] == nil {
-		d.outbox[to.Name] = &orderBatch{address: to.Address}
+		d.outbox[to.Name] = &orderBatch{address: to.Address, decidedAt: now}
 	}
 	d.outbox[to.Name].orders = append(d.outbox[to.Name].orders, order)
 	return true
@@ -192,6 +193,10 @@
 // sendOrders sends orders to a member. If that fails, it suspends the member and completes the
 // orders: as unavailable if they were certainly not received, as unknown otherwise.
 func (t *term) sendOrders(name cyclamendyke.MemberName, batch *orderBatch) {
+	t.holdBack(batch)
+	if len(batch.orders) == 0 {
+		return
+	}
 	kind := cyclamendyke.KindUnavailable
 	if t.maySendOrders() {
 		ctx, cancel := context.WithTimeout(t.ctx, delegationTimeout)
@@ -219,8 +224,20 @@
 	if !ok {
 		return
 	}
-	delete(d.pending, outcome.Number)
 	d.countOutcome(order.member, outcome.Kind)
+	d.finish(order, outcome)
+}
+
+// withdraw passes the outcome of an order that was not sent to the scheduler.
+func (d *delegator) withdraw(outcome member.Outcome) {
+	if order, ok := d.pending[outcome.Number]; ok {
+		d.finish(order, outcome)
+	}
+}
+
+// finish removes an order that is pending no more, and passes its outcome to the scheduler.
+func (d *delegator) finish(order delegatedOrder, outcome member.Outcome) {
+	delete(d.pending, outcome.Number)
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
 		d.term.sched.Started(c.Target, c.Order, outcome.Kind)
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"golang.org/x/sync/singleflight"
 
 	"cyclamendyke"
 	"cyclamendyke/io/member"
@@ -36,28 +37,43 @@
 	wg          sync.WaitGroup
 	session     session
 	dir         directory
+	evacuations evacuations
+	confirmed   confirmations
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
 	final       atomic.Pointer[finalList]     // Of this process's last term.
-	leaving     atomic.Bool                   // The process is shutting down.
-	lastClaim   roleClaim                     // The claim of the role that had no answer; only the election goroutine uses it.
+	storePaths  *storePaths
+	writes      singleflight.Group // Submissions that are being stored.
+	checks      singleflight.Group // Checks of the own path to the store.
+	leaving     atomic.Bool        // The process is shutting down.
+	lastClaim   roleClaim          // The claim of the role that had no answer; only the election goroutine uses it.
 }
 
 // New returns a running node, which watches the store and takes part in elections until Close.
 func New(cfg Config) *Node {
-	ctx, cancel := context.WithCancel(context.Background())
-	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel}
-	n.dir.log = cfg.Log
-	n.dir.changed = make(chan struct{}, 1)
+	n := newNode(cfg)
 	n.wg.Go(n.maintainSession)
 	n.wg.Go(n.followDirectory)
-	n.wg.Go(n.followConfig)
+	n.wg.Go(n.followOperators)
+	n.wg.Go(n.confirmEvacuations)
 	n.wg.Go(n.runElections)
 	return n
 }
 
-// storeStaleAfter is the time without an answer from the store after which callers are sent elsewhere.
+// newNode returns a node whose goroutines are not running.
+func newNode(cfg Config) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel, storePaths: newStorePaths(cfg)}
+	n.cfg.Store = trackedStore{store: cfg.Store, paths: n.storePaths}
+	n.dir.log = cfg.Log
+	n.evacuations.codec, n.evacuations.log, n.evacuations.metrics = cfg.Codec, cfg.Log, cfg.Metrics
+	n.dir.changed = make(chan struct{}, 1)
+	return n
+}
+
+// storeStaleAfter is the time without an answer from the store after which callers are sent elsewhere, even
+// if other members store their work: keys and queues that are withdrawn are learnt from the store only.
 const storeStaleAfter = 1500 * time.Millisecond
 
 // Ready reports whether callers should be sent here: the process has the fleet's configuration,
@@ -67,9 +83,9 @@
 }
 
 // Draining reports whether callers should reconnect elsewhere, because the process is shutting
-// down or does not reach the store.
+// down, can store nothing or has not reached the store for long.
 func (n *Node) Draining() bool {
-	return n.leaving.Load() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
+	return n.leaving.Load() || n.storePaths.hasNoPath() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
 }
 
 // Leave sends callers elsewhere, steps down as the scheduler and releases the lease. Calls are
