--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -141,17 +141,24 @@
 // TestInvariantsUnderFaults injects lost and late answers, crashes, unreachable VMs and takeovers.
 // No invariant may be violated, and all workflows must end once the faults have stopped.
 func TestInvariantsUnderFaults(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets) })
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets, false) })
 }
 
 // TestInvariantsUnderFaultsAndEvacuations injects evacuations of zones as well. It is a test of its own so that
 // the recorded failures of the other one are replayed as they were.
 func TestInvariantsUnderFaultsAndEvacuations(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFault) })
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFault, false) })
 }
 
-// checkInvariantsUnderFaults draws a day with faults up to a kind.
-func checkInvariantsUnderFaults(t *testing.T, rt *rapid.T, lastFault int) {
+// TestInvariantsUnderFaultsWithFinalLists lets some elected schedulers ask the last one for its final list. It is
+// a test of its own for the same reason. Without evacuations: a scheduler that goes on without the store does not
+// hear of them.
+func TestInvariantsUnderFaultsWithFinalLists(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets, true) })
+}
+
+// checkInvariantsUnderFaults draws a day with faults up to a kind, and with final lists or without.
+func checkInvariantsUnderFaults(t *testing.T, rt *rapid.T, lastFault int, hasFinalLists bool) {
 	seed := rapid.Uint64().Draw(rt, "seed")
 	sim := limitedFleet(t, seed, 5)
 	sim.faults = simFaults{
@@ -168,6 +175,9 @@
 		if i%4 == 3 && !sim.storeAway() {
 			sim.submit(longStep(fmt.Sprint("long-", i)))
 		}
+		if hasFinalLists {
+			sim.drawAsking(rt)
+		}
 		sim.injectFault(rapid.IntRange(0, lastFault).Draw(rt, "trouble"))
 		sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,8 @@
 	UnstoredEnds prometheus.Gauge
 	// RunListBytes is the length of the list of runs that this scheduler stored last.
 	RunListBytes prometheus.Gauge
+	// FinalLists counts the final lists of last schedulers that this process asked for, by outcome.
+	FinalLists *prometheus.CounterVec
 	// EvacuatedZones is 1 for each availability zone that operators evacuate, as far as this process knows.
 	EvacuatedZones *prometheus.GaugeVec
 	// StartsHeldBack counts the starts that were not sent at the last moment, by reason.
@@ -97,6 +99,9 @@
 		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
 		}),
+		FinalLists: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_final_lists_total", Help: "Final lists of last schedulers that this process asked for, by outcome.",
+		}, []string{"outcome"}),
 		EvacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_evacuated_zones", Help: "1 for each availability zone that operators evacuate.",
 		}, []string{"zone"}),
@@ -120,7 +125,7 @@
 		}),
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes,
-		m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
 	registry.MustRegister(m.AdviceSeconds, m.AdviceTargets, m.AdviceTickets, m.AdviceFailures, m.AdviceBacklog)
 	m.setStorePathState(storepath.Good)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -42,6 +42,7 @@
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
+	final       atomic.Pointer[finalList]     // Of this process's last term.
 	storePaths  *storePaths
 	writes      singleflight.Group // Submissions that are being stored.
 	checks      singleflight.Group // Checks of the own path to the store.
