--- a/node/election.go
+++ b/node/election.go
@@ -88,8 +88,10 @@
 
 // Members on stronger VMs take precedence in elections.
 const (
-	strongerFactor = 1.2 // A VM is stronger if it has more than this many times this VM's cores.
-	yieldDelay     = 200 * time.Millisecond
+	strongerFactor  = 1.2                    // A VM is stronger if it has more than this many times this VM's cores.
+	yieldDelay      = 200 * time.Millisecond // For a store that answers at once.
+	yieldStoreCalls = 2                      // The stronger member sees the free role with one call and takes it with another.
+	maxYieldDelay   = 1500 * time.Millisecond
 )
 
 // hasStrongerMember reports whether a member runs on a stronger VM than this one.
@@ -103,10 +105,15 @@
 	if !n.hasStrongerMember() {
 		return true
 	}
-	sleep(n.ctx, yieldDelay)
+	sleep(n.ctx, n.yieldTime())
 	return n.dir.view().scheduler == nil
 }
 
+// yieldTime returns how long stronger members are given to be elected first. A slow store delays them too.
+func (n *Node) yieldTime() time.Duration {
+	return min(maxYieldDelay, yieldDelay+yieldStoreCalls*n.session.lastRenewalTook())
+}
+
 // claimRole writes this process's scheduler record and the next epoch in one commit.
 func (n *Node) claimRole(v view, lease cyclamendyke.LeaseID) (electionResult, error) {
 	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, PredecessorsEnded: v.predecessorsEnded()}
--- a/node/session.go
+++ b/node/session.go
@@ -34,11 +34,12 @@
 
 // session is this process's lease in the store.
 type session struct {
-	mu         sync.Mutex
-	lease      cyclamendyke.LeaseID
-	validUntil time.Duration // Until then the lease is certainly valid.
-	lastAnswer time.Duration // When the store last answered.
-	released   bool          // The process is leaving and must not obtain a lease again.
+	mu          sync.Mutex
+	lease       cyclamendyke.LeaseID
+	validUntil  time.Duration // Until then the lease is certainly valid.
+	lastAnswer  time.Duration // When the store last answered.
+	renewalTook time.Duration // How long the last renewal took.
+	released    bool          // The process is leaving and must not obtain a lease again.
 }
 
 // memberRecord describes a member in the store.
@@ -86,6 +87,13 @@
 	return s.released
 }
 
+// lastRenewalTook returns how long the store took for the last renewal of the lease.
+func (s *session) lastRenewalTook() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.renewalTook
+}
+
 // recordAnswer records that the store has just answered.
 func (s *session) recordAnswer() {
 	s.mu.Lock()
@@ -103,6 +111,7 @@
 	s.lease = lease
 	s.validUntil = sent + leaseTTL - leaseMargin
 	s.lastAnswer = bootTime()
+	s.renewalTook = s.lastAnswer - sent
 }
 
 func (s *session) clearLease() {
