--- a/core/dispatch/advicerequests.go
+++ b/core/dispatch/advicerequests.go
@@ -92,7 +92,7 @@
 	s.countOn(w, request, call.Number)
 	command := AdviseCommand{Member: call.Member, Call: call.Number, Step: w.step.name(), Targets: request.targets, Cost: cost}
 	s.adviceCalls[call.Number] = command
-	s.team(w.step.job.spec.Team).adviceUse.Add(s.now, cost)
+	s.team(w.step.job.spec.Team).adviceLoad.Add(s.now, cost)
 	s.adviceUse(w.queue.Name).Time += cost
 	s.adviceBacklog--
 	s.emit(command)
@@ -100,7 +100,7 @@
 
 // adviceServed returns how many members the team's requests have kept busy lately, relative to its weight.
 func (t *team) adviceServed(now time.Duration) float64 {
-	served := t.adviceUse.Mean(now)
+	served := t.adviceLoad.Mean(now)
 	if t.config.Weight > 0 {
 		served /= t.config.Weight
 	}
--- /dev/null
+++ b/core/dispatch/earlierruns.go
@@ -0,0 +1,153 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
+
+// earlierRun is a run that an earlier epoch may have left on a target.
+type earlierRun struct {
+	task       cyclamendyke.TaskName
+	team       cyclamendyke.TeamName
+	need       cyclamendyke.Resources
+	worksUntil time.Duration // Until when it certainly works, unless an earlier epoch has stopped it since; zero if unknown.
+	ended      bool          // It had ended when that was stored.
+}
+
+// checkEarlierRuns updates earlierRunsKnown, unlistedTasks, orphansLeft and the teams' maxUnlistedUse.
+func (s *Scheduler) checkEarlierRuns() {
+	s.earlierLeasesOver = s.earlierLeasesOver || !s.successorPossible && s.now >= s.cfg.EarlierRunsEndBy
+	if s.earlierRunsKnown && len(s.unlistedTasks) == 0 && !s.orphansLeft {
+		return
+	}
+	knownBefore := s.earlierRunsKnown
+	s.earlierRunsKnown, s.orphansLeft = true, false
+	silentTargets := 0
+	var unlistedCapacity cyclamendyke.Resources
+	s.unlistedTasks = map[cyclamendyke.TaskName]bool{}
+	for _, t := range s.targets {
+		t.earlierLeaseOver = s.isEarlierLeaseOver(t)
+		switch {
+		case !s.mayHaveUnlistedRuns(t):
+			if t.expired || len(t.orphans) == 0 {
+				t.earlierRuns = nil
+			}
+			s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
+		case t.earlierRunsComplete || t.earlierLeaseOver:
+			silentTargets++
+			s.addUnlistedTasks(t)
+		default:
+			s.earlierRunsKnown = false
+			unlistedCapacity = unlistedCapacity.Add(t.info.Capacity)
+		}
+	}
+	s.updateMaxUnlistedUse(unlistedCapacity)
+	if !s.earlierRunsKnown || knownBefore {
+		return
+	}
+	s.cfg.LogDecision(Decision{
+		Event: EventSettled, Count: len(s.targets),
+		Reason: fmt.Sprintf("%d targets without an answer, %d tasks may still run or be done there", silentTargets, len(s.unlistedTasks)),
+	})
+}
+
+// addUnlistedTasks adds the tasks that wait for a target to answer.
+func (s *Scheduler) addUnlistedTasks(t *target) {
+	for _, r := range t.earlierRuns {
+		if !t.earlierLeaseOver || s.mayBeDone(r) {
+			s.unlistedTasks[r.task] = true
+		}
+	}
+}
+
+// updateMaxUnlistedUse computes each team's maxUnlistedUse; unlistedCapacity is the total capacity of
+// the targets on which unknown runs of earlier epochs may be left.
+func (s *Scheduler) updateMaxUnlistedUse(unlistedCapacity cyclamendyke.Resources) {
+	for _, t := range s.teams {
+		t.maxUnlistedUse = cyclamendyke.Resources{}
+	}
+	for _, j := range s.jobs {
+		if !s.earlierRunsKnown && j.inherited {
+			t := s.team(j.spec.Team)
+			t.maxUnlistedUse = t.maxUnlistedUse.Add(j.unstartedDemand())
+		}
+	}
+	for _, t := range s.teams {
+		t.maxUnlistedUse = t.maxUnlistedUse.Min(unlistedCapacity)
+	}
+	for _, t := range s.targets {
+		for _, r := range t.earlierRuns {
+			if s.countsAsUnlisted(t, r) {
+				team := s.team(r.team)
+				team.maxUnlistedUse = team.maxUnlistedUse.Add(r.need)
+			}
+		}
+	}
+}
+
+// countsAsUnlisted reports whether a stored run may still use resources that are counted neither as a
+// known run nor in an unstartedDemand.
+func (s *Scheduler) countsAsUnlisted(t *target, r earlierRun) bool {
+	switch {
+	case r.ended:
+		return false
+	case t.listed:
+		return t.hasOrphan(r.task)
+	case !s.mayHaveUnlistedRuns(t) || t.earlierLeaseOver:
+		return false
+	case t.earlierRunsComplete:
+		return true
+	}
+	step := s.findStep(r.task)
+	return step == nil || !step.job.inherited || step.tasks[r.task.Index].done || len(step.tasks[r.task.Index].runs) > 0
+}
+
+// unstartedDemand returns the resources of the tasks that are not done and have no known run.
+func (j *job) unstartedDemand() cyclamendyke.Resources {
+	var sum cyclamendyke.Resources
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			for i := range step.tasks {
+				if !step.tasks[i].done && len(step.tasks[i].runs) == 0 {
+					sum = sum.Add(step.spec.Reserved())
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// namedRun returns a run of a task that the record of a closed target names.
+func (s *Scheduler) namedRun(name cyclamendyke.TaskName) earlierRun {
+	r := earlierRun{task: name}
+	if step := s.findStep(name); step != nil {
+		r.team, r.need = step.job.spec.Team, step.spec.Reserved()
+	}
+	return r
+}
+
+// mayBeDone reports whether an earlier run may have ended as done, so that its task must not run again
+// before its target is back or is given up.
+func (s *Scheduler) mayBeDone(r earlierRun) bool {
+	step := s.findStep(r.task)
+	return step != nil && !step.job.state.IsFinal() && !step.spec.LongRunning && !step.spec.Speculative && !step.tasks[r.task.Index].done
+}
+
+// lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends. Then all runs
+// on that target are known to have lapsed, and ends before that count for nothing.
+func (s *Scheduler) lapsesOnTarget(t *target, r earlierRun) bool {
+	step := s.findStep(r.task)
+	if r.worksUntil == 0 || step == nil {
+		return false
+	}
+	return (step.spec.LongRunning || r.worksUntil > s.earlierLeaseEnd(t)) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
+}
+
+// mayHoldDoneTasks reports whether an end that only a target knows may still count.
+func (s *Scheduler) mayHoldDoneTasks(t *target) bool {
+	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) &&
+		!slices.ContainsFunc(t.earlierRuns, func(r earlierRun) bool { return s.lapsesOnTarget(t, r) })
+}
--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -53,7 +53,7 @@
 	}
 	isOver := t.earlierLeaseOver || s.now >= s.earlierLeaseEnd(t)
 	return &finalTarget{
-		Complete:        t.listed || t.expired || t.unlistedTasksComplete || isOver,
+		Complete:        t.listed || t.expired || t.earlierRunsComplete || isOver,
 		Draining:        t.info.Draining || t.wasDraining,
 		LeaseLeftMillis: (leaseEnd - s.now).Milliseconds(),
 	}
@@ -97,8 +97,8 @@
 
 // applyFinal applies what a final list says of a target.
 func (s *Scheduler) applyFinal(t *target, on runListTarget, leaseEnd time.Duration) {
-	t.unlistedTasksComplete, t.earlierRuns = on.Final.Complete, nil
-	t.earlierLeaseEnd = leaseEnd
+	t.earlierRunsComplete, t.earlierRuns = on.Final.Complete, nil
+	t.finalListLeaseEnd = leaseEnd
 	t.wasDraining = t.wasDraining || on.Final.Draining && on.StartedMillis == t.info.StartedMillis
 	if t.unschedulable() || t.wasDraining {
 		s.targetChanged(t.info.ID)
--- a/core/dispatch/finallist_test.go
+++ b/core/dispatch/finallist_test.go
@@ -177,8 +177,8 @@
 			s.UpdateTarget(info)
 			_, err := s.AddFinalList(test.value, FinalListTimes{})
 			is.Equal(err != nil, test.wantError)
-			is.Equal(s.targets["a"].unlistedTasksComplete, test.want)
-			is.Equal(s.targets["a"].earlierLeaseEnd != 0, test.want)
+			is.Equal(s.targets["a"].earlierRunsComplete, test.want)
+			is.Equal(s.targets["a"].finalListLeaseEnd != 0, test.want)
 		})
 	}
 }
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -41,7 +41,7 @@
 	t := s.targets[id]
 	t.wasDraining = known.Draining && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
-		t.closed, t.unlistedTasksComplete, t.earlierRuns = true, false, nil
+		t.closed, t.earlierRunsComplete, t.earlierRuns = true, false, nil
 		record := s.knownRecord(id)
 		record.revision = revision
 		record.dirty = false
@@ -64,7 +64,7 @@
 		}
 		t.earlierRuns = append(t.earlierRuns, s.namedRun(name))
 	}
-	t.unlistedTasksComplete = true
+	t.earlierRunsComplete = true
 }
 
 func (s *Scheduler) knownRecord(id cyclamendyke.TargetID) *knownRecord {
@@ -102,8 +102,8 @@
 
 // earlierLeaseEnd returns when all leases that earlier epochs granted on a target are over.
 func (s *Scheduler) earlierLeaseEnd(t *target) time.Duration {
-	if t.earlierLeaseEnd != 0 {
-		return t.earlierLeaseEnd
+	if t.finalListLeaseEnd != 0 {
+		return t.finalListLeaseEnd
 	}
 	return s.cfg.EarlierRunsEndBy
 }
@@ -111,10 +111,10 @@
 // isEarlierLeaseOver reports whether nothing that an earlier epoch started still runs on a target that has
 // not answered.
 func (s *Scheduler) isEarlierLeaseOver(t *target) bool {
-	if t.earlierLeaseEnd == 0 {
+	if t.finalListLeaseEnd == 0 {
 		return s.earlierLeasesOver
 	}
-	return t.earlierLeaseOver || !s.successorPossible && s.now >= t.earlierLeaseEnd
+	return t.earlierLeaseOver || !s.successorPossible && s.now >= t.finalListLeaseEnd
 }
 
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
@@ -173,7 +173,7 @@
 	if t == nil {
 		return nil
 	}
-	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.unlistedTasksComplete)}
+	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.earlierRunsComplete)}
 	known.Draining = t.info.Draining || t.wasDraining
 	known.Target.Draining, known.Target.Remaining = false, 0
 	if known.Closed {
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -43,15 +42,6 @@
 	Ended      bool  `json:"ended,omitempty"`   // It has ended, but that is not stored yet.
 }
 
-// earlierRun is a run that an earlier epoch may have left on a target.
-type earlierRun struct {
-	task       cyclamendyke.TaskName
-	team       cyclamendyke.TeamName
-	need       cyclamendyke.Resources
-	worksUntil time.Duration // Until when it certainly works, unless an earlier epoch has stopped it since; zero if unknown.
-	ended      bool          // It had ended when that was stored.
-}
-
 // The timing of storing the list of runs.
 const (
 	runListInterval = 200 * time.Millisecond // Minimum time between two lists.
@@ -221,7 +211,7 @@
 	if t == nil {
 		return
 	}
-	if !t.unlistedTasksComplete {
+	if !t.earlierRunsComplete {
 		t.earlierRuns = append(t.earlierRuns, r)
 		return
 	}
@@ -231,35 +221,3 @@
 		}
 	}
 }
-
-// namedRun returns a run of a task that the record of a closed target names.
-func (s *Scheduler) namedRun(name cyclamendyke.TaskName) earlierRun {
-	r := earlierRun{task: name}
-	if step := s.findStep(name); step != nil {
-		r.team, r.need = step.job.spec.Team, step.spec.Reserved()
-	}
-	return r
-}
-
-// mayBeDone reports whether an earlier run may have ended as done, so that its task must not run again
-// before its target is back or is given up.
-func (s *Scheduler) mayBeDone(r earlierRun) bool {
-	step := s.findStep(r.task)
-	return step != nil && !step.job.state.IsFinal() && !step.spec.LongRunning && !step.spec.Speculative && !step.tasks[r.task.Index].done
-}
-
-// lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends. Then all runs
-// on that target are known to have lapsed, and ends before that count for nothing.
-func (s *Scheduler) lapsesOnTarget(t *target, r earlierRun) bool {
-	step := s.findStep(r.task)
-	if r.worksUntil == 0 || step == nil {
-		return false
-	}
-	return (step.spec.LongRunning || r.worksUntil > s.earlierLeaseEnd(t)) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
-}
-
-// mayHoldDoneTasks reports whether an end that only a target knows may still count.
-func (s *Scheduler) mayHoldDoneTasks(t *target) bool {
-	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) &&
-		!slices.ContainsFunc(t.earlierRuns, func(r earlierRun) bool { return s.lapsesOnTarget(t, r) })
-}
--- a/core/dispatch/runlist_test.go
+++ b/core/dispatch/runlist_test.go
@@ -257,7 +257,7 @@
 			s.AddKnownTarget(test.old, 0)
 			s.AddKnownTarget(test.own, 1)
 			is.Equal(s.targets["a"].closed, test.wantClosed)
-			is.Equal(s.targets["a"].unlistedTasksComplete, test.wantClosed)
+			is.Equal(s.targets["a"].earlierRunsComplete, test.wantClosed)
 			is.Equal(len(s.targets["a"].earlierRuns), test.wantRuns)
 		})
 	}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -8,16 +8,16 @@
 
 // target is a target VM with its runs and the lease it holds.
 type target struct {
-	info                  cyclamendyke.Target
-	registered            bool // Its description is in the store.
-	listed                bool // Its present incarnation has answered this epoch with a listing.
-	expired               bool // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed                bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
-	wasDraining           bool // It was draining in an earlier epoch.
-	unlistedTasksComplete bool // earlierRuns names every task that an earlier epoch may have left here.
-	earlierRuns           []earlierRun
-	earlierLeaseEnd       time.Duration // When leases that earlier epochs granted here are over, by the last one's final list; else zero.
-	earlierLeaseOver      bool          // That time has come while no successor was possible.
+	info                cyclamendyke.Target
+	registered          bool // Its description is in the store.
+	listed              bool // Its present incarnation has answered this epoch with a listing.
+	expired             bool // Its lease has expired or another incarnation replaced it, so no run is left.
+	closed              bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
+	wasDraining         bool // It was draining in an earlier epoch.
+	earlierRunsComplete bool // earlierRuns names every task that an earlier epoch may have left here.
+	earlierRuns         []earlierRun
+	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
+	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
 
 	clock       time.Duration // Last reading of the target's clock.
 	clockReadAt time.Duration // When the answer with that reading arrived.
@@ -183,8 +183,8 @@
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
 	s.endRuns(t, true)
-	t.listed, t.expired, t.wasDraining, t.unlistedTasksComplete, t.earlierRuns = false, false, false, false, nil
-	t.earlierLeaseEnd, t.earlierLeaseOver = 0, false
+	t.listed, t.expired, t.wasDraining, t.earlierRunsComplete, t.earlierRuns = false, false, false, false, nil
+	t.finalListLeaseEnd, t.earlierLeaseOver = 0, false
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
