--- a/io/member/server.go
+++ b/io/member/server.go
@@ -90,8 +90,8 @@
 			}
 			err = errorCodes.Encode(err)
 		}()
-		if invalid, ok := any(params[0]).(interface{ Validate() error }); ok {
-			if err := invalid.Validate(); err != nil {
+		if validator, ok := any(params[0]).(interface{ Validate() error }); ok {
+			if err := validator.Validate(); err != nil {
 				return result, err
 			}
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -37,8 +37,8 @@
 	wg          sync.WaitGroup
 	session     session
 	dir         directory
-	evacuations evacuations
-	confirmed   confirmations
+	evacuations evacuations   // Zones in which operators want nothing started.
+	confirmed   confirmations // As of when the copies of followed prefixes are complete.
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
--- a/node/termevacuation.go
+++ b/node/termevacuation.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"cyclamendyke"
-	"cyclamendyke/core/invariant"
 	"cyclamendyke/io/member"
 )
 
@@ -77,8 +76,3 @@
 		}
 	})
 }
-
-// logViolation logs a violated invariant of the scheduler.
-func (t *term) logViolation(name invariant.Name, detail string) {
-	t.node.cfg.Log.Error("invariant broken", "invariant", name, "detail", detail, "epoch", t.epoch)
-}
