--- a/core/storepath/config.go
+++ b/core/storepath/config.go
@@ -7,7 +7,7 @@
 	"cyclamendyke"
 )
 
-// Urgent work has a slack of a few hundred milliseconds, which an attempt by a dead path must not use up.
+// The timing of attempts: short, since urgent work has little time left after a failed attempt.
 const (
 	hedgeFactor   = 2 // Multiple of a call's usual duration.
 	minHedgeDelay = 60 * time.Millisecond
