Name the waits in core/advice for what they bound; say once how likely advice allows a target

patience, patientQueue and urgentQueue were metaphors, or read like queues of callers: agingTime, maxOtherWait and maxUrgentWait. adviceValue and gangMayStart held the same chance: allowedChance. Comments on preemptedRoom, wantedAt, Order and wantAdviceInTakeover said something else than the code. No behaviour and no constant changed; tests of core/advice and core/dispatch passed.

--- a/core/advice/order.go
+++ b/core/advice/order.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// patience is how long a want waits at most until it comes before wants of higher rank.
-const patience = 2 * time.Second
+// agingTime is how long a want waits until it takes turns with wants of higher rank.
+const agingTime = 2 * time.Second
 
 // Want is a waiting step that wants advice on targets that have room for it.
 type Want struct {
@@ -19,9 +19,9 @@
 
 // Order returns the indexes of wants, which are given by rank, in the order in which they get calls.
 //
-// Urgent wants come first, by rank. Of the others, every second one is the one that must not wait any
-// longer, so that no kind of work waits for ever while what ranks higher keeps all members busy: tasks
-// that must run again, then the teams that had the least time.
+// Urgent wants come first, by rank. The others take turns: the next by rank, then the next of those that
+// have waited for agingTime, so that no kind of work starves while what ranks higher keeps all members
+// busy. Of the latter, tasks that must run again come first, then the teams that had the least time.
 func (p *Planner) Order(wants []Want) []int {
 	var urgent, byRank, byAge []int
 	for i, w := range wants {
@@ -30,7 +30,7 @@
 			urgent = append(urgent, i)
 		default:
 			byRank = append(byRank, i)
-			if p.now-w.Since >= patience {
+			if p.now-w.Since >= agingTime {
 				byAge = append(byAge, i)
 			}
 		}
--- a/core/advice/planner.go
+++ b/core/advice/planner.go
@@ -11,8 +11,8 @@
 
 // The rules for the members' time.
 const (
-	urgentQueue   = 60 * time.Millisecond  // Longest wait in a member's queue for which an urgent call is sent there.
-	patientQueue  = 100 * time.Millisecond // The same for other calls: about the time until the next pass that could send one.
+	maxUrgentWait = 60 * time.Millisecond  // Longest wait for a member's other calls behind which an urgent call is sent there.
+	maxOtherWait  = 100 * time.Millisecond // The same for calls that are not urgent: about the time until the next pass that could send one.
 	overdueMargin = 700 * time.Millisecond // How much later than expected an answer counts as overdue.
 	maxLag        = 300 * time.Millisecond // Longest lag that a member is expected to have.
 	lagWeight     = 0.2                    // Weight of one answer in a member's lag.
@@ -153,9 +153,9 @@
 
 // best returns the member that is expected to answer a call first, or an empty name.
 func (p *Planner) best(urgent bool) cyclamendyke.MemberName {
-	limit := urgentQueue
+	limit := maxUrgentWait
 	if !urgent {
-		limit = patientQueue
+		limit = maxOtherWait
 	}
 	best, available := cyclamendyke.MemberName(""), 0
 	var bestWait time.Duration
@@ -165,7 +165,7 @@
 			continue
 		}
 		wait := max(0, m.busyUntil-p.now)
-		if urgent || wait <= urgentQueue || !m.hasPatientCall() {
+		if urgent || wait <= maxUrgentWait || !m.hasOtherCall() {
 			available++
 		}
 		if wait <= limit && (best == "" || wait+m.lag < bestWait) {
@@ -178,16 +178,16 @@
 	return best
 }
 
-// hasPatientCall reports whether a member has a call in flight that is not urgent.
-func (m *member) hasPatientCall() bool {
+// hasOtherCall reports whether a member has a call in flight that is not urgent.
+func (m *member) hasOtherCall() bool {
 	return slices.ContainsFunc(m.calls, func(c *Call) bool { return !c.Urgent })
 }
 
 // reserved returns how many members must be without a call that is not urgent: as many as the urgent
 // calls have kept busy lately, and a margin for their chance arrival.
 //
-// An urgent call takes little time and another one up to some seconds, so that a burst of urgent work
-// would wait behind the others.
+// Calls that are not urgent may take far longer than urgent ones, which arrive in bursts: without reserved
+// members, a burst would wait until such calls end.
 func (p *Planner) reserved() int {
 	most := int(reservedPart * float64(len(p.names)))
 	if !p.hasUrgent {
--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -35,7 +35,7 @@
 	expected     float64       // Tasks that were expected to start with the tickets of the last request.
 	started      float64       // Tasks that did.
 	wantedSince  time.Duration // Since when the step waits for a member to make its request.
-	wantedAt     time.Duration // When it last did.
+	wantedAt     time.Duration // In which pass it last wanted a request; zero once one was made.
 }
 
 // SetAdvisers sets the members that can request advice.
@@ -64,7 +64,7 @@
 	if !ok {
 		s.adviceUse(step.job.spec.Queue).Failed++
 		step.advice.failures++
-		if step.advice.failures > 1 { // The first time, another member may have more luck.
+		if step.advice.failures > 1 { // The first time, another member may get an answer.
 			step.advice.retryAt = s.now + adviceRetry.Delay(step.advice.failures-1)
 		}
 		return
--- a/core/dispatch/advicerequests.go
+++ b/core/dispatch/advicerequests.go
@@ -50,7 +50,7 @@
 			s.planner.SetUrgentWaiting(true)
 		}
 	}
-	for _, w := range later { // They cost nothing while members are idle.
+	for _, w := range later { // Only members that have nothing else to do make these.
 		s.sendRequest(w, w.queue.Priority == 0)
 	}
 }
--- a/core/dispatch/advicetargets.go
+++ b/core/dispatch/advicetargets.go
@@ -10,11 +10,11 @@
 	"cyclamendyke/core/advice"
 )
 
-// The room that a target is expected to have for a step, relative to room that is free now.
+// The rules for the room that a target is expected to have for a step.
 const (
-	preemptedRoom = 0.5   // Room that must be taken from less urgent runs.
+	preemptedRoom = 0.5   // Tasks that a target counts for at least if less urgent runs there can be preempted.
 	leastShare    = 0.001 // Smallest part of a target that a task counts for.
-	lateRoom      = 0.5   // Room that frees up while tickets of the request are valid.
+	lateRoom      = 0.5   // Weight of room that becomes free while tickets of the request are valid.
 )
 
 // askedRoom is room on a target that a request for advice in flight counts on.
@@ -105,7 +105,7 @@
 type adviceOption struct {
 	id    cyclamendyke.TargetID
 	value float64 // Tasks of the step that are expected to start there.
-	order float64
+	order float64 // The value, less on slow targets the more the step is in haste; the highest comes first.
 }
 
 // adviceOptions returns the targets about which advice may be asked besides those of the want, the best first:
@@ -144,17 +144,21 @@
 	if t == nil || t.atMaxPerTarget(w.step) {
 		return 0
 	}
-	chance := 1.0
-	if !w.step.advice.verdicts[t.info.ID].allowed {
-		chance = float64(*s.allowedPart(w.queue.Name))
-	}
 	soon := w.step.fitsIn(s.freeBy(t, answerAt))
 	later := w.step.fitsIn(s.freeBy(t, answerAt+w.queue.Advice.ValidFor))
 	room := soon + lateRoom*(later-soon) - t.askedBefore(w.queue.Priority)/max(leastShare, w.step.spec.Reserved().DominantShare(t.info.Capacity))
 	if s.mayPreempt(w.step, w.queue) {
 		room = max(room, preemptedRoom)
 	}
-	return chance * *s.foundPart(w.queue.Name) * min(room, float64(w.waiting))
+	return s.allowedChance(w, t) * *s.foundPart(w.queue.Name) * min(room, float64(w.waiting))
+}
+
+// allowedChance returns how likely advice allows a target for the step.
+func (s *Scheduler) allowedChance(w adviceWant, t *target) float64 {
+	if w.step.advice.verdicts[t.info.ID].allowed {
+		return 1
+	}
+	return float64(*s.allowedPart(w.queue.Name))
 }
 
 // freeBy returns what is expected to be free on a target at a given time.
@@ -182,11 +186,7 @@
 		if hasVerdict && !v.allowed || !s.eligible(w.step, w.queue, t) {
 			continue
 		}
-		chance := 1.0
-		if !v.allowed {
-			chance = float64(*s.allowedPart(w.queue.Name))
-		}
-		expected += chance * min(w.step.fitsIn(s.freeWithPreemption(w, t, validFrom)), float64(w.waiting))
+		expected += s.allowedChance(w, t) * min(w.step.fitsIn(s.freeWithPreemption(w, t, validFrom)), float64(w.waiting))
 		if expected >= float64(w.waiting) {
 			return true
 		}
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -43,8 +43,9 @@
 	}
 }
 
-// wantAdviceInTakeover wants advice for a step that waits until the runs of earlier epochs are known, if that
-// takes a short time only for certain or the step is urgent: otherwise its tickets would lapse.
+// wantAdviceInTakeover wants advice for a step that waits until the runs of earlier epochs are known. Unless the
+// step is urgent, it does so only once that wait is expected to end within adviceLead: earlier tickets would
+// lapse.
 func (s *Scheduler) wantAdviceInTakeover(step *stepRun, queue *cyclamendyke.Queue, waiting int) {
 	if queue.Priority == 0 || queue.Advice != nil && s.now+adviceLead(queue) >= s.cfg.EarlierRunsEndBy {
 		s.wantInitialAdvice(step, queue, waiting)
