--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -13,8 +13,8 @@
 
 // FinalListSummary counts what a final list told of this epoch's targets.
 type FinalListSummary struct {
-	Targets  int
-	Complete int // Targets of which all runs are listed.
+	Targets  int // Targets that the list describes and that are the same now.
+	Complete int // Targets of which the list names all runs.
 	Runs     int
 }
 
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -15,7 +15,7 @@
 	ElectedRevision cyclamendyke.Revision // Store revision at which this epoch began.
 	Bounds          cyclamendyke.Bounds
 	// EarlierRunsEndBy is the time by which the leases that earlier epochs granted are over on every target
-	// that has not answered this epoch; tasks listed for closed targets wait longer.
+	// that has not answered this epoch, unless a final list says more. Tasks that may be done there wait longer.
 	EarlierRunsEndBy time.Duration
 	LogDecision      func(Decision)
 
@@ -57,7 +57,7 @@
 	knownRecords      map[cyclamendyke.TargetID]*knownRecord
 	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
 	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
-	earlierRunsKnown  bool                           // Runs left from earlier epochs are all listed or in unlistedTasks.
+	earlierRunsKnown  bool                           // Runs left from earlier epochs are all reported by their targets or in unlistedTasks.
 	earlierLeasesOver bool                           // EarlierRunsEndBy has come while no successor was possible.
 	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
 	runListDirty      bool                           // Runs have begun since the list of runs was last taken to be stored.
