--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -13,8 +13,8 @@
 
 // FinalListSummary counts what a final list told of this epoch's targets.
 type FinalListSummary struct {
-	Targets  int
-	Complete int // Targets of which all runs are listed.
+	Targets  int // Targets that the list describes and that are the same now.
+	Complete int // Targets of which the list names all runs.
 	Runs     int
 }
 
@@ -53,7 +53,7 @@
 	}
 	isOver := t.earlierLeaseOver || s.now >= s.earlierLeaseEnd(t)
 	return &finalTarget{
-		Complete:        t.listed || t.expired || t.unlistedTasksComplete || isOver,
+		Complete:        t.listed || t.expired || t.earlierRunsComplete || isOver,
 		Draining:        t.info.Draining || t.wasDraining,
 		LeaseLeftMillis: (leaseEnd - s.now).Milliseconds(),
 	}
@@ -97,8 +97,8 @@
 
 // applyFinal applies what a final list says of a target.
 func (s *Scheduler) applyFinal(t *target, on runListTarget, leaseEnd time.Duration) {
-	t.unlistedTasksComplete, t.earlierRuns = on.Final.Complete, nil
-	t.earlierLeaseEnd = leaseEnd
+	t.earlierRunsComplete, t.earlierRuns = on.Final.Complete, nil
+	t.finalListLeaseEnd = leaseEnd
 	t.wasDraining = t.wasDraining || on.Final.Draining && on.StartedMillis == t.info.StartedMillis
 	if t.unschedulable() || t.wasDraining {
 		s.targetChanged(t.info.ID)
