Let explain understand what the scheduler now says when runs of before are known

Cause: the line 'settled' ends differently since, so that explain took runs that a new epoch did not find for ones without a logged end.

--- a/core/explain/tellcontext.go
+++ b/core/explain/tellcontext.go
@@ -51,7 +51,7 @@
 		names = append(names, run.description)
 	}
 	text += "; not reported by any target so far: " + strings.Join(names, ", ")
-	if r.Reason == "" || strings.HasSuffix(r.Reason, noTasksLeft) {
+	if r.Reason == "" || leavesNoTasks(r.Reason) {
 		for _, run := range unreported {
 			run.close(endNotFound)
 		}
@@ -59,5 +59,16 @@
 	return text
 }
 
-// noTasksLeft ends the reason of a scheduler that has a report of each target on which something may run.
-const noTasksLeft = ", 0 tasks may still run there"
+// noTasksLeft are the endings, of this and of earlier versions, of the reason of a scheduler that knows where
+// all tasks run.
+var noTasksLeft = [...]string{", 0 tasks may still run or be done there", ", 0 tasks may still run there"}
+
+// leavesNoTasks reports whether a reason says that no task may run on a target that has not answered.
+func leavesNoTasks(reason string) bool {
+	for _, ending := range noTasksLeft {
+		if strings.HasSuffix(reason, ending) {
+			return true
+		}
+	}
+	return false
+}
--- a/node/termlog.go
+++ b/node/termlog.go
@@ -31,11 +31,13 @@
 		fields = append(fields, "age", d.Age.Round(time.Millisecond))
 	}
 	t.node.cfg.Metrics.Decisions.WithLabelValues(string(d.Event)).Inc()
-	if d.Event == dispatch.EventEvacuation {
-		t.node.cfg.Log.Info(string(d.Event), append(fields, "epoch", t.epoch)...) // Not limited in rate.
-		return
+	fields = append(fields, "epoch", t.epoch)
+	switch d.Event {
+	case dispatch.EventEvacuation, dispatch.EventSettled:
+		t.node.cfg.Log.Info(string(d.Event), fields...) // Rare, and not to be left out when the log is limited.
+	default:
+		t.node.cfg.RequestLog.Info(string(d.Event), fields...)
 	}
-	t.node.cfg.RequestLog.Info(string(d.Event), append(fields, "epoch", t.epoch)...)
 }
 
 // logViolation logs a violated invariant of the scheduler.
