Do not take lost answers to lease renewals for a store that is away

Cause: the own path to the store was judged by renewals of the lease, also right before a write. While only their answers are lost, it counted as broken and work was refused that the store would have taken; TestWorkAcceptedWhileLeaseIsInDoubtIsLost and TestCancellationWhileLeaseIsInDoubtIsLost failed once each in whole runs of the package beside load.

Change: a renewal without an answer is followed by a read, and an answer to that counts.

--- a/node/session.go
+++ b/node/session.go
@@ -194,6 +194,9 @@
 		ctx, cancel := context.WithTimeout(n.ctx, renewTimeout(failures))
 		sent := bootTime()
 		err := n.cfg.Store.KeepAlive(ctx, lease)
+		if callOutcome(err) != storepath.Answered {
+			_ = n.readStore(ctx) // Answers to renewals may be lost while the store answers other calls.
+		}
 		cancel()
 		n.recordStoreResult(err)
 		failures++
--- a/node/storewrite.go
+++ b/node/storewrite.go
@@ -168,16 +168,20 @@
 	return nil
 }
 
-// callStore makes a call without effect and returns an error if the store did not answer it.
+// callStore makes a call without effect and returns an error if the store did not answer it. It renews the lease,
+// which is the cheapest call, and reads if that has no answer.
 func (n *Node) callStore() error {
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	var err error
-	if lease := n.session.current(); lease != 0 {
-		err = n.cfg.Store.KeepAlive(ctx, lease)
-	} else {
-		_, err = n.cfg.Store.Get(ctx, epochKey)
+	if lease := n.session.current(); lease != 0 && callOutcome(n.cfg.Store.KeepAlive(ctx, lease)) == storepath.Answered {
+		return nil
 	}
+	return n.readStore(ctx)
+}
+
+// readStore reads a key and returns an error if the store did not answer.
+func (n *Node) readStore(ctx context.Context) error {
+	_, err := n.cfg.Store.Get(ctx, epochKey)
 	if callOutcome(err) == storepath.Answered {
 		return nil
 	}
