Let urgent steps ask for advice about all their waiting tasks

Cause: since advice is a budget, an urgent step of a team at its limit asked only for the tasks that the limit let start, and asked again each time some of it was free.

Change: it asks for all its waiting tasks. The load files of core/dispatch pass.

--- a/core/dispatch/advicerequests.go
+++ b/core/dispatch/advicerequests.go
@@ -28,6 +28,9 @@
 		a.wantedSince = s.now
 	}
 	a.wantedAt = s.now
+	if w.queue.Priority == 0 && !w.step.spec.LongRunning {
+		w.waiting = max(w.waiting, len(w.step.tasks)-w.step.tasksDone-w.step.runningTasks()) // Its limit may be free by the time of the answer.
+	}
 	s.adviceWants = append(s.adviceWants, w)
 }
 
