Log failing watches and the age of the copy that decides requests

Change: the first failed call of a watch and the first answer after it are logged; configuration applied and requests have config-age; metrics for the version in force, the age of the copy and failed watch calls. No decision changes. go test ./node ./io/logline ./core/explain passed.

--- a/node/admit.go
+++ b/node/admit.go
@@ -98,7 +98,7 @@
 		fields = append(fields, "queue", request.queue.Name)
 	}
 	if fleet := n.fleetConfig.Load(); fleet != nil {
-		fields = append(fields, "version", fleet.Version)
+		fields = append(fields, "version", fleet.Version, "config-age", n.configAge())
 	}
 	if err != nil {
 		fields = append(fields, "store-age", (bootTime() - n.session.lastStoreAnswer()).Round(time.Millisecond), "err", err)
--- a/node/evacuationsread.go
+++ b/node/evacuationsread.go
@@ -14,6 +14,7 @@
 // confirmEvacuations lists the evacuations whenever the watch has not confirmed the local copy for too long.
 func (n *Node) confirmEvacuations() {
 	for n.sleep(evacuationsCheckInterval) {
+		n.cfg.Metrics.ConfigAge.Set(n.configAge().Seconds())
 		if n.dir.storeFailing.Load() || bootTime()-n.evacuationsReadAt() <= evacuationsMaxAge {
 			continue
 		}
--- a/node/follow.go
+++ b/node/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -63,9 +64,11 @@
 // watchFrom watches a prefix for changes after revision at. It returns when the store has compacted
 // changes that it still needs, or when the context ends.
 func (n *Node) watchFrom(ctx context.Context, prefix string, at cyclamendyke.Revision, batchDelay func() time.Duration, apply func([]cyclamendyke.Entry)) {
+	var failures watchFailures
 	for ctx.Err() == nil {
 		sent := bootTime()
 		events, reached, err := n.cfg.Store.Watch(ctx, prefix, at, longPollTimeout)
+		n.recordWatch(prefix, &failures, sent, err)
 		if cyclamendyke.KindOf(err) == cyclamendyke.KindCompacted {
 			n.cfg.Log.Info("watch", "prefix", prefix, "state", "history is gone", "after", at)
 			return
@@ -88,6 +91,30 @@
 	}
 }
 
+// watchFailures counts the calls of one watch that failed in a row.
+type watchFailures struct {
+	count int
+	since time.Duration // When the first of them was sent.
+}
+
+// recordWatch counts a failed call of a watch, and logs the first one and the first answer after it.
+func (n *Node) recordWatch(prefix string, failures *watchFailures, sent time.Duration, err error) {
+	isAnswer := err == nil || cyclamendyke.KindOf(err) == cyclamendyke.KindCompacted
+	switch {
+	case errors.Is(err, context.Canceled):
+	case isAnswer && failures.count > 0:
+		n.cfg.Log.Info("watch", "prefix", prefix, "state", "answered", "failures", failures.count, "after", bootTime()-failures.since)
+		*failures = watchFailures{}
+	case !isAnswer:
+		n.cfg.Metrics.WatchFailures.WithLabelValues(prefix).Inc()
+		if failures.count == 0 {
+			failures.since = sent
+			n.cfg.Log.Info("watch", "prefix", prefix, "state", "failing", "took", bootTime()-sent, "err", err)
+		}
+		failures.count++
+	}
+}
+
 func noDelay() time.Duration { return 0 }
 
 // sleep pauses for d unless the context ends first.
@@ -103,6 +130,11 @@
 	}
 }
 
+// configAge returns the time since the copy of what operators write was last known to be complete.
+func (n *Node) configAge() time.Duration {
+	return (bootTime() - n.confirmed.of(n.cfg.Codec.OperatorsPrefix())).Round(time.Millisecond)
+}
+
 // followOperators keeps the fleet's configuration and the evacuated zones up to date; an older version never
 // replaces a newer one.
 func (n *Node) followOperators() {
@@ -151,7 +183,8 @@
 			break
 		}
 	}
-	n.cfg.Log.Info("configuration applied", "version", fleet.Version, "queues", len(fleet.Queues), "teams", len(fleet.Teams))
+	n.cfg.Metrics.ConfigVersion.Set(float64(fleet.Version))
+	n.cfg.Log.Info("configuration applied", "version", fleet.Version, "queues", len(fleet.Queues), "teams", len(fleet.Teams), "config-age", n.configAge())
 	if t := n.term.Load(); t != nil {
 		t.applyConfig(fleet)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -48,6 +48,12 @@
 	AdviceFailures *prometheus.CounterVec
 	// AdviceBacklog is the number of steps that wait for a member to make their request.
 	AdviceBacklog prometheus.Gauge
+	// ConfigVersion is the version of the configuration in force at this process.
+	ConfigVersion prometheus.Gauge
+	// ConfigAge is the time in seconds since this process's copy of what operators write was known to be complete.
+	ConfigAge prometheus.Gauge
+	// WatchFailures counts the calls of watches that had no answer or were refused, by prefix.
+	WatchFailures *prometheus.CounterVec
 }
 
 // storeCallBuckets are the bounds for durations of store calls, in seconds.
@@ -126,6 +132,16 @@
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes,
 		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+	m.ConfigVersion = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cyclamendyke_fleet_config_version", Help: "Version of the configuration in force.",
+	})
+	m.ConfigAge = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cyclamendyke_fleet_config_age_seconds", Help: "Time since the copy of what operators write was known to be complete.",
+	})
+	m.WatchFailures = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cyclamendyke_fleet_watch_failures_total", Help: "Calls of watches without an answer or refused, by prefix.",
+	}, []string{"prefix"})
+	registry.MustRegister(m.ConfigVersion, m.ConfigAge, m.WatchFailures)
 	registry.MustRegister(m.AdviceSeconds, m.AdviceTargets, m.AdviceTickets, m.AdviceFailures, m.AdviceBacklog)
 	m.setStorePathState(storepath.Good)
 	return m
