Ask members for the configuration while the store does not answer this VM

What callers saw: at an entry VM that the store turned away while it served the others, a withdrawn key went on working and a new one was refused, for as long as that lasted (CONFIG). Cause: admission used the local copy of what operators write without a bound on its age. The watch is its only source, and nobody asked the members, which have the newer version and already store work for that VM. Change: a copy carries the revision and the time as of which it is complete. While the own path is broken, or once the copy is older than an answered watch leaves it, two members are asked twice a second, and the store is listed after 3.2 s (before, its evacuations only). Past config_apply_ms and max_stretch_ms together all callers are refused with 503, and the VM isn't ready. TestTurnedAwayMemberUsesWithdrawnKey and TestUnconfirmedConfigurationIsUsedForLong fail with asking and bound switched off. Changed tests: the fake store of the evacuations refuses to list all that operators write, as that is what is listed now; its bounds are as before.

--- a/fleet.go
+++ b/fleet.go
@@ -60,6 +60,7 @@
 	StatusRetention time.Duration // How long the final state of a workflow must stay available.
 	RestoreTime     time.Duration // Time that a task needs to resume from a checkpoint.
 	EvacuationDelay time.Duration // Longest time until an evacuation takes effect; zero if there is no limit.
+	MaxConfigAge    time.Duration // Longest time for which an unconfirmed copy of the configuration may be used; zero if there is no limit.
 }
 
 // FleetSettings are the settings that the platform gives a process.
--- a/io/member/client.go
+++ b/io/member/client.go
@@ -27,6 +27,7 @@
 	classChecks connClass = "checks"
 	classStore  connClass = "store"
 	classFinal  connClass = "final"
+	classConfig connClass = "config"
 )
 
 // connKey identifies the connection of one class to one address.
@@ -162,6 +163,11 @@
 	return call[FinalListRequest, FinalList](ctx, c, connKey{address, classFinal}, methodFinalList, request)
 }
 
+// Operators asks the member at an address for its copy of what operators have written.
+func (c *Client) Operators(ctx context.Context, address string, request OperatorsRequest) (OperatorsCopy, error) {
+	return call[OperatorsRequest, OperatorsCopy](ctx, c, connKey{address, classConfig}, methodOperators, request)
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -25,6 +25,7 @@
 	methodExecuteOrders   = "carry"
 	methodReportOutcomes  = "carried"
 	methodFinalList       = "final-list"
+	methodOperators       = "operators"
 )
 
 // maxConcurrentCalls limits the calls that are handled concurrently on one connection.
@@ -75,6 +76,8 @@
 	ReportOutcomes(ctx context.Context, outcomes Outcomes) error
 	// FinalList ends an earlier term and returns its final list, or KindNotFound.
 	FinalList(ctx context.Context, request FinalListRequest) (FinalList, error)
+	// Operators returns this member's copy of what operators have written, or KindNotFound.
+	Operators(ctx context.Context, request OperatorsRequest) (OperatorsCopy, error)
 }
 
 // empty is the result of calls that return no data.
@@ -135,6 +138,7 @@
 		methodExecuteOrders:   rpcHandlerNoResult(h.ExecuteOrders),
 		methodReportOutcomes:  rpcHandlerNoResult(h.ReportOutcomes),
 		methodFinalList:       rpcHandler(h.FinalList),
+		methodOperators:       rpcHandler(h.Operators),
 	}
 	go func() {
 		for {
--- a/node/admit.go
+++ b/node/admit.go
@@ -20,7 +20,7 @@
 // admit finds the queue of a request and checks its key. The result is empty if the request is admitted.
 func (n *Node) admit(call cyclamendyke.IntakeCall) (admittedRequest, cyclamendyke.IntakeResult) {
 	fleet := n.fleetConfig.Load()
-	if fleet == nil {
+	if fleet == nil || n.operatorsOutdated() {
 		return admittedRequest{}, cyclamendyke.IntakeUnavailable
 	}
 	var queue *cyclamendyke.Queue
@@ -98,7 +98,7 @@
 		fields = append(fields, "queue", request.queue.Name)
 	}
 	if fleet := n.fleetConfig.Load(); fleet != nil {
-		fields = append(fields, "version", fleet.Version, "config-age", n.configAge())
+		fields = append(fields, "version", fleet.Version, "config-age", n.operatorsAge())
 	}
 	if err != nil {
 		fields = append(fields, "store-age", (bootTime() - n.session.lastStoreAnswer()).Round(time.Millisecond), "err", err)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -125,6 +125,7 @@
 	log             io.Writer             // For the nodes' own lines.
 	zone            cyclamendyke.ZoneName // Of the nodes that are started.
 	evacuationDelay time.Duration         // In their settings.
+	maxConfigAge    time.Duration         // In their settings.
 	submitted       int                   // Workflows that complete has submitted.
 }
 
@@ -148,6 +149,31 @@
 	}
 }
 
+// configure stores the next version of the configuration, with one key.
+func (c *testCluster) configure(key string) *cyclamendyke.FleetConfig {
+	c.t.Helper()
+	ctx, store := context.Background(), c.store.As("operator")
+	old, err := store.Get(ctx, jsonCodec{}.ConfigKey())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	fleet, err := jsonCodec{}.Config(old.Value)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	fleet.Version++
+	fleet.Queues[0].Open = false
+	fleet.Teams = []cyclamendyke.TeamConfig{{Team: "t", Keys: []string{key}}}
+	value, err := json.Marshal(fleet)
+	if err == nil {
+		_, err = store.CompareAndSwap(ctx, jsonCodec{}.ConfigKey(), value, old.Revision, 0)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return fleet
+}
+
 // startNode runs a node until the test ends.
 func (c *testCluster) startNode(name cyclamendyke.MemberName) *Node {
 	return c.startNodeWithTargets(name, c.target)
@@ -174,7 +200,7 @@
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay, MaxConfigAge: c.maxConfigAge}},
 		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(c.log), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,7 +87,7 @@
 	cyclamendyke.BatchStore
 	compacted atomic.Bool // The history of the operators' keys is gone.
 	silent    atomic.Bool // Watches of the operators' keys have no answer.
-	unlisted  atomic.Bool // The evacuations cannot be listed.
+	unlisted  atomic.Bool // Nothing that operators write can be listed.
 	afterList func()      // Called, if not nil, before the evacuations that were listed are returned.
 }
 
@@ -106,7 +107,7 @@
 
 // List calls afterList between the listing and its return.
 func (s *operatorsStore) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	if prefix == (jsonCodec{}).EvacuationsPrefix() && s.unlisted.Load() {
+	if strings.HasPrefix(prefix, jsonCodec{}.OperatorsPrefix()) && s.unlisted.Load() {
 		return nil, 0, cyclamendyke.KindUnknown
 	}
 	entries, at, err := s.BatchStore.List(ctx, prefix)
@@ -249,7 +250,7 @@
 func TestStartsWaitWhileEvacuationsAreUnknown(t *testing.T) {
 	is := is.New(t)
 	c, targets := newZoneCluster(t)
-	c.evacuationDelay = startTimeout + evacuationsMaxAge
+	c.evacuationDelay = startTimeout + operatorsListAge
 	store := &operatorsStore{BatchStore: c.store.As("only")}
 	n := c.start("only", store, targets, 0)
 	c.complete(n, 1)
@@ -291,7 +292,7 @@
 			n := newIdleNode(kv.New(kv.Config{}).As("a")).Node
 			n.evacuations.apply([]cyclamendyke.Entry{{Key: evacuationKey("b"), Value: []byte("{}"), Revision: 1}})
 			if !test.unread {
-				n.confirmed.record(jsonCodec{}.OperatorsPrefix(), bootTime())
+				n.confirmed.record(jsonCodec{}.OperatorsPrefix(), bootTime(), 1)
 			}
 			n.session.recordRenewal(1, bootTime())
 			target := &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}
--- a/node/follow.go
+++ b/node/follow.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,27 +14,34 @@
 	longPollTimeout = 1500 * time.Millisecond // For one watch call; short, since a dead connection may cause no error.
 )
 
-// confirmations records for each followed prefix when the newest answered call of the store was sent, as of
-// which the local copy is complete.
+// confirmation says that a local copy of a prefix held everything that the store held.
+type confirmation struct {
+	asOf     time.Duration         // When it did: when the newest answered call was sent.
+	revision cyclamendyke.Revision // The store's revision then.
+}
+
+// confirmations records for each followed prefix when its local copy was last known to be complete.
 type confirmations struct {
-	mu   sync.Mutex
-	sent map[string]time.Duration
+	mu     sync.Mutex
+	newest map[string]confirmation
 }
 
-func (c *confirmations) record(prefix string, sent time.Duration) {
+// record records a confirmation; older ones change nothing.
+func (c *confirmations) record(prefix string, asOf time.Duration, revision cyclamendyke.Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.sent == nil {
-		c.sent = map[string]time.Duration{}
+	if c.newest == nil {
+		c.newest = map[string]confirmation{}
 	}
-	c.sent[prefix] = max(c.sent[prefix], sent)
+	known := c.newest[prefix]
+	c.newest[prefix] = confirmation{max(known.asOf, asOf), max(known.revision, revision)}
 }
 
-// of returns as of when the local copy of a prefix is complete, or zero if it was never read.
-func (c *confirmations) of(prefix string) time.Duration {
+// of returns the newest confirmation of a prefix, which is empty if it was never read.
+func (c *confirmations) of(prefix string) confirmation {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.sent[prefix]
+	return c.newest[prefix]
 }
 
 // follow lists a prefix and watches it until the node is closed. If the store has
@@ -56,7 +62,7 @@
 			continue
 		}
 		replace(entries, at)
-		n.confirmed.record(prefix, sent)
+		n.confirmed.record(prefix, sent, at)
 		n.watchFrom(ctx, prefix, at, batchDelay, apply)
 	}
 }
@@ -80,11 +86,11 @@
 		}
 		at = max(at, reached)
 		if len(events) == 0 {
-			n.confirmed.record(prefix, sent)
+			n.confirmed.record(prefix, sent, at)
 			continue
 		}
 		apply(events)
-		n.confirmed.record(prefix, sent)
+		n.confirmed.record(prefix, sent, at)
 		if len(events) < largeBatch {
 			sleep(ctx, batchDelay())
 		}
@@ -129,63 +135,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// configAge returns the time since the copy of what operators write was last known to be complete.
-func (n *Node) configAge() time.Duration {
-	return (bootTime() - n.confirmed.of(n.cfg.Codec.OperatorsPrefix())).Round(time.Millisecond)
-}
-
-// followOperators keeps the fleet's configuration and the evacuated zones up to date; an older version never
-// replaces a newer one.
-func (n *Node) followOperators() {
-	replace := func(entries []cyclamendyke.Entry, at cyclamendyke.Revision) {
-		n.applyConfigEntries(entries)
-		n.evacuations.replace(n.evacuationEntries(entries), at)
-	}
-	apply := func(entries []cyclamendyke.Entry) {
-		n.applyConfigEntries(entries)
-		n.evacuations.apply(n.evacuationEntries(entries))
-	}
-	n.follow(n.cfg.Codec.OperatorsPrefix(), noDelay, replace, apply)
-}
-
-// evacuationEntries returns the requests to evacuate zones among what operators have written.
-func (n *Node) evacuationEntries(entries []cyclamendyke.Entry) []cyclamendyke.Entry {
-	var requests []cyclamendyke.Entry
-	for _, entry := range entries {
-		if strings.HasPrefix(entry.Key, n.cfg.Codec.EvacuationsPrefix()) {
-			requests = append(requests, entry)
-		}
-	}
-	return requests
-}
-
-func (n *Node) applyConfigEntries(entries []cyclamendyke.Entry) {
-	for _, entry := range entries {
-		if entry.Key == n.cfg.Codec.ConfigKey() && !entry.Deleted {
-			n.applyConfig(entry)
-		}
-	}
-}
-
-func (n *Node) applyConfig(entry cyclamendyke.Entry) {
-	fleet, err := n.cfg.Codec.Config(entry.Value)
-	if err != nil {
-		n.cfg.Log.Error("cannot decode configuration", "revision", entry.Revision, "err", err)
-		return
-	}
-	for {
-		old := n.fleetConfig.Load()
-		if old != nil && old.Version >= fleet.Version {
-			return
-		}
-		if n.fleetConfig.CompareAndSwap(old, fleet) {
-			break
-		}
-	}
-	n.cfg.Metrics.ConfigVersion.Set(float64(fleet.Version))
-	n.cfg.Log.Info("configuration applied", "version", fleet.Version, "queues", len(fleet.Queues), "teams", len(fleet.Teams), "config-age", n.configAge())
-	if t := n.term.Load(); t != nil {
-		t.applyConfig(fleet)
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,9 @@
 	wg          sync.WaitGroup
 	session     session
 	dir         directory
+	operators   operatorsCopy // Everything that operators have written.
+	refreshes   singleflight.Group
+	refreshedAt atomic.Int64  // When members were last asked for what operators have written, as bootTime.
 	evacuations evacuations   // Zones in which operators want nothing started.
 	confirmed   confirmations // As of when the copies of followed prefixes are complete.
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
@@ -56,7 +59,7 @@
 	n.wg.Go(n.maintainSession)
 	n.wg.Go(n.followDirectory)
 	n.wg.Go(n.followOperators)
-	n.wg.Go(n.confirmEvacuations)
+	n.wg.Go(n.confirmOperators)
 	n.wg.Go(n.runElections)
 	return n
 }
@@ -85,7 +88,7 @@
 // Draining reports whether callers should reconnect elsewhere, because the process is shutting
 // down, can store nothing or has not reached the store for long.
 func (n *Node) Draining() bool {
-	return n.leaving.Load() || n.storePaths.hasNoPath() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
+	return n.leaving.Load() || n.storePaths.hasNoPath() || n.operatorsOutdated() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
 }
 
 // Leave sends callers elsewhere, steps down as the scheduler and releases the lease. Calls are
