Ask members before a request is decided by a copy that the watch has left old

Cause: what waits at the VM's sockets is read before the watch is answered. TestPausedMemberUsesWithdrawnKey fails without the call.

--- a/node/admit.go
+++ b/node/admit.go
@@ -19,6 +19,7 @@
 
 // admit finds the queue of a request and checks its key. The result is empty if the request is admitted.
 func (n *Node) admit(call cyclamendyke.IntakeCall) (admittedRequest, cyclamendyke.IntakeResult) {
+	n.refreshBeforeUse()
 	fleet := n.fleetConfig.Load()
 	if fleet == nil || n.operatorsOutdated() {
 		return admittedRequest{}, cyclamendyke.IntakeUnavailable
--- a/node/operators_test.go
+++ b/node/operators_test.go
@@ -60,6 +60,24 @@
 	eventually(t, "readiness again", n.Ready)
 }
 
+// TestPausedMemberUsesWithdrawnKey has a key withdrawn while a member is paused; its first request after the pause
+// comes before any answer of the store.
+func TestPausedMemberUsesWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	c := newTestCluster(t)
+	c.configure("old")
+	first := c.startNode("first")
+	eventually(t, "the configuration", func() bool { return first.fleetConfig.Load() != nil })
+	paused := newIdleNode(c.store.As("paused")).Node
+	is.NoErr(paused.listOperators(context.Background()))
+	paused.dir.members = map[cyclamendyke.MemberName]memberRecord{"first": first.ownRecord()}
+	version := c.configure("new").Version
+	eventually(t, "the new configuration", func() bool { return first.fleetConfig.Load().Version == version })
+	prefix := jsonCodec{}.OperatorsPrefix()
+	paused.confirmed.newest[prefix] = confirmation{bootTime() - 5*time.Second, paused.confirmed.of(prefix).revision}
+	is.Equal(queryWithKey(paused, "old"), cyclamendyke.IntakeBadKey)
+}
+
 // TestOlderCopyUndoesNothing applies listings and changes of what operators write in several orders.
 func TestOlderCopyUndoesNothing(t *testing.T) {
 	entry := func(key string, at cyclamendyke.Revision) cyclamendyke.Entry {
--- a/node/operatorsread.go
+++ b/node/operatorsread.go
@@ -49,6 +49,13 @@
 	})
 }
 
+// refreshBeforeUse refreshes a copy that is older than the watch leaves it, as after a pause of the process.
+func (n *Node) refreshBeforeUse() {
+	if n.operatorsAge() > operatorsAskAge {
+		n.refreshOperators()
+	}
+}
+
 // listOperators lists what operators have written and merges it into the local copy.
 func (n *Node) listOperators(ctx context.Context) error {
 	prefix := n.cfg.Codec.OperatorsPrefix()
