--- a/node/term.go
+++ b/node/term.go
@@ -74,15 +74,15 @@
 	n.term.Store(t)
 	own := n.final.Swap(t.final)
 	n.cfg.Metrics.Terms.Inc()
-	n.wg.Go(func() {
+	t.predecessorsEnded.Store(election.predecessorsEnded)
+	t.wg.Go(t.loadAndFollow)
+	t.wg.Go(func() { t.askForFinalList(own) })
+	t.wg.Go(t.declarePredecessorsEnded)
+	n.wg.Go(func() { // Last, since a term that ends at once waits for the others.
 		t.runControlLoop()
 		t.leaveFinalList()
 		t.wg.Wait()
 	})
-	t.wg.Go(t.loadAndFollow)
-	t.wg.Go(func() { t.askForFinalList(own) })
-	t.predecessorsEnded.Store(election.predecessorsEnded)
-	t.wg.Go(t.declarePredecessorsEnded)
 }
 
 // end ends the term; only the first call has an effect.
