--- a/node/cancel.go
+++ b/node/cancel.go
@@ -13,7 +13,9 @@
 		refusal = cyclamendyke.IntakeNotSupported
 	}
 	if refusal != "" {
-		return refuse(refusal)
+		reply := refuse(refusal)
+		i.logRequest("cancel", call, request, reply, nil)
+		return reply
 	}
 	ctx, cancel := withAnswerDeadline(ctx, call)
 	defer cancel()
--- a/node/query.go
+++ b/node/query.go
@@ -14,7 +14,9 @@
 func (i Intake) Query(ctx context.Context, call cyclamendyke.IntakeCall) cyclamendyke.IntakeReply {
 	request, refusal := i.admit(call)
 	if refusal != "" {
-		return refuse(refusal)
+		reply := refuse(refusal)
+		i.logRequest("look", call, request, reply, nil)
+		return reply
 	}
 	ctx, cancel := withAnswerDeadline(ctx, call)
 	defer cancel()
