--- a/node/evacuations_test.go
+++ b/node/evacuations_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,88 +80,6 @@
 	}
 }
 
-// operatorsStore is a store whose calls on the operators' keys can be made to fail.
-type operatorsStore struct {
-	cyclamendyke.BatchStore
-	compacted atomic.Bool // The history of the operators' keys is gone.
-	silent    atomic.Bool // Watches of the operators' keys have no answer.
-	unlisted  atomic.Bool // Nothing that operators write can be listed.
-	afterList func()      // Called, if not nil, before the evacuations that were listed are returned.
-}
-
-// Watch fails or waits for the end of the context, if so set.
-func (s *operatorsStore) Watch(ctx context.Context, prefix string, after cyclamendyke.Revision, hold time.Duration) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	isOperators := prefix == jsonCodec{}.OperatorsPrefix()
-	switch {
-	case isOperators && s.compacted.Load():
-		time.Sleep(20 * time.Millisecond)
-		return nil, 0, cyclamendyke.KindCompacted
-	case isOperators && s.silent.Load():
-		<-ctx.Done()
-		return nil, 0, cyclamendyke.KindUnknown
-	}
-	return s.BatchStore.Watch(ctx, prefix, after, hold)
-}
-
-// List calls afterList between the listing and its return.
-func (s *operatorsStore) List(ctx context.Context, prefix string) ([]cyclamendyke.Entry, cyclamendyke.Revision, error) {
-	if strings.HasPrefix(prefix, jsonCodec{}.OperatorsPrefix()) && s.unlisted.Load() {
-		return nil, 0, cyclamendyke.KindUnknown
-	}
-	entries, at, err := s.BatchStore.List(ctx, prefix)
-	if prefix == (jsonCodec{}).EvacuationsPrefix() && s.afterList != nil {
-		s.afterList()
-	}
-	return entries, at, err
-}
-
-// zoneTargets counts the starts in each zone.
-type zoneTargets struct {
-	*fakeTarget
-	started map[cyclamendyke.ZoneName]int
-}
-
-// Start counts the start and carries it out.
-func (z *zoneTargets) Start(ctx context.Context, target cyclamendyke.Target, order cyclamendyke.StartOrder) (time.Duration, error) {
-	z.mu.Lock()
-	z.started[target.Zone]++
-	z.mu.Unlock()
-	return z.fakeTarget.Start(ctx, target, order)
-}
-
-func (z *zoneTargets) startsInZone() int {
-	z.mu.Lock()
-	defer z.mu.Unlock()
-	return z.started[testZone]
-}
-
-// testZone is the zone of the members of newZoneCluster and of one of its targets.
-const testZone cyclamendyke.ZoneName = "a"
-
-// newZoneCluster returns a cluster with members and a target in testZone, which work goes to first, and
-// another target elsewhere.
-func newZoneCluster(t *testing.T) (*testCluster, *zoneTargets) {
-	c := newTestCluster(t)
-	c.zone = testZone
-	c.put("targets/a-1", cyclamendyke.Target{ID: "a-1", Service: "s", Address: "x", Zone: testZone, Capacity: cyclamendyke.Resources{Cores: 16000}})
-	return c, &zoneTargets{fakeTarget: c.target, started: map[cyclamendyke.ZoneName]int{}}
-}
-
-func (c *testCluster) evacuate() {
-	c.put(evacuationKey(testZone), struct{}{})
-}
-
-func (c *testCluster) takeBack() {
-	store := c.store.As("operator")
-	entry, err := store.Get(context.Background(), evacuationKey(testZone))
-	if err == nil {
-		err = store.Delete(context.Background(), entry.Key, entry.Revision)
-	}
-	if err != nil {
-		c.t.Fatal(err)
-	}
-}
-
 // complete submits workflows and waits until they are completed.
 func (c *testCluster) complete(n *Node, count int) {
 	c.t.Helper()
