--- a/platform/standin/listener.go
+++ b/standin/silent/listener.go
@@ -1,4 +1,4 @@
-package standin
+package silent
 
 import (
 	"net"
@@ -6,15 +6,15 @@
 	"sync/atomic"
 )
 
-// listener accepts connections that can be made silent.
-type listener struct {
+// Listener accepts connections that can be made silent; it is safe for concurrent use.
+type Listener struct {
 	net.Listener
 	mu    sync.Mutex
 	conns []*conn
 }
 
 // Accept waits for the next connection.
-func (l *listener) Accept() (net.Conn, error) {
+func (l *Listener) Accept() (net.Conn, error) {
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -26,8 +26,8 @@
 	return c, nil
 }
 
-// silence makes all connections accepted so far silent, and returns their number.
-func (l *listener) silence() int {
+// Silence makes all connections accepted so far silent for good, and returns their number.
+func (l *Listener) Silence() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.conns {
