--- a/node/node.go
+++ b/node/node.go
@@ -37,11 +37,11 @@
 	wg          sync.WaitGroup
 	session     session
 	dir         directory
-	operators   operatorsCopy // Everything that operators have written.
-	refreshes   singleflight.Group
-	refreshedAt atomic.Int64  // When members were last asked for what operators have written, as bootTime.
-	evacuations evacuations   // Zones in which operators want nothing started.
-	confirmed   confirmations // As of when the copies of followed prefixes are complete.
+	operators   operatorsCopy      // Everything that operators have written.
+	refreshes   singleflight.Group // Rounds of asking members for their copies of it.
+	refreshedAt atomic.Int64       // When the last round ended, as bootTime.
+	evacuations evacuations        // Zones in which operators want nothing started.
+	confirmed   confirmations      // As of when the copies of followed prefixes are complete.
 	fleetConfig atomic.Pointer[cyclamendyke.FleetConfig]
 	term        atomic.Pointer[term]
 	executor    atomic.Pointer[orderExecutor] // Executes orders for the current scheduler.
@@ -86,7 +86,7 @@
 }
 
 // Draining reports whether callers should reconnect elsewhere, because the process is shutting
-// down, can store nothing or has not reached the store for long.
+// down, can store nothing, has not reached the store for long or has an outdated configuration.
 func (n *Node) Draining() bool {
 	return n.leaving.Load() || n.storePaths.hasNoPath() || n.operatorsOutdated() || bootTime()-n.session.lastStoreAnswer() > storeStaleAfter
 }
--- a/node/operatorsread.go
+++ b/node/operatorsread.go
@@ -15,7 +15,7 @@
 const (
 	operatorsCheckInterval = 500 * time.Millisecond
 	operatorsAskAge        = longPollTimeout + 300*time.Millisecond // Answered watches confirm the copy more often than this.
-	operatorsListAge       = 2*longPollTimeout + 200*time.Millisecond
+	operatorsListAge       = 2*longPollTimeout + 200*time.Millisecond // Members are asked first.
 	operatorsCallTimeout   = 300 * time.Millisecond // For asking a member.
 	operatorsMembersAsked  = 2
 )
@@ -49,7 +49,8 @@
 	})
 }
 
-// refreshBeforeUse refreshes a copy that is older than the watch leaves it, as after a pause of the process.
+// refreshBeforeUse makes a request wait for a refresh if the copy is older than the watch leaves it, as after a pause
+// of the process.
 func (n *Node) refreshBeforeUse() {
 	if n.operatorsAge() > operatorsAskAge {
 		n.refreshOperators()
@@ -69,8 +70,8 @@
 	return nil
 }
 
-// askMembersForOperators asks a few members for their copy, and waits until one of them confirms it lately or
-// none does.
+// askMembersForOperators asks a few members for their copy, and waits until the local one is as new as the watch
+// leaves it, or all have answered.
 func (n *Node) askMembersForOperators() {
 	answered := make(chan struct{}, operatorsMembersAsked)
 	members := n.membersToAsk()
