--- a/node/operatorsread.go
+++ b/node/operatorsread.go
@@ -14,9 +14,9 @@
 // The timing of confirming what operators have written besides the watch, which may be silent for a while.
 const (
 	operatorsCheckInterval = 500 * time.Millisecond
-	operatorsAskAge        = longPollTimeout + 300*time.Millisecond // Answered watches confirm the copy more often than this.
+	operatorsAskAge        = longPollTimeout + 300*time.Millisecond   // Answered watches confirm the copy more often than this.
 	operatorsListAge       = 2*longPollTimeout + 200*time.Millisecond // Members are asked first.
-	operatorsCallTimeout   = 300 * time.Millisecond // For asking a member.
+	operatorsCallTimeout   = 300 * time.Millisecond                   // For asking a member.
 	operatorsMembersAsked  = 2
 )
 
