--- a/core/dispatch/finallist_test.go
+++ b/core/dispatch/finallist_test.go
@@ -108,9 +108,7 @@
 			sim.asksLast = true
 			sim.resumeWriting()
 			sim.elect()
-			sim.run(LongestLease(sim.bounds()) + time.Second)
-			sim.vms["vm-0"].unreachable = false
-			sim.run(5 * time.Second)
+			sim.returnAfterLongestLease()
 			is.Equal(sim.starts, 1)
 			is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 			is.Equal(len(sim.violations), 0)
--- a/core/dispatch/runlist_test.go
+++ b/core/dispatch/runlist_test.go
@@ -29,6 +29,13 @@
 	return workflow(id, cyclamendyke.Step{Count: 1, Need: cores(16), Estimate: estimate})
 }
 
+// returnAfterLongestLease brings the first VM back after any lease has ended, and lets what follows from it happen.
+func (sim *simulation) returnAfterLongestLease() {
+	sim.run(LongestLease(sim.bounds()) + time.Second)
+	sim.vms["vm-0"].unreachable = false
+	sim.run(5 * time.Second)
+}
+
 // TestTakeoverFromVersionWithoutRunList finds no list, as during a roll-out, and waits for the lease alone.
 func TestTakeoverFromVersionWithoutRunList(t *testing.T) {
 	is := is.New(t)
@@ -54,9 +61,7 @@
 	sim.submit(oneTask("beside")) // So that the list changes.
 	sim.run(3 * time.Second)
 	sim.elect()
-	sim.run(LongestLease(sim.bounds()) + time.Second)
-	sim.vms["vm-0"].unreachable = false
-	sim.run(5 * time.Second)
+	sim.returnAfterLongestLease()
 	is.Equal(sim.starts, 2)
 	is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], 2)
 	is.Equal(len(sim.violations), 0)
@@ -91,9 +96,7 @@
 	is.Equal(sim.sched.UnstoredEnds(), 1)
 	sim.vms["vm-0"].unreachable = true
 	sim.elect()
-	sim.run(LongestLease(sim.bounds()) + time.Second)
-	sim.vms["vm-0"].unreachable = false
-	sim.run(5 * time.Second)
+	sim.returnAfterLongestLease()
 	is.Equal(sim.starts, 1)
 	is.Equal(len(sim.violations), 0)
 }
@@ -103,9 +106,7 @@
 	is := is.New(t)
 	sim := runAndLose(t, workflow("gang", cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: time.Second, Gang: true}))
 	is.Equal(sim.starts, 2)
-	sim.run(LongestLease(sim.bounds()) + time.Second)
-	sim.vms["vm-0"].unreachable = false
-	sim.run(5 * time.Second)
+	sim.returnAfterLongestLease()
 	is.Equal(sim.starts, 2)
 	is.Equal(sim.status("gang"), cyclamendyke.WorkflowCompleted)
 	is.Equal(len(sim.violations), 0)
--- a/core/dispatch/storeoutage_test.go
+++ b/core/dispatch/storeoutage_test.go
@@ -128,9 +128,7 @@
 	sim.addOtherVM()
 	sim.vms["vm-0"].unreachable = true
 	sim.elect()
-	sim.run(LongestLease(sim.bounds()) + time.Second)
-	sim.vms["vm-0"].unreachable = false
-	sim.run(5 * time.Second)
+	sim.returnAfterLongestLease()
 	is.Equal(sim.starts, 1)
 	is.Equal(len(sim.violations), 0)
 }
