--- a/node/operators_test.go
+++ b/node/operators_test.go
@@ -18,8 +18,7 @@
 	return Intake{n}.Query(context.Background(), call).Result
 }
 
-// TestTurnedAwayMemberUsesWithdrawnKey has the store turn one member away while a key is withdrawn and a zone is
-// evacuated.
+// TestTurnedAwayMemberUsesWithdrawnKey withdraws a key and evacuates a zone while the store refuses one member.
 func TestTurnedAwayMemberUsesWithdrawnKey(t *testing.T) {
 	is := is.New(t)
 	c := newTestCluster(t)
@@ -60,8 +59,7 @@
 	eventually(t, "readiness again", n.Ready)
 }
 
-// TestPausedMemberUsesWithdrawnKey has a key withdrawn while a member is paused; its first request after the pause
-// comes before any answer of the store.
+// TestPausedMemberUsesWithdrawnKey withdraws a key during a pause, after which a request comes before the watch.
 func TestPausedMemberUsesWithdrawnKey(t *testing.T) {
 	is := is.New(t)
 	c := newTestCluster(t)
