Log and count the crashes of targets

A run on a target that another incarnation had replaced ended with the same line as one whose lease ran out in silence, and no line or metric said that a target had crashed. Now 'target crashed' says what proves the end of the incarnation, how many runs it had and when it had last answered; the runs end as 'target ended'; a new target is logged with its address. The event is counted in cyclamendyke_fleet_decisions_total. No decision changes.

--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -22,6 +22,7 @@
 	EventFinal         Event = "final"
 	EventCancelled     Event = "cancelled"
 	EventTargetChanged Event = "target"
+	EventTargetCrashed Event = "target crashed" // Its incarnation is known to have ended without draining.
 	EventSettled       Event = "settled" // The runs left from earlier epochs are known.
 	EventAdvised       Event = "advised"
 	EventTargetAvoided Event = "target avoided"
@@ -41,7 +42,7 @@
 	// Age is the age of the target's last answer, a run time, the time since acceptance or the
 	// duration of a request, depending on the event.
 	Age time.Duration
-	// Count is a number of steps, tasks, tickets, targets or failures, or the sequence number of an
+	// Count is a number of steps, tasks, runs, tickets, targets or failures, or the sequence number of an
 	// end, depending on the event.
 	Count int
 }
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -145,7 +145,8 @@
 	if t.info.Address != info.Address {
 		return
 	}
-	s.endRuns(t, false)
+	s.targetEnded(t, "another incarnation answers at its address")
+	s.endRuns(t, cyclamendyke.EndTargetEnded, false)
 	t.expired = true
 	if !t.registered {
 		delete(s.targets, info.ID)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -142,7 +142,7 @@
 		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
 		s.targets[info.ID] = t
 		s.targetChanged(info.ID)
-		s.logTarget(info.ID, "new")
+		s.logTarget(info.ID, "new at "+info.Address)
 	case info.StartedMillis != 0 && t.info.StartedMillis != 0 && info.StartedMillis < t.info.StartedMillis:
 		return // A stale description; the target has reported a later incarnation itself.
 	case t.info.StartedMillis != 0 && info.StartedMillis > t.info.StartedMillis:
@@ -182,7 +182,8 @@
 // its runs. Earlier epochs may have started others since, if the restart was before this epoch.
 func (s *Scheduler) resetRestartedTarget(t *target) {
 	s.logTarget(t.info.ID, "VM restarted")
-	s.endRuns(t, true)
+	s.targetEnded(t, "a later incarnation has its identifier")
+	s.endRuns(t, cyclamendyke.EndTargetEnded, true)
 	t.listed, t.expired, t.wasDraining, t.earlierRunsComplete, t.earlierRuns = false, false, false, false, nil
 	t.finalListLeaseEnd, t.earlierLeaseOver = 0, false
 	if len(t.runs) > 0 {
@@ -200,13 +201,13 @@
 
 // endRuns ends a target's runs, which can no longer be running; after a restart, an unanswered start
 // may still reach the new incarnation and stays uncertain.
-func (s *Scheduler) endRuns(t *target, restarted bool) {
+func (s *Scheduler) endRuns(t *target, kind cyclamendyke.EndKind, restarted bool) {
 	for _, r := range t.runs {
 		if restarted && (r.state == runStarting || r.state == runStartUnknown) {
 			s.startUnknown(r)
 			continue
 		}
-		s.runEnded(r, cyclamendyke.EndLeaseExpired, r.checkpoint, 0)
+		s.runEnded(r, kind, r.checkpoint, 0)
 	}
 }
 
@@ -236,7 +237,7 @@
 	if len(t.runs) > 0 {
 		s.logTarget(t.info.ID, "lease expired without an answer")
 	}
-	s.endRuns(t, false)
+	s.endRuns(t, cyclamendyke.EndLeaseExpired, false)
 	t.expired = true
 	s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 }
--- a/core/explain/collector.go
+++ b/core/explain/collector.go
@@ -96,7 +96,7 @@
 }
 
 func isRoutine(record *cyclamendyke.LogRecord) bool {
-	return record.Message == messageTargetChanged && targetRoutine[record.Reason]
+	return record.Message == messageTargetChanged && isTargetRoutine(record.Reason)
 }
 
 func (c *Collector) keep(list *[]cyclamendyke.LogRecord, record cyclamendyke.LogRecord) {
--- a/core/explain/message.go
+++ b/core/explain/message.go
@@ -1,6 +1,8 @@
 package explain
 
 import (
+	"strings"
+
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
 )
@@ -22,18 +24,21 @@
 	messagePace          = "pace"
 	messageSettled       = string(dispatch.EventSettled)
 	messageTargetChanged = string(dispatch.EventTargetChanged)
+	messageTargetCrashed = string(dispatch.EventTargetCrashed)
 	messageTargetAvoided = string(dispatch.EventTargetAvoided)
 	messageEvacuation    = string(dispatch.EventEvacuation)
 )
 
-// targetRoutine are the reasons of target records that explain nothing.
-var targetRoutine = map[string]bool{"new": true, "listed": true}
+// isTargetRoutine reports whether the reason of a target record explains nothing.
+func isTargetRoutine(reason string) bool {
+	return reason == "listed" || reason == "new" || strings.HasPrefix(reason, "new at ")
+}
 
 // isContext reports whether records with a message are about the whole fleet or about a target.
 func isContext(message string) bool {
 	switch message {
 	case messageElected, messageTermStarted, messageTermEnded, messageSessionLost, messageStoreState,
-		messageLinesDropped, messageSettled, messageTargetChanged, messageTargetAvoided, messageEvacuation:
+		messageLinesDropped, messageSettled, messageTargetChanged, messageTargetCrashed, messageTargetAvoided, messageEvacuation:
 		return true
 	}
 	return false
@@ -41,7 +46,7 @@
 
 // isAboutTarget reports whether a context record matters only for runs on its target.
 func isAboutTarget(message string) bool {
-	return message == messageTargetChanged || message == messageTargetAvoided
+	return message == messageTargetChanged || message == messageTargetCrashed || message == messageTargetAvoided
 }
 
 // isDecision reports whether a record is of a scheduler, which always names its epoch.
@@ -49,7 +54,7 @@
 	switch dispatch.Event(message) {
 	case dispatch.EventAccepted, dispatch.EventPlaced, dispatch.EventStartRefused, dispatch.EventStartUnknown,
 		dispatch.EventAdopted, dispatch.EventEnded, dispatch.EventPreempted, dispatch.EventStopOrdered,
-		dispatch.EventFinal, dispatch.EventCancelled, dispatch.EventTargetChanged, dispatch.EventSettled,
+		dispatch.EventFinal, dispatch.EventCancelled, dispatch.EventTargetChanged, dispatch.EventTargetCrashed, dispatch.EventSettled,
 		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced, dispatch.EventLate,
 		dispatch.EventEvacuation:
 		return true
--- a/core/explain/tellcontext.go
+++ b/core/explain/tellcontext.go
@@ -20,6 +20,8 @@
 		return tellStoreState(r)
 	case messageSettled:
 		return h.tellSettled(r)
+	case messageTargetCrashed:
+		return fmt.Sprintf("target %s crashed under %s: %s", r.Target, plural(r.Count, "run"), r.Reason)
 	case messageTargetAvoided:
 		return fmt.Sprintf("target %s is avoided after %s of different workflows", r.Target, plural(r.Count, "failure"))
 	case messageEvacuation:
--- a/core/explain/tellrun.go
+++ b/core/explain/tellrun.go
@@ -129,6 +129,8 @@
 		return "was stopped"
 	case cyclamendyke.EndLeaseExpired:
 		return "is lost, its lease expired"
+	case cyclamendyke.EndTargetEnded:
+		return "is lost with its target, whose incarnation has ended"
 	case cyclamendyke.EndGangMemberEnded:
 		return "ended because another member of its gang did"
 	case cyclamendyke.EndGangIncomplete:
--- a/target.go
+++ b/target.go
@@ -36,6 +36,8 @@
 	EndLeaseExpired    EndKind = "lapsed" // Its lease expired.
 	EndGangMemberEnded EndKind = "broken" // Another member of its gang ended.
 	EndGangIncomplete  EndKind = "alone"  // The other members of its gang did not start.
+
+	EndTargetEnded EndKind = "target ended" // Not reported: the incarnation of the target that ran it has ended.
 )
 
 // RunReport is one running task in a target's listing.
