Try tasks apart that ran on a crashed target, and fail the workflow of the one that crashes it

What callers saw: a workflow whose task crashes its target stays running for ever, and the work of others is lost with a target every 3.4 s.

Cause: a run that ends with its target is no attempt. Its end is the scheduler's conclusion, not a report, and the same one as for a lease that ran out in a cut, where counting it would be wrong. Read with logs: 14 starts of one task by epoch 1, each followed by 'target crashed' and none in doubt, so that neither a takeover nor repeated orders are the cause.

Change: only another incarnation, with the same identifier or at the same address, proves that a target has ended; if it did not drain before, that is a crash of which every task that ran there is suspected. A task that had just begun, or under which two targets have crashed, runs apart from others until it has worked longer than before any crash: on a target on which nothing began in the last 300 ms and nothing else starts. A second crash apart from others, as quickly as the first, or a third one, is the task's fault, and its workflow fails. A rack or a tenth of a service that fails in the same moment blames nobody. Crashes are stored with the workflow's progress before the task starts again, so that a successor knows of them.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -13,9 +13,9 @@
 		step.spec.Reserved().FitsIn(t.info.Capacity)
 }
 
-// usable reports whether anything may be started on a target now.
+// usable reports whether a task that is not tried apart may be started on a target now.
 func (s *Scheduler) usable(t *target) bool {
-	return s.ready(t) && !s.evacuated(t)
+	return s.ready(t) && !s.evacuated(t) && t.trial == nil
 }
 
 // ready reports whether a target may be usable, whether its zone is evacuated or not.
@@ -33,7 +33,7 @@
 	var out []*target
 	if queue.Advice == nil {
 		for _, t := range s.usableByService[queue.Service] {
-			if s.eligible(step, queue, t) {
+			if t.trial == nil && s.eligible(step, queue, t) {
 				out = append(out, t)
 			}
 		}
--- /dev/null
+++ b/core/dispatch/crashhistory.go
@@ -0,0 +1,98 @@
+package dispatch
+
+import (
+	"time"
+
+	"cyclamendyke"
+)
+
+// crash is the end of a target's incarnation under a run of a task.
+type crash struct {
+	Target        cyclamendyke.TargetID `json:"target"`
+	StartedMillis int64                 `json:"born-ms"`         // Which incarnation of the target it was.
+	AfterMillis   int64                 `json:"after-ms"`        // From the start's order until the target was last known to work.
+	Alone         bool                  `json:"alone,omitempty"` // Nothing else there was suspected or had begun lately.
+}
+
+func (c crash) after() time.Duration {
+	return time.Duration(c.AfterMillis) * time.Millisecond
+}
+
+// crashHistory holds the crashes under one task, or under a gang, which is tried and blamed as a whole.
+type crashHistory struct {
+	crashes []crash
+	cleared bool // Since the last crash a run has worked for its probation.
+}
+
+// The rules for blaming a task for crashes.
+const (
+	freshTime         = 300 * time.Millisecond // A run that has worked for longer is not the first to be suspected.
+	quickCrash        = 100 * time.Millisecond // Crashes that soon after the start are no coincidence if they repeat.
+	maxBlamedAge      = 10 * time.Second       // A run that has worked for longer is not suspected at all.
+	suspiciousCrashes = 2                      // From so many crashes on a task is tried apart, however long it had worked.
+	certainCrashes    = 3                      // So many crashes, the last one apart from others, are the task's fault.
+	maxCrashes        = 5                      // A task is not started again after so many.
+)
+
+// suspected reports whether the next run must be tried apart from other work.
+func (h *crashHistory) suspected() bool {
+	if h.cleared || len(h.crashes) == 0 {
+		return false
+	}
+	return len(h.crashes) >= suspiciousCrashes || h.crashes[0].after() < freshTime
+}
+
+// probation returns for how long a run must work to be trusted: longer than before any crash.
+func (h *crashHistory) probation() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range h.crashes {
+		longest = max(longest, c.after())
+	}
+	return longest + freshTime
+}
+
+// blamed reports whether the crashes are the task's fault, or too many to try again.
+func (h *crashHistory) blamed() bool {
+	count := len(h.crashes)
+	if count < suspiciousCrashes {
+		return false
+	}
+	quick := true
+	for _, c := range h.crashes {
+		quick = quick && c.after() <= quickCrash
+	}
+	return h.crashes[count-1].Alone && (quick || count >= certainCrashes) || count >= maxCrashes
+}
+
+// add adds a crash, unless that of the same incarnation is known, and reports whether it did.
+func (h *crashHistory) add(c crash) bool {
+	for _, known := range h.crashes {
+		if known.Target == c.Target && known.StartedMillis == c.StartedMillis {
+			return false
+		}
+	}
+	h.crashes = append(h.crashes, c)
+	h.cleared = false
+	return true
+}
+
+// crashHistory returns the crashes under a task, or under its gang.
+func (step *stepRun) crashHistory(index int) *crashHistory {
+	if step.spec.Gang {
+		return &step.gangCrashes
+	}
+	return &step.tasks[index].crashes
+}
+
+// crashIndex returns the index under which a task's crashes are kept: its own, or that of its gang.
+func (step *stepRun) crashIndex(index int) int {
+	if step.spec.Gang {
+		return gangTask
+	}
+	return index
+}
+
+// crashesStored reports whether the next epoch would know of all crashes under a task.
+func (step *stepRun) crashesStored(index int) bool {
+	return len(step.crashHistory(index).crashes) == 0 || step.job.storedVersion >= step.job.crashVersion
+}
--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -23,8 +23,12 @@
 	EventCancelled     Event = "cancelled"
 	EventTargetChanged Event = "target"
 	EventTargetCrashed Event = "target crashed" // Its incarnation is known to have ended without draining.
-	EventSettled       Event = "settled" // The runs left from earlier epochs are known.
+	EventSettled       Event = "settled"        // The runs left from earlier epochs are known.
 	EventAdvised       Event = "advised"
+	EventCrashExcused  Event = "crash excused"  // No task is suspected of a crash.
+	EventSuspected     Event = "task suspected" // A target crashed under it.
+	EventTrusted       Event = "task trusted"   // A suspected task has worked for longer than before any crash.
+	EventBlamed        Event = "task blamed"    // It crashes targets, so that its workflow fails.
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
 	EventLate          Event = "late"       // A workflow became final after its target time.
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -103,6 +103,7 @@
 	s.reserve(r)
 	step.job.started = true
 	s.cfg.LogDecision(Decision{Event: EventAdopted, Workflow: report.Task.Workflow, Task: report.Task.String(), Target: t.info.ID, Run: report.Run})
+	t.adoptTrial(r)
 	if !needed {
 		s.stop(r, "not needed")
 	}
--- a/core/dispatch/nofit.go
+++ b/core/dispatch/nofit.go
@@ -29,7 +29,7 @@
 		switch {
 		case s.usable(t):
 			s.usableByService[t.info.Service] = append(s.usableByService[t.info.Service], t)
-		case s.ready(t):
+		case s.ready(t) && s.evacuated(t):
 			s.evacuatedByService[t.info.Service] = append(s.evacuatedByService[t.info.Service], t)
 		}
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -32,14 +32,15 @@
 			s.logUnplaced(step, "team limit reached")
 			continue
 		}
+		trusted, suspected := step.splitSuspected(waiting)
 		unplaced := len(waiting)
 		switch {
 		case queue.Advice == nil && noRoom.has(queue.Service, step.spec.Reserved()):
 			s.logUnplaced(step, "no room")
 		case step.spec.Gang:
-			unplaced = s.placeGang(step, queue)
+			unplaced = s.placeGang(step, queue, len(suspected) > 0)
 		default:
-			unplaced = s.placeTasks(step, queue, waiting)
+			unplaced = s.placeTasks(step, queue, trusted) + s.placeSuspected(step, queue, suspected)
 		}
 		if unplaced == 0 {
 			step.enterPhase(s.now, phaseStart)
@@ -66,7 +67,8 @@
 }
 
 // startableTasks returns the indexes of the tasks that are not done and have no run. It leaves out
-// tasks in unlistedTasks, and a whole gang if one of its tasks is among them.
+// tasks in unlistedTasks and those with crashes that the next epoch would not know of, and a whole gang if
+// one of its tasks is among them.
 func (s *Scheduler) startableTasks(step *stepRun) []int {
 	var out []int
 	for i := range step.tasks {
@@ -74,6 +76,12 @@
 		if t.done || len(t.runs) > 0 {
 			continue
 		}
+		if !step.crashesStored(i) {
+			if step.spec.Gang {
+				return nil
+			}
+			continue
+		}
 		if len(s.unlistedTasks) > 0 && s.unlistedTasks[step.taskName(i)] {
 			if step.spec.Gang {
 				return nil
@@ -137,14 +145,25 @@
 	return s.lastRunNumber
 }
 
-// placeGang starts all members of a gang or none, and returns how many it could not place.
-func (s *Scheduler) placeGang(step *stepRun, queue *cyclamendyke.Queue) int {
+// placeGang starts all members of a gang or none, a suspected one apart from other work, and returns how many
+// found no room.
+func (s *Scheduler) placeGang(step *stepRun, queue *cyclamendyke.Queue, suspected bool) int {
 	for i := range step.tasks {
 		if len(step.tasks[i].runs) > 0 {
 			return 0 // Members of an earlier run are still running or stopping.
 		}
 	}
 	count := len(step.tasks)
+	if suspected {
+		members := make([]int, count)
+		for i := range members {
+			members[i] = i
+		}
+		if s.tryApart(step, queue, members) {
+			return 0
+		}
+		return count
+	}
 	planned, chosen := plan{}, make([]*target, 0, count)
 	targets := s.candidates(step, queue)
 	for range count {
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -38,6 +38,7 @@
 	Done        []int              `json:"done,omitempty"`
 	FailedRuns  map[int][]int64    `json:"fails,omitempty"` // By task; those of a gang are under gangTask.
 	Checkpoints map[int]checkpoint `json:"saved,omitempty"`
+	Crashes     map[int][]crash    `json:"crashes,omitempty"` // By task; those of a gang are under gangTask.
 }
 
 type checkpoint = string
@@ -165,6 +166,7 @@
 	if len(step.failedRuns) > 0 {
 		out.setFailedRuns(gangTask, step.failedRuns)
 	}
+	out.setCrashes(gangTask, step.gangCrashes.crashes)
 	for i := range step.tasks {
 		t := &step.tasks[i]
 		if t.done {
@@ -174,6 +176,7 @@
 		if len(t.failedRuns) > 0 {
 			out.setFailedRuns(i, t.failedRuns)
 		}
+		out.setCrashes(i, t.crashes.crashes)
 		if t.checkpoint != "" {
 			if out.Checkpoints == nil {
 				out.Checkpoints = map[int]checkpoint{}
@@ -181,7 +184,17 @@
 			out.Checkpoints[i] = t.checkpoint
 		}
 	}
-	return out, len(out.Done)+len(out.FailedRuns)+len(out.Checkpoints) > 0
+	return out, len(out.Done)+len(out.FailedRuns)+len(out.Checkpoints)+len(out.Crashes) > 0
+}
+
+func (r *stepRecord) setCrashes(index int, crashes []crash) {
+	if len(crashes) == 0 {
+		return
+	}
+	if r.Crashes == nil {
+		r.Crashes = map[int][]crash{}
+	}
+	r.Crashes[index] = crashes
 }
 
 func (r *stepRecord) setFailedRuns(index int, runs []int64) {
@@ -231,10 +244,12 @@
 		step.tasks[i].done = true
 	}
 	step.failedRuns = r.FailedRuns[gangTask]
+	step.gangCrashes.crashes = r.Crashes[gangTask]
 	step.tasksDone = 0
 	for i := range step.tasks {
 		t := &step.tasks[i]
 		t.failedRuns = r.FailedRuns[i]
+		t.crashes.crashes = r.Crashes[i]
 		t.checkpoint = r.Checkpoints[i]
 		if t.done {
 			step.tasksDone++
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -25,6 +25,7 @@
 			continue
 		}
 		t.renewalInFlight = true
+		t.renewalSentAt = s.now
 		s.emit(RenewCommand{Target: t.info, Renewal: s.renewal(t, s.longPollWait(t))})
 	}
 }
@@ -87,8 +88,11 @@
 		t.leaseUntil = listing.Clock + LongestLease(s.cfg.Bounds)
 		s.logTarget(info.ID, "listed")
 	}
-	t.expired = false
-	t.renewFailed = false
+	t.expired, t.ended, t.silentRuns = false, false, nil
+	if t.renewFailed {
+		t.renewFailed = false
+		s.endSilence(t)
+	}
 	t.answeredAt = s.now
 	t.listingSentAt = max(t.listingSentAt, sent)
 	if listing.Clock > t.clock {
@@ -129,6 +133,7 @@
 	t.renewalDone(immediate)
 	t.renewAt = s.now + renewRetryDelay
 	if !t.renewFailed {
+		s.noteSilence(t, !immediate && kind == cyclamendyke.KindUnknown && s.now-t.renewalSentAt < renewWait)
 		t.renewFailed = true
 		s.logTarget(info.ID, "renewal failed: "+string(kind))
 	}
@@ -136,20 +141,19 @@
 	case cyclamendyke.KindFenced:
 		s.superseded = true
 	case cyclamendyke.KindWrongTarget:
-		s.endReplacedTarget(t, info)
+		if t.info.Address == info.Address {
+			s.targetEnded(t, "another incarnation answers at its address")
+			s.endReplacedTarget(t)
+		}
 	}
 }
 
-// endReplacedTarget ends a target's runs when another incarnation answers at its address.
-func (s *Scheduler) endReplacedTarget(t *target, info cyclamendyke.Target) {
-	if t.info.Address != info.Address {
-		return
-	}
-	s.targetEnded(t, "another incarnation answers at its address")
+// endReplacedTarget ends a target's runs when another incarnation has its address.
+func (s *Scheduler) endReplacedTarget(t *target) {
 	s.endRuns(t, cyclamendyke.EndTargetEnded, false)
 	t.expired = true
 	if !t.registered {
-		delete(s.targets, info.ID)
-		s.targetChanged(info.ID)
+		delete(s.targets, t.info.ID)
+		s.targetChanged(t.info.ID)
 	}
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -59,6 +59,8 @@
 	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
 	earlierRunsKnown  bool                           // Runs left from earlier epochs are all reported by their targets or in unlistedTasks.
 	earlierLeasesOver bool                           // EarlierRunsEndBy has come while no successor was possible.
+	silences          []silence                      // Targets that do not answer, or ended so.
+	droppedTargets    map[string]*target             // By address: targets that were dropped in silence, with runs.
 	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
 	runListDirty      bool                           // Runs have begun since the list of runs was last taken to be stored.
 	runListStale      bool                           // Runs that it names have ended; that alone is no reason to store it.
@@ -79,22 +81,23 @@
 		cfg.RecordViolation = func(invariant.Name, string) {}
 	}
 	return &Scheduler{
-		cfg:           cfg,
-		queues:        map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
-		teams:         map[cyclamendyke.TeamName]*team{},
-		jobs:          map[cyclamendyke.WorkflowID]*job{},
-		endedJobs:     map[cyclamendyke.WorkflowID]endedJob{},
-		targets:       map[cyclamendyke.TargetID]*target{},
-		unreleased:    map[*job]struct{}{},
-		planner:       advice.NewPlanner(),
-		adviceUses:    map[cyclamendyke.QueueName]*AdviceUse{},
-		foundParts:    map[cyclamendyke.QueueName]*float64{},
-		adviceCalls:   map[int64]AdviseCommand{},
-		allowedParts:  map[cyclamendyke.QueueName]*allowedPart{},
-		knownRecords:  map[cyclamendyke.TargetID]*knownRecord{},
-		forecasts:     map[cyclamendyke.ServiceName]*forecast{},
-		headrooms:     map[cyclamendyke.ServiceName]*headroom{},
-		lastRunNumber: int64(cfg.Epoch) * runsPerEpoch,
+		cfg:            cfg,
+		queues:         map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
+		teams:          map[cyclamendyke.TeamName]*team{},
+		jobs:           map[cyclamendyke.WorkflowID]*job{},
+		endedJobs:      map[cyclamendyke.WorkflowID]endedJob{},
+		targets:        map[cyclamendyke.TargetID]*target{},
+		unreleased:     map[*job]struct{}{},
+		planner:        advice.NewPlanner(),
+		adviceUses:     map[cyclamendyke.QueueName]*AdviceUse{},
+		foundParts:     map[cyclamendyke.QueueName]*float64{},
+		adviceCalls:    map[int64]AdviseCommand{},
+		allowedParts:   map[cyclamendyke.QueueName]*allowedPart{},
+		droppedTargets: map[string]*target{},
+		knownRecords:   map[cyclamendyke.TargetID]*knownRecord{},
+		forecasts:      map[cyclamendyke.ServiceName]*forecast{},
+		headrooms:      map[cyclamendyke.ServiceName]*headroom{},
+		lastRunNumber:  int64(cfg.Epoch) * runsPerEpoch,
 	}
 }
 
@@ -150,6 +153,7 @@
 	s.releaseDue()
 	s.indexUsable()
 	s.checkTargets()
+	s.checkTrials()
 	s.resetRoomIndex()
 	s.updateHeadroom()
 	s.placeAll()
--- a/core/dispatch/simulatedfaults_test.go
+++ b/core/dispatch/simulatedfaults_test.go
@@ -69,6 +69,9 @@
 	sim.evacuations.stored = nil
 	sim.tellEvacuations()
 	for _, v := range sim.vms {
+		if v.replaced {
+			continue
+		}
 		v.unreachable, v.removed = false, false
 		if v.down {
 			sim.boot(v)
--- a/core/dispatch/simulatedvm_test.go
+++ b/core/dispatch/simulatedvm_test.go
@@ -22,6 +22,8 @@
 	unreachable     bool
 	removed         bool // Its description was removed from the store.
 	pendingReply    func()
+	breakConnection func() // Cuts off the renewal that waits.
+	replaced        bool   // Another VM has its address.
 }
 
 func (sim *simulation) addVM(info cyclamendyke.Target) {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -61,9 +61,10 @@
 	checkpointEvery time.Duration                                  // Work between two checkpoints; zero for one only at a stop.
 	restoreTime     time.Duration                                  // Time to resume from a checkpoint.
 	runTime         func(cyclamendyke.TaskName, *vm) time.Duration // How long a whole run of a task takes on a VM.
-	fails           func(cyclamendyke.TaskName) bool               // Whether a run that begins now fails at its end.
-	saved           map[cyclamendyke.TaskName]float64              // Part of each task's work that is in its checkpoint.
-	wasted          float64                                        // Core-seconds of work that was lost.
+	crashing        crashingTasks
+	fails           func(cyclamendyke.TaskName) bool  // Whether a run that begins now fails at its end.
+	saved           map[cyclamendyke.TaskName]float64 // Part of each task's work that is in its checkpoint.
+	wasted          float64                           // Core-seconds of work that was lost.
 	gangs           map[gangKey]*gangRun
 	badTickets      int // Starts rejected since their ticket had expired.
 
@@ -96,6 +97,8 @@
 	done          bool
 	doneRuns      map[int64]bool // Runs that were done, and whether another run started after each.
 	failuresAcked int            // Number of acknowledged failures.
+	crashes       int            // VMs that crashed under it because of it.
+	startsTooMany int            // Starts after three such crashes.
 }
 
 type event struct {
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -105,6 +105,10 @@
 	sim.after(simAnswerTimeout, func() { reply(cyclamendyke.KindUnknown) })
 	sim.after(delay, func() {
 		v := sim.vms[target.ID]
+		if v.replaced {
+			sim.after(simLatency, func() { reply(cyclamendyke.KindWrongTarget) })
+			return
+		}
 		if v.down || v.unreachable || v.bootedAt != bootedAt && delay > simLatency {
 			return // A delayed request is lost if its VM restarts.
 		}
@@ -198,6 +202,7 @@
 	}
 	r := &vmRun{number: order.Run, started: sim.now, spec: step, team: spec.Team}
 	v.runs[order.Task] = r
+	sim.crashUnder(v, order.Task, r, history)
 	sim.beginWork(v, order.Task, r)
 }
 
@@ -255,6 +260,11 @@
 	sim.after(c.Renewal.Wait+900*time.Millisecond, fail)
 	sim.after(simLatency, func() {
 		v := sim.vms[c.Target.ID]
+		if v.replaced && !done {
+			done = true
+			sim.answer(sched, func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindWrongTarget) })
+			return
+		}
 		if v.down || v.unreachable {
 			return
 		}
@@ -282,7 +292,7 @@
 			reply()
 			return
 		}
-		v.pendingReply = reply
+		v.pendingReply, v.breakConnection = reply, fail
 		sim.after(c.Renewal.Wait, reply)
 	})
 }
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -23,6 +23,7 @@
 		h.free -= h.slotsLost(s.urgentFree(t), step.spec.Reserved(), 0)
 	}
 	s.reserve(r)
+	t.lastStartAt = s.now
 	queue := step.job.queue(s)
 	ticket, _ := step.ticket(queue, t, s.now)
 	s.useTicket(step, t.info.ID)
@@ -31,7 +32,7 @@
 	step.unplacedReason = ""
 	s.cfg.LogDecision(Decision{
 		Event: EventPlaced, Workflow: step.job.spec.ID, Task: r.taskName().String(), Target: t.info.ID, Run: number,
-		Age: s.now - t.answeredAt, Reason: "waited " + (s.now - step.releasedAt).Round(time.Millisecond).String(),
+		Age: s.now - t.answeredAt, Reason: "waited " + (s.now - step.releasedAt).Round(time.Millisecond).String() + step.crashNote(index),
 	})
 	s.emit(StartCommand{Target: t.info, Order: cyclamendyke.StartOrder{
 		Task: r.taskName(), Run: number, Spec: step.job.spec.Spec, Until: until, Fence: s.cfg.Epoch,
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -20,6 +20,7 @@
 	inActiveList   bool          // Present in activeSteps.steps.
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
+	gangCrashes    crashHistory
 	advice         stepAdvice
 	rankKey        rankKey
 	haste          float64 // How much it gains by a fast target, from -1 to 1.
@@ -37,7 +38,8 @@
 type task struct {
 	done        bool
 	runs        []*run
-	failedRuns  []int64 // Numbers of failed runs; stopped runs do not count.
+	failedRuns  []int64      // Numbers of failed runs; stopped runs do not count.
+	crashes     crashHistory // Of a gang's members, only stepRun.gangCrashes is used.
 	checkpoint  string
 	preemptions int                   // How often a run was stopped for more urgent work.
 	avoidTarget cyclamendyke.TargetID // Target on which it last failed or made no progress.
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -9,12 +9,14 @@
 // target is a target VM with its runs and the lease it holds.
 type target struct {
 	info                cyclamendyke.Target
-	registered          bool // Its description is in the store.
-	listed              bool // Its present incarnation has answered this epoch with a listing.
-	expired             bool // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed              bool // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
-	wasDraining         bool // It was draining in an earlier epoch.
-	earlierRunsComplete bool // earlierRuns names every task that an earlier epoch may have left here.
+	registered          bool         // Its description is in the store.
+	listed              bool         // Its present incarnation has answered this epoch with a listing.
+	ended               bool         // Its incarnation is known to have ended, and its crash, if it was one, is counted.
+	silentRuns          []crashedRun // Runs that it had when its lease expired in silence.
+	expired             bool         // Its lease has expired or another incarnation replaced it, so no run is left.
+	closed              bool         // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
+	wasDraining         bool         // It was draining in an earlier epoch.
+	earlierRunsComplete bool         // earlierRuns names every task that an earlier epoch may have left here.
 	earlierRuns         []earlierRun
 	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
 	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
@@ -36,6 +38,10 @@
 	answeredAt       time.Duration // When its last answer arrived.
 	listingSentAt    time.Duration // When the request for its newest listing was sent.
 	renewFailed      bool          // The last renewal failed.
+	renewalSentAt    time.Duration // When the last regular renewal was sent.
+	workedUntil      time.Duration // After a failed renewal: when the target was last known to work.
+	lastStartAt      time.Duration // When a start was last ordered here.
+	trial            *trial        // Nothing but this trial's task is started here; nil if there is none.
 	blockedUntil     time.Duration // Nothing is placed here before then.
 	ownRunsEndBy     time.Duration // After a restart with unanswered starts: when the lease of a run that they began on the new incarnation is over.
 	mayLeaveAt       time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
@@ -143,6 +149,7 @@
 		s.targets[info.ID] = t
 		s.targetChanged(info.ID)
 		s.logTarget(info.ID, "new at "+info.Address)
+		s.addressTaken(info)
 	case info.StartedMillis != 0 && t.info.StartedMillis != 0 && info.StartedMillis < t.info.StartedMillis:
 		return // A stale description; the target has reported a later incarnation itself.
 	case t.info.StartedMillis != 0 && info.StartedMillis > t.info.StartedMillis:
@@ -184,6 +191,7 @@
 	s.logTarget(t.info.ID, "VM restarted")
 	s.targetEnded(t, "a later incarnation has its identifier")
 	s.endRuns(t, cyclamendyke.EndTargetEnded, true)
+	t.ended, t.silentRuns, t.trial = false, nil, nil
 	t.listed, t.expired, t.wasDraining, t.earlierRunsComplete, t.earlierRuns = false, false, false, false, nil
 	t.finalListLeaseEnd, t.earlierLeaseOver = 0, false
 	if len(t.runs) > 0 {
@@ -221,6 +229,7 @@
 		if t.expired && !t.registered && len(t.unstoredEnds) == 0 {
 			s.logTarget(id, "dropped")
 			delete(s.targets, id)
+			s.rememberDropped(t)
 			s.targetChanged(id)
 		}
 	}
@@ -237,6 +246,9 @@
 	if len(t.runs) > 0 {
 		s.logTarget(t.info.ID, "lease expired without an answer")
 	}
+	for _, r := range t.runs {
+		t.silentRuns = append(t.silentRuns, s.describeCrashed(r))
+	}
 	s.endRuns(t, cyclamendyke.EndLeaseExpired, false)
 	t.expired = true
 	s.runListStale = s.runListStale || len(t.earlierRuns) > 0
