Tell the next epoch of crashes that are not stored

Cause: the final list of a scheduler names runs, and what has crashed is no run any more.

Change: a final list has the crashes that are not stored with their workflows; the next epoch adds them, by incarnation so that none counts twice, and gives up at once what is to blame. The same is done for what the store holds.

--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -31,6 +31,7 @@
 	list := &runList{}
 	if loaded {
 		list = s.buildRunList()
+		list.Crashes = s.unstoredCrashes()
 		for i := range list.Targets {
 			list.Targets[i].Final = s.describeFinal(s.targets[list.Targets[i].ID])
 		}
@@ -69,6 +70,7 @@
 	endOf := func(leftMillis int64) time.Duration {
 		return max(1, taken.NotAfter+time.Duration(leftMillis)*time.Millisecond+leaseMargin)
 	}
+	s.addListedCrashes(list.Crashes)
 	if len(list.Targets) == 0 {
 		s.cfg.EarlierRunsEndBy = min(s.cfg.EarlierRunsEndBy, endOf(list.LeaseLeftMillis))
 		return FinalListSummary{}, nil
--- /dev/null
+++ b/core/dispatch/listedcrashes.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import "cyclamendyke"
+
+// listedCrashes are the crashes under a task or a gang, as a final list tells the next epoch.
+type listedCrashes struct {
+	cyclamendyke.StepName
+	Task    int     `json:"task"` // As of stepRun.crashIndex.
+	Crashes []crash `json:"crashes"`
+}
+
+// unstoredCrashes returns the crashes under tasks of workflows that are not stored with all their crashes.
+func (s *Scheduler) unstoredCrashes() []listedCrashes {
+	var out []listedCrashes
+	for _, j := range s.jobs {
+		if j.storedVersion >= j.crashVersion {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			for _, step := range occ.steps {
+				out = append(out, step.listCrashes()...)
+			}
+		}
+	}
+	return out
+}
+
+func (step *stepRun) listCrashes() []listedCrashes {
+	var out []listedCrashes
+	add := func(index int, crashes []crash) {
+		if len(crashes) > 0 {
+			out = append(out, listedCrashes{StepName: step.name(), Task: index, Crashes: crashes})
+		}
+	}
+	add(gangTask, step.gangCrashes.crashes)
+	for i := range step.tasks {
+		add(i, step.tasks[i].crashes.crashes)
+	}
+	return out
+}
+
+// addListedCrashes adds the crashes that the last epoch knew of and had not stored, and gives up the tasks that
+// are to blame.
+func (s *Scheduler) addListedCrashes(lists []listedCrashes) {
+	for _, list := range lists {
+		step := s.findStep(cyclamendyke.TaskName{
+			Workflow: list.Workflow, Occurrence: list.Occurrence, Step: list.Step, Index: max(0, list.Task),
+		})
+		if step == nil || step.job.state.IsFinal() || step.crashIndex(max(0, list.Task)) != list.Task {
+			continue
+		}
+		history := step.crashHistory(max(0, list.Task))
+		for _, c := range list.Crashes {
+			if history.add(c) {
+				s.markDirty(step.job)
+				step.job.crashVersion = step.job.version
+			}
+		}
+		s.giveUpIfBlamed(step)
+	}
+}
+
+// giveUpIfBlamed fails a workflow if a task of the step is to blame for crashes that an earlier epoch counted.
+func (s *Scheduler) giveUpIfBlamed(step *stepRun) {
+	for i := range step.tasks {
+		if !step.job.state.IsFinal() && !step.tasks[i].done && step.crashHistory(i).blamed() {
+			s.cfg.LogDecision(Decision{
+				Event: EventBlamed, Workflow: step.job.spec.ID, Task: step.taskName(i).String(), Reason: "by an earlier epoch",
+				Count: len(step.crashHistory(i).crashes),
+			})
+			s.finish(step.job, cyclamendyke.WorkflowFailed)
+		}
+	}
+}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -228,7 +228,9 @@
 	for _, r := range stored.Steps {
 		if r.Occurrence < len(j.occurrences) && r.Step < len(j.spec.Steps) {
 			j.started = true
-			j.occurrences[r.Occurrence].steps[r.Step].load(r)
+			step := j.occurrences[r.Occurrence].steps[r.Step]
+			step.load(r)
+			s.giveUpIfBlamed(step)
 		}
 	}
 	return nil
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -17,8 +17,9 @@
 	Steps     []runListStep   `json:"steps"`
 
 	// Only in a final list:
-	Epoch           uint64 `json:"epoch,omitempty"`
-	LeaseLeftMillis int64  `json:"lease-left-ms,omitempty"` // How long leases of earlier epochs can last on targets without an answer.
+	Epoch           uint64          `json:"epoch,omitempty"`
+	LeaseLeftMillis int64           `json:"lease-left-ms,omitempty"` // How long leases of earlier epochs can last on targets without an answer.
+	Crashes         []listedCrashes `json:"crashes,omitempty"`       // That are not stored with the progress of their workflows.
 }
 
 type runListTarget struct {
