Excuse no crash because suspects on trial crashed their targets in the same moment

A target whose silence follows a start by less than 100 ms, or that is kept for a trial, now says nothing about a common cause; racks and power still show on the others.

--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -13,6 +13,9 @@
 	service cyclamendyke.ServiceName
 	rack    string
 	at      time.Duration // When the first request failed.
+	// explained says that a task had just been started there, or was being tried, so that the silence does not
+	// speak for a cause that it has in common with others.
+	explained bool
 }
 
 // The rules for taking silences for one failure of a rack, of power or of the network.
@@ -35,7 +38,10 @@
 	s.silences = slices.DeleteFunc(s.silences, func(old silence) bool {
 		return old.target == t.info.ID || s.now-old.at > silenceRetention
 	})
-	s.silences = append(s.silences, silence{target: t.info.ID, service: t.info.Service, rack: rackOf(t), at: s.now})
+	s.silences = append(s.silences, silence{
+		target: t.info.ID, service: t.info.Service, rack: rackOf(t), at: s.now,
+		explained: t.trial != nil && t.trial.began || t.workedUntil-t.lastStartAt < quickCrash,
+	})
 }
 
 // endSilence forgets the silence of a target whose present incarnation answers.
@@ -43,8 +49,8 @@
 	s.silences = slices.DeleteFunc(s.silences, func(old silence) bool { return old.target == t.info.ID })
 }
 
-// failedTogether returns how many other targets fell silent in the same moment as a target, if they are so
-// many that no task can be the cause, and zero otherwise.
+// failedTogether returns how many other targets fell silent in the same moment as a target without a task that
+// explains it, if they are so many that no task can be the cause, and zero otherwise.
 func (s *Scheduler) failedTogether(t *target) int {
 	index := slices.IndexFunc(s.silences, func(other silence) bool { return other.target == t.info.ID })
 	if index < 0 {
@@ -53,7 +59,7 @@
 	own := s.silences[index]
 	inRack, inFleet := 1, 1
 	for _, other := range s.silences {
-		if other.target == own.target || (other.at-own.at).Abs() > sameMoment {
+		if other.target == own.target || other.explained || (other.at-own.at).Abs() > sameMoment {
 			continue
 		}
 		if other.rack == own.rack && own.rack != "" {
