Blame no task for crashes of machines that crash on their own

A crash for which no task is to blame makes its machine count as prone to crash for 30 s: trials prefer other machines, and a crash there does not count as apart from others. Once a task is to blame, the machines that it crashed are trusted again.

Until a failed request was seen, a run's age at a crash was taken to be the time up to the proof, 3 s too long; it is now the time up to the last answer.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -40,7 +40,9 @@
 		})
 		return
 	}
-	s.blame(t, runs)
+	if !s.blame(t, runs) {
+		s.unexplainedCrashes[t.info.Address] = unexplainedCrash{t.info.ID, s.now}
+	}
 }
 
 // crashedRuns returns the unfinished runs that a target had when it was last known to work.
@@ -73,7 +75,7 @@
 
 // describeCrashed describes a run on a target that does not answer any more.
 func (s *Scheduler) describeCrashed(r *run) crashedRun {
-	workedUntil := s.now
+	workedUntil := r.target.answeredAt
 	if r.target.renewFailed {
 		workedUntil = r.target.workedUntil
 	}
@@ -88,22 +90,25 @@
 }
 
 // blame counts a crash against the tasks that ran on a target, or against one of them alone if it is known
-// to be the cause.
-func (s *Scheduler) blame(t *target, runs []crashedRun) {
+// to be the cause, and reports whether it is.
+func (s *Scheduler) blame(t *target, runs []crashedRun) bool {
 	var fresh []int
 	for i := range runs {
 		if runs[i].fresh() {
 			fresh = append(fresh, i)
 		}
 	}
-	if len(fresh) == 1 && s.charge(t, runs[fresh[0]], true) {
-		return
+	alone := len(fresh) == 1 && !s.crashedLately(t)
+	if alone && s.charge(t, runs[fresh[0]], true) {
+		return true
 	}
+	blamed := false
 	for i, r := range runs {
-		if len(fresh) != 1 || i != fresh[0] {
-			s.charge(t, r, false)
+		if !alone || i != fresh[0] {
+			blamed = s.charge(t, r, false) || blamed
 		}
 	}
+	return blamed
 }
 
 // charge counts a crash against a task, gives the task up if it is to blame, and reports whether it did.
@@ -133,6 +138,7 @@
 	if event == EventSuspected {
 		return false
 	}
+	s.explainCrashes(history)
 	s.finish(j, cyclamendyke.WorkflowFailed)
 	return true
 }
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -11,7 +11,7 @@
 	Target        cyclamendyke.TargetID `json:"target"`
 	StartedMillis int64                 `json:"born-ms"`         // Which incarnation of the target it was.
 	AfterMillis   int64                 `json:"after-ms"`        // From the start's order until the target was last known to work.
-	Alone         bool                  `json:"alone,omitempty"` // Nothing else there was suspected or had begun lately.
+	Alone         bool                  `json:"alone,omitempty"` // Nothing else there was suspected, had begun lately, or explains it.
 }
 
 func (c crash) after() time.Duration {
@@ -31,6 +31,7 @@
 	maxBlamedAge      = 10 * time.Second       // A run that has worked for longer is not suspected at all.
 	suspiciousCrashes = 2                      // From so many crashes on a task is tried apart, however long it had worked.
 	certainCrashes    = 3                      // So many crashes, the last one apart from others, are the task's fault.
+	forgivingTime     = time.Minute            // A run that has worked for that long makes earlier crashes count for nothing.
 	maxCrashes        = 5                      // A task is not started again after so many.
 )
 
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -71,6 +71,9 @@
 		Run: r.number, Reason: string(kind), Count: int(sequence), Age: runTime,
 	})
 	step, j := r.step, r.step.job
+	if runTime > forgivingTime {
+		*step.crashHistory(r.taskIndex) = crashHistory{}
+	}
 	if sequence != 0 {
 		j.started = true
 	}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -24,48 +24,49 @@
 
 // Scheduler holds the state of all workflows and targets.
 type Scheduler struct {
-	cfg               Config
-	now               time.Duration
-	wall              time.Time
-	fleet             *cyclamendyke.FleetConfig
-	queues            map[cyclamendyke.QueueName]*cyclamendyke.Queue
-	teams             map[cyclamendyke.TeamName]*team
-	jobs              map[cyclamendyke.WorkflowID]*job
-	targets           map[cyclamendyke.TargetID]*target
-	active            activeSteps
-	unreleased        map[*job]struct{}                     // Workflows with occurrences that are not due yet.
-	planner           *advice.Planner                       // Plans the members' requests for advice.
-	adviceWants       []adviceWant                          // Of the present pass.
-	foundParts        map[cyclamendyke.QueueName]*float64   // Part of the expected room that steps find.
-	adviceBacklog     int                                   // Steps that wait for a member to make their request.
-	adviceUses        map[cyclamendyke.QueueName]*AdviceUse // Since the last TakeAdviceUse.
-	adviceCalls       map[int64]AdviseCommand               // Requests for advice in flight, by their numbers.
-	ended             []*job                                // Workflows whose final state is stored, until their runs have ended.
-	endedJobs         map[cyclamendyke.WorkflowID]endedJob
-	forgetAt          time.Duration // When endedJobs is next searched for workflows to forget.
-	dirty             []*job        // Workflows whose progress must be stored.
-	lastRunNumber     int64
-	successorPossible bool // Another scheduler may have been elected, and may have renewed the leases of silent targets.
-	superseded        bool // A target has refused a request because it knows a later epoch.
-	commands          []Command
-	forecasts         map[cyclamendyke.ServiceName]*forecast
-	headrooms         map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
-	claims            []*claim
-	roomIndex         roomIndex
-	allowedParts      map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
-	usableByService   map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
-	knownRecords      map[cyclamendyke.TargetID]*knownRecord
-	knownTargetsDirty bool                           // Some of knownRecords may be dirty.
-	unlistedTasks     map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
-	earlierRunsKnown  bool                           // Runs left from earlier epochs are all reported by their targets or in unlistedTasks.
-	earlierLeasesOver bool                           // EarlierRunsEndBy has come while no successor was possible.
-	silences          []silence                      // Targets that do not answer, or ended so.
-	droppedTargets    map[string]*target             // By address: targets that were dropped in silence, with runs.
-	orphansLeft       bool                           // Stored runs of workflows that have ended are still running.
-	runListDirty      bool                           // Runs have begun since the list of runs was last taken to be stored.
-	runListStale      bool                           // Runs that it names have ended; that alone is no reason to store it.
-	runListStoring    bool                           // A list of runs is being stored; the next one waits.
-	nextRunListAt     time.Duration
+	cfg                Config
+	now                time.Duration
+	wall               time.Time
+	fleet              *cyclamendyke.FleetConfig
+	queues             map[cyclamendyke.QueueName]*cyclamendyke.Queue
+	teams              map[cyclamendyke.TeamName]*team
+	jobs               map[cyclamendyke.WorkflowID]*job
+	targets            map[cyclamendyke.TargetID]*target
+	active             activeSteps
+	unreleased         map[*job]struct{}                     // Workflows with occurrences that are not due yet.
+	planner            *advice.Planner                       // Plans the members' requests for advice.
+	adviceWants        []adviceWant                          // Of the present pass.
+	foundParts         map[cyclamendyke.QueueName]*float64   // Part of the expected room that steps find.
+	adviceBacklog      int                                   // Steps that wait for a member to make their request.
+	adviceUses         map[cyclamendyke.QueueName]*AdviceUse // Since the last TakeAdviceUse.
+	adviceCalls        map[int64]AdviseCommand               // Requests for advice in flight, by their numbers.
+	ended              []*job                                // Workflows whose final state is stored, until their runs have ended.
+	endedJobs          map[cyclamendyke.WorkflowID]endedJob
+	forgetAt           time.Duration // When endedJobs is next searched for workflows to forget.
+	dirty              []*job        // Workflows whose progress must be stored.
+	lastRunNumber      int64
+	successorPossible  bool // Another scheduler may have been elected, and may have renewed the leases of silent targets.
+	superseded         bool // A target has refused a request because it knows a later epoch.
+	commands           []Command
+	forecasts          map[cyclamendyke.ServiceName]*forecast
+	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
+	claims             []*claim
+	roomIndex          roomIndex
+	allowedParts       map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
+	usableByService    map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
+	knownRecords       map[cyclamendyke.TargetID]*knownRecord
+	knownTargetsDirty  bool                           // Some of knownRecords may be dirty.
+	unlistedTasks      map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
+	earlierRunsKnown   bool                           // Runs left from earlier epochs are all reported by their targets or in unlistedTasks.
+	earlierLeasesOver  bool                           // EarlierRunsEndBy has come while no successor was possible.
+	silences           []silence                      // Targets that do not answer, or ended so.
+	unexplainedCrashes map[string]unexplainedCrash    // By address: the last crash of a machine.
+	droppedTargets     map[string]*target             // By address: targets that were dropped in silence, with runs.
+	orphansLeft        bool                           // Stored runs of workflows that have ended are still running.
+	runListDirty       bool                           // Runs have begun since the list of runs was last taken to be stored.
+	runListStale       bool                           // Runs that it names have ended; that alone is no reason to store it.
+	runListStoring     bool                           // A list of runs is being stored; the next one waits.
+	nextRunListAt      time.Duration
 
 	evacuatedZones     map[cyclamendyke.ZoneName]bool
 	startsHeld         bool                                   // Nothing may be started anywhere.
@@ -81,23 +82,24 @@
 		cfg.RecordViolation = func(invariant.Name, string) {}
 	}
 	return &Scheduler{
-		cfg:            cfg,
-		queues:         map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
-		teams:          map[cyclamendyke.TeamName]*team{},
-		jobs:           map[cyclamendyke.WorkflowID]*job{},
-		endedJobs:      map[cyclamendyke.WorkflowID]endedJob{},
-		targets:        map[cyclamendyke.TargetID]*target{},
-		unreleased:     map[*job]struct{}{},
-		planner:        advice.NewPlanner(),
-		adviceUses:     map[cyclamendyke.QueueName]*AdviceUse{},
-		foundParts:     map[cyclamendyke.QueueName]*float64{},
-		adviceCalls:    map[int64]AdviseCommand{},
-		allowedParts:   map[cyclamendyke.QueueName]*allowedPart{},
-		droppedTargets: map[string]*target{},
-		knownRecords:   map[cyclamendyke.TargetID]*knownRecord{},
-		forecasts:      map[cyclamendyke.ServiceName]*forecast{},
-		headrooms:      map[cyclamendyke.ServiceName]*headroom{},
-		lastRunNumber:  int64(cfg.Epoch) * runsPerEpoch,
+		cfg:                cfg,
+		queues:             map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
+		teams:              map[cyclamendyke.TeamName]*team{},
+		jobs:               map[cyclamendyke.WorkflowID]*job{},
+		endedJobs:          map[cyclamendyke.WorkflowID]endedJob{},
+		targets:            map[cyclamendyke.TargetID]*target{},
+		unreleased:         map[*job]struct{}{},
+		planner:            advice.NewPlanner(),
+		adviceUses:         map[cyclamendyke.QueueName]*AdviceUse{},
+		foundParts:         map[cyclamendyke.QueueName]*float64{},
+		adviceCalls:        map[int64]AdviseCommand{},
+		allowedParts:       map[cyclamendyke.QueueName]*allowedPart{},
+		unexplainedCrashes: map[string]unexplainedCrash{},
+		droppedTargets:     map[string]*target{},
+		knownRecords:       map[cyclamendyke.TargetID]*knownRecord{},
+		forecasts:          map[cyclamendyke.ServiceName]*forecast{},
+		headrooms:          map[cyclamendyke.ServiceName]*headroom{},
+		lastRunNumber:      int64(cfg.Epoch) * runsPerEpoch,
 	}
 }
 
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -86,7 +86,7 @@
 }
 
 // chooseForTrial returns targets for count tasks, one entry for each, or nil. It prefers targets that are kept
-// for this trial already, then those on which the least other work would be lost.
+// for this trial already.
 func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) []*target {
 	var kept, free []*target
 	trials, targets := 0, 0
@@ -118,11 +118,11 @@
 	return s.fillTargets(step, append(kept, free...), count)
 }
 
-// fillTargets returns the targets with the fewest runs that have room for count tasks of a step together, one
-// entry for each task, or nil.
+// fillTargets returns targets that have room for count tasks of a step together, one entry for each task, or nil.
+// It prefers those whose machines have not crashed lately, then those with the fewest runs.
 func (s *Scheduler) fillTargets(step *stepRun, targets []*target, count int) []*target {
 	slices.SortFunc(targets, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.lastStartAt, b.lastStartAt), cmp.Compare(a.info.ID, b.info.ID))
+		return cmp.Or(cmp.Compare(boolRank(s.crashedLately(a)), boolRank(s.crashedLately(b))), cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.lastStartAt, b.lastStartAt), cmp.Compare(a.info.ID, b.info.ID))
 	})
 	planned, chosen := plan{}, make([]*target, 0, count)
 	for _, t := range targets {
