Free the work that a blamed task made suspect, and keep trials from starving others

Changes: a task that is to blame explains its crashes, which count no longer for the others that ran there; nothing is preempted or claimed for suspects; a trial lasts 2 s at most and counts the targets that it uses, not its tasks; a suspect waits no longer than 2 s for a machine that has not crashed lately; a wait for other trials is not taken for want of room. A task is given up after four crashes in any case, since one more may have been forgotten with its scheduler, and only the silence of targets that had answered this epoch excuses crashes.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -136,7 +136,8 @@
 		return false
 	}
 	s.markDirty(j)
-	j.crashVersion = j.version
+	j.hasCrashes, j.crashVersion = true, j.version
+	r.step.soundUntil = s.now + soundPatience
 	name := r.name()
 	event := EventSuspected
 	if history.blamed() {
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -34,10 +35,11 @@
 	freshTime         = 300 * time.Millisecond // A run that has worked for longer is not the first to be suspected.
 	quickCrash        = 100 * time.Millisecond // Crashes that soon after the start are no coincidence if they repeat.
 	maxBlamedAge      = 10 * time.Second       // A run that has worked for longer is not suspected at all.
+	maxProbation      = 2 * time.Second        // A task that crashes its targets later is known by the number of crashes.
 	suspiciousCrashes = 2                      // From so many crashes on a task is tried apart, however long it had worked.
 	certainCrashes    = 3                      // So many crashes, the last one apart from others, are the task's fault, however long it had worked.
 	forgivingTime     = time.Minute            // A run that has worked for that long makes earlier crashes count for nothing.
-	maxCrashes        = 5                      // A task is not started again after so many.
+	maxCrashes        = 4                      // A task is not started again after so many; one more may have been forgotten with its scheduler.
 )
 
 // suspected reports whether the next run must be tried apart from other work.
@@ -54,7 +56,7 @@
 	for _, c := range h.crashes {
 		longest = max(longest, c.most())
 	}
-	return longest + freshTime
+	return min(longest+freshTime, maxProbation)
 }
 
 // blamed reports whether the crashes are the task's fault, or too many to try again.
@@ -78,7 +80,7 @@
 // did. A start in doubt may be there still when its target crashes again.
 func (h *crashHistory) add(c crash) bool {
 	for _, known := range h.crashes {
-		if known.Target == c.Target && known.StartedMillis == c.StartedMillis || c.Run != 0 && known.Run == c.Run {
+		if known.isSame(c) || c.Run != 0 && known.Run == c.Run {
 			return false
 		}
 	}
@@ -87,6 +89,21 @@
 	return true
 }
 
+// remove removes the crashes that are also in another history, and reports whether there were any.
+func (h *crashHistory) remove(other *crashHistory) bool {
+	if h == other || len(h.crashes) == 0 {
+		return false
+	}
+	before := len(h.crashes)
+	h.crashes = slices.DeleteFunc(slices.Clone(h.crashes), func(c crash) bool { return slices.ContainsFunc(other.crashes, c.isSame) })
+	return len(h.crashes) < before
+}
+
+// isSame reports whether two tasks ran on the same incarnation when it ended.
+func (c crash) isSame(other crash) bool {
+	return c.Target == other.Target && c.StartedMillis == other.StartedMillis
+}
+
 // crashHistory returns the crashes under a task, or under its gang.
 func (step *stepRun) crashHistory(index int) *crashHistory {
 	if step.spec.Gang {
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -19,6 +19,7 @@
 	finalAt             time.Duration         // When the state became final.
 	version             int64                 // Version of the progress; increases with each change.
 	storedVersion       int64                 // Last version that is stored.
+	hasCrashes          bool                  // There are or were crashes under its tasks.
 	crashVersion        int64                 // Version that has all crashes under its tasks.
 	dirty               bool                  // In the scheduler's list of jobs to be stored.
 	storing             bool                  // A record of it is being stored; the next one waits.
--- a/core/dispatch/listedcrashes.go
+++ b/core/dispatch/listedcrashes.go
@@ -53,7 +53,7 @@
 		for _, c := range list.Crashes {
 			if history.add(c) {
 				s.markDirty(step.job)
-				step.job.crashVersion = step.job.version
+				step.job.hasCrashes, step.job.crashVersion = true, step.job.version
 			}
 		}
 		s.giveUpIfBlamed(step)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -53,7 +53,9 @@
 		if queue.Advice == nil && len(step.claims) == 0 && !s.fitsAnywhere(step, queue) {
 			noRoom.add(queue.Service, step.spec.Reserved())
 		}
-		s.makeRoom(step, queue, unplaced, &waitClaims)
+		if len(suspected) == 0 {
+			s.makeRoom(step, queue, unplaced, &waitClaims) // Nothing is stopped or kept for a task that may crash its target.
+		}
 		s.wantMissingTickets(step, queue, unplaced, noProjectedRoom)
 	}
 }
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -226,6 +226,7 @@
 		return nil
 	}
 	for _, r := range stored.Steps {
+		j.hasCrashes = j.hasCrashes || len(r.Crashes) > 0
 		if r.Occurrence < len(j.occurrences) && r.Step < len(j.spec.Steps) {
 			j.started = true
 			step := j.occurrences[r.Occurrence].steps[r.Step]
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -12,6 +12,7 @@
 	target  cyclamendyke.TargetID
 	service cyclamendyke.ServiceName
 	rack    string
+	from    time.Duration // When it was last known to work.
 	at      time.Duration // When the first request failed.
 	// explained says that a task had just been started there, or was being tried, so that the silence does not
 	// speak for a cause that it has in common with others.
@@ -38,8 +39,11 @@
 	s.silences = slices.DeleteFunc(s.silences, func(old silence) bool {
 		return old.target == t.info.ID || s.now-old.at > silenceRetention
 	})
+	if !t.listed {
+		return // Nothing tells for how long it has been silent.
+	}
 	s.silences = append(s.silences, silence{
-		target: t.info.ID, service: t.info.Service, rack: rackOf(t), at: s.now,
+		target: t.info.ID, service: t.info.Service, rack: rackOf(t), from: t.workedUntil, at: s.now,
 		explained: t.trial != nil && t.trial.began || t.workedUntil-t.lastStartAt < quickCrash,
 	})
 }
@@ -49,6 +53,16 @@
 	s.silences = slices.DeleteFunc(s.silences, func(old silence) bool { return old.target == t.info.ID })
 }
 
+// overlaps reports whether two targets may have fallen silent in the same moment.
+func (a silence) overlaps(b silence) bool {
+	return a.from-sameMoment <= b.at && b.from-sameMoment <= a.at
+}
+
+// coincides reports whether two targets are known to have fallen silent in the same moment.
+func (a silence) coincides(b silence) bool {
+	return a.overlaps(b) && a.from == a.at && b.from == b.at
+}
+
 // failedTogether returns how many other targets fell silent in the same moment as a target without a task that
 // explains it, if they are so many that no task can be the cause, and zero otherwise.
 func (s *Scheduler) failedTogether(t *target) int {
@@ -59,13 +73,13 @@
 	own := s.silences[index]
 	inRack, inFleet := 1, 1
 	for _, other := range s.silences {
-		if other.target == own.target || other.explained || (other.at-own.at).Abs() > sameMoment {
+		if other.target == own.target || other.explained {
 			continue
 		}
-		if other.rack == own.rack && own.rack != "" {
+		if other.rack == own.rack && own.rack != "" && own.overlaps(other) {
 			inRack++
 		}
-		if other.service == own.service {
+		if other.service == own.service && own.coincides(other) {
 			inFleet++
 		}
 	}
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -19,8 +19,9 @@
 
 // The rules for trials.
 const (
+	soundPatience    = 2 * time.Second        // How long a suspected task waits for a machine that has not crashed lately.
 	trialReservation = 200 * time.Millisecond // Renewed in each pass in which the task waits for its target.
-	maxTrialShare    = 0.34                   // Part of a service's targets that are kept for trials at a time.
+	maxTrialShare    = 0.5                    // Part of a service's targets that are kept for trials at a time.
 )
 
 // splitSuspected returns a step's waiting tasks that may run beside others, and those to be tried apart.
@@ -51,10 +52,15 @@
 // targets until then, and reports whether there is room at all.
 func (s *Scheduler) tryApart(step *stepRun, queue *cyclamendyke.Queue, members []int) bool {
 	index := step.crashIndex(members[0])
-	chosen := s.chooseForTrial(step, queue, index, len(members))
+	chosen, others := s.chooseForTrial(step, queue, index, len(members))
 	if chosen == nil {
+		s.logUnplaced(step, "no target with room and a ticket to be tried on")
 		return false
 	}
+	if others.reached(len(distinct(chosen))) {
+		s.logUnplaced(step, "other tasks are being tried apart")
+		return true
+	}
 	quiet := true
 	for _, t := range chosen {
 		t.trial = &trial{step: step, index: index, until: s.now + trialReservation}
@@ -85,20 +91,41 @@
 	return true
 }
 
+// otherTrials counts the targets of a service, and those that are kept for trials of other tasks.
+type otherTrials struct {
+	kept, targets int
+}
+
+// reached reports whether so many targets are kept that count more are too many.
+func (o otherTrials) reached(count int) bool {
+	return o.kept > 0 && float64(o.kept+count) > maxTrialShare*float64(o.targets)
+}
+
+// distinct returns the targets without repetitions.
+func distinct(targets []*target) []*target {
+	var out []*target
+	for _, t := range targets {
+		if !slices.Contains(out, t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // chooseForTrial returns targets for count tasks, one entry for each, or nil. It prefers targets that are kept
-// for this trial already, and leaves out those whose machines have crashed lately unless no other has room.
-func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) []*target {
+// for this trial already, and for some time leaves out those whose machines have crashed lately, unless no other has room.
+func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) ([]*target, otherTrials) {
 	var kept, free []*target
-	trials, targets := 0, 0
-	step.needsSound = s.hasSound(step, queue)
+	var others otherTrials
+	step.needsSound = s.now < step.soundUntil && s.hasSound(step, queue)
 	for _, t := range s.targets {
 		if t.info.Service != queue.Service || !s.ready(t) || s.evacuated(t) {
 			continue
 		}
-		targets++
+		others.targets++
 		isKept := t.trial != nil && t.trial.step == step && t.trial.index == index
 		if t.trial != nil && !isKept {
-			trials++
+			others.kept++
 			continue
 		}
 		if !s.eligible(step, queue, t) || !step.hasTicket(queue, t, s.now) || s.isUnsoundFor(step, t) {
@@ -111,12 +138,9 @@
 		}
 	}
 	if chosen := s.fillTargets(step, kept, count); chosen != nil {
-		return chosen
-	}
-	if trials > 0 && float64(trials+count) > maxTrialShare*float64(targets) {
-		return nil
+		return chosen, others
 	}
-	return s.fillTargets(step, append(kept, free...), count)
+	return s.fillTargets(step, append(kept, free...), count), others
 }
 
 // hasSound reports whether any target with room for a task of the step has a machine that has not crashed lately.
--- a/core/dispatch/unexplainedcrash.go
+++ b/core/dispatch/unexplainedcrash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -56,13 +57,35 @@
 	return hasCrashed && s.now-last.at < crashMemory
 }
 
-// explainCrashes trusts the machines again that a task crashed which is known to be to blame.
+// explainCrashes trusts the machines again that a task crashed which is known to be to blame, and the other tasks
+// that ran there.
 func (s *Scheduler) explainCrashes(history *crashHistory) {
-	for _, c := range history.crashes {
-		for address, last := range s.unexplainedCrashes {
-			if last.target == c.Target {
-				delete(s.unexplainedCrashes, address)
+	for address, last := range s.unexplainedCrashes {
+		if slices.ContainsFunc(history.crashes, func(c crash) bool { return c.Target == last.target }) {
+			delete(s.unexplainedCrashes, address)
+		}
+	}
+	for _, j := range s.jobs {
+		if !j.hasCrashes || j.state.IsFinal() {
+			continue
+		}
+		if j.forgetCrashes(history) {
+			s.markDirty(j)
+		}
+	}
+}
+
+// forgetCrashes removes the crashes that another task has caused from those under a workflow's tasks, and reports
+// whether there were any.
+func (j *job) forgetCrashes(explained *crashHistory) bool {
+	found := false
+	for _, occ := range j.occurrences {
+		for _, step := range occ.steps {
+			found = step.gangCrashes.remove(explained) || found
+			for i := range step.tasks {
+				found = step.tasks[i].crashes.remove(explained) || found
 			}
 		}
 	}
+	return found
 }
