Start nothing on targets whose capacity may have shrunk unseen

A scheduler goes on without the store for 6.5 s by its copy of the descriptions; a target that does not guard its capacity starts what exceeds it.

Change: the scheduler knows as of when its copy is complete, behind all changes that are still in its inbox, and starts nothing on targets of services without admission_check once the copy is older than contact_ms less 0.5 s for orders on their way. What runs goes on. At a takeover targets that did not answer count with the most capacity that they are known to have had.

Tests, each fails without its part: TestStartExceedsCapacityThatShrankWhileStoreIsAway, TestUnlistedRunsExceedLimitOfTeamWhenTargetShrinks; TestGuardedTargetsIdleWhileStoreIsAway guards the other side, and the model changes capacities (TestInvariantsWithChangingCapacity).

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -20,7 +20,7 @@
 
 // ready reports whether a target may be usable, whether its zone is evacuated or not.
 func (s *Scheduler) ready(t *target) bool {
-	return t.registered && t.listed && !t.expired && !t.closed && !t.info.Draining && !t.renewFailed && len(t.orphans) == 0 && !t.avoided &&
+	return t.registered && t.listed && !t.expired && !t.closed && !t.info.Draining && !t.renewFailed && len(t.orphans) == 0 && !t.avoided && !s.staleServices[t.info.Service] &&
 		s.now >= t.blockedUntil && s.now-t.answeredAt <= maxAnswerAge
 }
 
--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -29,6 +29,7 @@
 	EventSuspected     Event = "task suspected" // A target crashed under it.
 	EventTrusted       Event = "task trusted"   // A suspected task has worked for longer than before any crash.
 	EventBlamed        Event = "task blamed"    // It crashes targets, so that its workflow fails.
+	EventCapacities    Event = "capacities"     // Whether the capacities of targets are known.
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
 	EventLate          Event = "late"       // A workflow became final after its target time.
--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -41,7 +41,7 @@
 			s.addUnlistedTasks(t)
 		default:
 			s.earlierRunsKnown = false
-			unlistedCapacity = unlistedCapacity.Add(t.info.Capacity)
+			unlistedCapacity = unlistedCapacity.Add(t.largestCapacity)
 		}
 	}
 	s.updateMaxUnlistedUse(unlistedCapacity)
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -39,6 +39,9 @@
 		s.targets[id].registered = false
 	}
 	t := s.targets[id]
+	if t.info.StartedMillis == known.Target.StartedMillis {
+		t.largestCapacity = t.largestCapacity.Max(known.Target.Capacity)
+	}
 	t.wasDraining = known.Draining && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
 		t.closed, t.earlierRunsComplete, t.earlierRuns = true, false, nil
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -68,6 +68,10 @@
 	runListStoring     bool                           // A list of runs is being stored; the next one waits.
 	nextRunListAt      time.Duration
 
+	targetsAsOf     time.Duration                     // When the descriptions of targets were last known to be complete.
+	capacitiesStale bool                              // That was too long ago to trust capacities.
+	staleServices   map[cyclamendyke.ServiceName]bool // Those in which nothing is started for that; computed in each pass.
+
 	evacuatedZones     map[cyclamendyke.ZoneName]bool
 	startsHeld         bool                                   // Nothing may be started anywhere.
 	evacuatedByService map[cyclamendyke.ServiceName][]*target // Targets that only an evacuation makes unusable; computed in each pass.
@@ -154,6 +158,7 @@
 	s.checkEarlierRuns()
 	s.releaseDue()
 	s.updateAvoided()
+	s.updateStaleServices()
 	s.indexUsable()
 	s.checkTargets()
 	s.checkTrials()
--- a/core/dispatch/simulatedvm_test.go
+++ b/core/dispatch/simulatedvm_test.go
@@ -24,6 +24,7 @@
 	pendingReply    func()
 	breakConnection func() // Cuts off the renewal that waits.
 	replaced        bool   // Another VM has its address.
+	pastCapacities  []pastCapacity
 }
 
 func (sim *simulation) addVM(info cyclamendyke.Target) {
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -56,6 +56,8 @@
 	passDue        bool          // A pass is scheduled.
 	passTime       time.Duration // Real time spent in all passes.
 
+	logDecision     func(Decision) // Called for each decision of schedulers elected from now on; may be nil.
+	maxCapacityAge  time.Duration  // How long a capacity may be used without being confirmed; zero if there is no limit.
 	stopTime        time.Duration
 	maxLease        time.Duration
 	checkpointEvery time.Duration                                  // Work between two checkpoints; zero for one only at a stop.
@@ -157,6 +159,7 @@
 func (sim *simulation) bounds() cyclamendyke.Bounds {
 	return cyclamendyke.Bounds{
 		MaxLease: sim.maxLease, StopTimeout: sim.stopTime, StatusRetention: 2 * time.Minute, RestoreTime: sim.restoreTime,
+		MaxCapacityAge: sim.maxCapacityAge,
 	}
 }
 
@@ -178,10 +181,12 @@
 	sim.commitsInFlight = 0
 	sched := New(Config{
 		Epoch: sim.epoch, ElectedRevision: sim.revision, Bounds: sim.bounds(), EarlierRunsEndBy: sim.now + sim.graceOfLast() + LongestLease(sim.bounds()) + leaseMargin,
+		LogDecision:     sim.logDecision,
 		RecordViolation: func(name invariant.Name, detail string) { sim.reportViolation("%s: %s", name, detail) },
 	})
 	sim.sched = sched
 	sched.Advance(sim.now, sim.wall())
+	sched.SetTargetsAsOf(sim.now)
 	sched.Configure(sim.fleet)
 	for id, s := range sim.workflows {
 		if _, ended := sim.finals[id]; !ended {
@@ -292,6 +297,9 @@
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
+	if sim.sched == sched && !sim.storeAway() {
+		sched.SetTargetsAsOf(sim.now)
+	}
 	began := time.Now()
 	commands := sched.Run()
 	sim.passTime += time.Since(began)
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -187,7 +187,7 @@
 	for _, r := range v.runs {
 		used = used.Add(r.spec.Reserved())
 	}
-	if !used.FitsIn(v.info.Capacity) {
+	if !used.FitsIn(sim.capacityThatCounts(v)) {
 		sim.reportViolation("%s exceeds its capacity with %v", v.info.ID, order.Task)
 	}
 	sim.teamUsed[spec.Team] = sim.teamUsed[spec.Team].Add(step.Reserved())
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -9,14 +9,15 @@
 // target is a target VM with its runs and the lease it holds.
 type target struct {
 	info                cyclamendyke.Target
-	registered          bool         // Its description is in the store.
-	listed              bool         // Its present incarnation has answered this epoch with a listing.
-	ended               bool         // Its incarnation is known to have ended, and its crash, if it was one, is counted.
-	silentRuns          []crashedRun // Runs that it had when its lease expired in silence.
-	expired             bool         // Its lease has expired or another incarnation replaced it, so no run is left.
-	closed              bool         // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
-	wasDraining         bool         // It was draining in an earlier epoch.
-	earlierRunsComplete bool         // earlierRuns names every task that an earlier epoch may have left here.
+	largestCapacity     cyclamendyke.Resources // The most that its present incarnation is known to have had.
+	registered          bool                   // Its description is in the store.
+	listed              bool                   // Its present incarnation has answered this epoch with a listing.
+	ended               bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
+	silentRuns          []crashedRun           // Runs that it had when its lease expired in silence.
+	expired             bool                   // Its lease has expired or another incarnation replaced it, so no run is left.
+	closed              bool                   // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
+	wasDraining         bool                   // It was draining in an earlier epoch.
+	earlierRunsComplete bool                   // earlierRuns names every task that an earlier epoch may have left here.
 	earlierRuns         []earlierRun
 	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
 	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
@@ -168,6 +169,10 @@
 	if !t.registered {
 		s.targetChanged(info.ID)
 	}
+	if t.info.StartedMillis != info.StartedMillis {
+		t.largestCapacity = cyclamendyke.Resources{}
+	}
+	t.largestCapacity = t.largestCapacity.Max(info.Capacity)
 	t.info = info
 	t.registered = true
 	s.setMayLeaveAt(t, info.Remaining)
--- a/core/explain/message.go
+++ b/core/explain/message.go
@@ -55,7 +55,7 @@
 	case dispatch.EventAccepted, dispatch.EventPlaced, dispatch.EventStartRefused, dispatch.EventStartUnknown,
 		dispatch.EventAdopted, dispatch.EventEnded, dispatch.EventPreempted, dispatch.EventStopOrdered,
 		dispatch.EventFinal, dispatch.EventCancelled, dispatch.EventTargetChanged, dispatch.EventTargetCrashed, dispatch.EventSettled,
-		dispatch.EventCrashExcused, dispatch.EventSuspected, dispatch.EventTrusted, dispatch.EventBlamed,
+		dispatch.EventCrashExcused, dispatch.EventCapacities, dispatch.EventSuspected, dispatch.EventTrusted, dispatch.EventBlamed,
 		dispatch.EventAdvised, dispatch.EventTargetAvoided, dispatch.EventUnplaced, dispatch.EventLate,
 		dispatch.EventEvacuation:
 		return true
--- a/fleet.go
+++ b/fleet.go
@@ -25,7 +25,8 @@
 
 // Service is a pool of targets.
 type Service struct {
-	Name ServiceName
+	Name          ServiceName
+	GuardsTargets bool // Its targets reject what exceeds their capacity.
 }
 
 // TeamConfig is a team with its keys, its weight and its upper limit of resources.
@@ -60,6 +61,7 @@
 	StatusRetention time.Duration // How long the final state of a workflow must stay available.
 	RestoreTime     time.Duration // Time that a task needs to resume from a checkpoint.
 	EvacuationDelay time.Duration // Longest time until an evacuation takes effect; zero if there is no limit.
+	MaxCapacityAge  time.Duration // Longest time for which a target's capacity may be used without being confirmed, if it does not guard it; zero if there is no limit.
 	MaxConfigAge    time.Duration // Longest time for which an unconfirmed copy of the configuration may be used; zero if there is no limit.
 }
 
--- a/node/load.go
+++ b/node/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -13,6 +14,7 @@
 type storeSnapshot struct {
 	work, progress, targetDescriptions []cyclamendyke.Entry
 	workRevision, descriptionsRevision cyclamendyke.Revision
+	readAt                             time.Duration // When the calls were sent.
 	knownTargets                       []cyclamendyke.Entry
 	runList                            []cyclamendyke.Entry // One entry, or none.
 	config                             []cyclamendyke.Entry // The same.
@@ -22,6 +24,7 @@
 func (t *term) loadAndFollow() {
 	var snapshot storeSnapshot
 	for t.ctx.Err() == nil {
+		snapshot.readAt = bootTime()
 		err := t.readSnapshot(&snapshot)
 		t.node.recordStoreResult(err)
 		if err == nil {
@@ -88,6 +91,7 @@
 	}
 	t.cancelWorkflows(snapshot.work)
 	t.updateTargets(snapshot.targetDescriptions)
+	t.sched.SetTargetsAsOf(snapshot.readAt)
 	t.addKnownTargets(snapshot.knownTargets)
 	t.loadRunList(snapshot.runList)
 	t.loaded = true
@@ -176,6 +180,20 @@
 	t.node.followWithContext(t.ctx, prefix, followBatchDelay, t.replaceTargets, apply)
 }
 
+// confirmTargets tells the scheduler as of when it has all descriptions of targets, behind the changes that are
+// still in the inbox.
+func (t *term) confirmTargets() {
+	asOf := t.node.confirmed.of(t.node.cfg.Codec.TargetsPrefix()).asOf
+	if asOf == t.confirmedTargets {
+		return
+	}
+	select {
+	case t.inbox <- func() { t.sched.SetTargetsAsOf(asOf) }:
+		t.confirmedTargets = asOf
+	default: // The inbox is full; the next pass tries again.
+	}
+}
+
 // replaceTargets applies a full listing of target descriptions and removes those missing from it.
 func (t *term) replaceTargets(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) {
 	t.post(func() {
--- a/node/term.go
+++ b/node/term.go
@@ -50,6 +50,7 @@
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	lastPassDuration   time.Duration
+	confirmedTargets   time.Duration // As of when the descriptions of targets are complete once the inbox is applied.
 }
 
 // beginTerm starts acting as the scheduler.
@@ -162,6 +163,7 @@
 	t.sched.SetSuccessorPossible(!t.leaseValid())
 	t.sched.SetAdvisers(t.advisers())
 	t.updateEvacuated()
+	t.confirmTargets()
 	t.delegator.refresh(bootTime())
 	for _, command := range t.sched.Run() {
 		if !t.delegator.delegate(command) {
