--- a/core/dispatch/capacityage_test.go
+++ b/core/dispatch/capacityage_test.go
@@ -16,7 +16,7 @@
 	sim := limitedFleet(t, 1, 1)
 	sim.maxCapacityAge = 3 * time.Second
 	sim.elect()
-	var steps []cyclamendyke.Step
+	steps := make([]cyclamendyke.Step, 0, 12)
 	for i := range 12 {
 		step := cyclamendyke.Step{Count: 1, Need: cores(8), Estimate: 700 * time.Millisecond}
 		if i > 0 {
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -68,10 +68,10 @@
 			is.Equal(sim.status("bad"), cyclamendyke.WorkflowFailed)
 			is.Equal(sim.states()[cyclamendyke.WorkflowFailed], 1)
 			is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], len(sim.workflows)-1)
-			is.True(sim.crashesUnder("bad") >= 2)
-			is.True(sim.crashesUnder("bad") <= 5)
+			is.True(sim.crashesUnderBad() >= 2)
+			is.True(sim.crashesUnderBad() <= 5)
 			is.Equal(len(sim.violations), 0)
-			t.Logf("%d crashes", sim.crashesUnder("bad"))
+			t.Logf("%d crashes", sim.crashesUnderBad())
 		})
 	}
 }
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -145,3 +146,12 @@
 func (step *stepRun) crashesStored(index int) bool {
 	return len(step.crashHistory(index).crashes) == 0 || step.job.storedVersion >= step.job.crashVersion
 }
+
+// crashNote says in a log line how many crashes there were under a task that is started.
+func (step *stepRun) crashNote(index int) string {
+	count := len(step.crashHistory(index).crashes)
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", after %d crashes", count)
+}
--- a/core/dispatch/crashtakeover_test.go
+++ b/core/dispatch/crashtakeover_test.go
@@ -38,8 +38,8 @@
 			is.Equal(sim.status("bad"), cyclamendyke.WorkflowFailed)
 			is.Equal(sim.states()[cyclamendyke.WorkflowFailed], 1)
 			is.Equal(len(sim.violations), 0)
-			is.True(sim.crashesUnder("bad") <= 5)
-			t.Logf("%d crashes", sim.crashesUnder("bad"))
+			is.True(sim.crashesUnderBad() <= 5)
+			t.Logf("%d crashes", sim.crashesUnderBad())
 		})
 	}
 }
@@ -57,7 +57,7 @@
 	sim.run(500 * time.Millisecond)
 	sim.storeBackAt = sim.now + 5*time.Second
 	sim.run(4500 * time.Millisecond) // The VM is back after 3.5 s.
-	is.New(t).Equal(sim.crashesUnder("bad"), 1)
+	is.New(t).Equal(sim.crashesUnderBad(), 1)
 	return sim
 }
 
@@ -67,7 +67,7 @@
 	sim := crashInOutage(t)
 	is.Equal(sim.starts, 2)
 	sim.run(4500 * time.Millisecond)
-	is.True(sim.crashesUnder("bad") >= 2)
+	is.True(sim.crashesUnderBad() >= 2)
 	sim.run(20 * time.Second)
 	is.Equal(sim.status("bad"), cyclamendyke.WorkflowFailed)
 }
@@ -89,7 +89,7 @@
 	is := is.New(t)
 	sim := crashFleet(t, 1, oneTask("bad"), 400*time.Millisecond)
 	sim.crashing.broken, sim.crashing.downFor = true, time.Millisecond
-	for sim.crashesUnder("bad") == 0 || sim.vms["vm-0"].down {
+	for sim.crashesUnderBad() == 0 || sim.vms["vm-0"].down {
 		sim.run(100 * time.Microsecond)
 	}
 	sim.elect()
--- a/core/dispatch/simulatedcrash_test.go
+++ b/core/dispatch/simulatedcrash_test.go
@@ -79,11 +79,11 @@
 	sim.removeDescription(v)
 }
 
-// crashesUnder returns how many VMs a workflow's tasks have crashed.
-func (sim *simulation) crashesUnder(id cyclamendyke.WorkflowID) int {
+// crashesUnderBad returns how many VMs the tasks of the workflow "bad" have crashed.
+func (sim *simulation) crashesUnderBad() int {
 	sum := 0
 	for name, history := range sim.history {
-		if name.Workflow == id {
+		if name.Workflow == "bad" {
 			sum += history.crashes
 		}
 	}
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -91,102 +89,6 @@
 	return true
 }
 
-// otherTrials counts the targets of a service, and those that are kept for trials of other tasks.
-type otherTrials struct {
-	kept, targets int
-}
-
-// reached reports whether so many targets are kept that count more are too many.
-func (o otherTrials) reached(count int) bool {
-	return o.kept > 0 && float64(o.kept+count) > maxTrialShare*float64(o.targets)
-}
-
-// distinct returns the targets without repetitions.
-func distinct(targets []*target) []*target {
-	var out []*target
-	for _, t := range targets {
-		if !slices.Contains(out, t) {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
-// chooseForTrial returns targets for count tasks, one entry for each, or nil. It prefers targets that are kept
-// for this trial already, and for some time leaves out those whose machines have crashed lately, unless no other has room.
-func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) ([]*target, otherTrials) {
-	var kept, free []*target
-	var others otherTrials
-	step.needsSound = s.now < step.soundUntil && s.hasSound(step, queue)
-	for _, t := range s.targets {
-		if t.info.Service != queue.Service || !s.ready(t) || s.evacuated(t) {
-			continue
-		}
-		others.targets++
-		isKept := t.trial != nil && t.trial.step == step && t.trial.index == index
-		if t.trial != nil && !isKept {
-			others.kept++
-			continue
-		}
-		if !s.eligible(step, queue, t) || !step.hasTicket(queue, t, s.now) || s.isUnsoundFor(step, t) {
-			continue
-		}
-		if isKept {
-			kept = append(kept, t)
-		} else {
-			free = append(free, t)
-		}
-	}
-	if chosen := s.fillTargets(step, kept, count); chosen != nil {
-		return chosen, others
-	}
-	return s.fillTargets(step, append(kept, free...), count), others
-}
-
-// hasSound reports whether any target with room for a task of the step has a machine that has not crashed lately.
-func (s *Scheduler) hasSound(step *stepRun, queue *cyclamendyke.Queue) bool {
-	for _, t := range s.targets {
-		if s.ready(t) && !s.evacuated(t) && s.eligible(step, queue, t) && s.fitsNow(step, t, 0) && !s.crashedLately(t) {
-			return true
-		}
-	}
-	return false
-}
-
-// isUnsoundFor reports whether a step's suspected tasks should rather be tried elsewhere, since a crash of the
-// target would say little about them.
-func (s *Scheduler) isUnsoundFor(step *stepRun, t *target) bool {
-	return step.needsSound && s.crashedLately(t)
-}
-
-// fillTargets returns targets that have room for count tasks of a step together, one entry for each task, or nil.
-// It prefers those with the fewest runs.
-func (s *Scheduler) fillTargets(step *stepRun, targets []*target, count int) []*target {
-	slices.SortFunc(targets, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.lastStartAt, b.lastStartAt), cmp.Compare(a.info.ID, b.info.ID))
-	})
-	planned, chosen := plan{}, make([]*target, 0, count)
-	for _, t := range targets {
-		for len(chosen) < count && s.fitsNow(step, t, planned[t]) && s.leavesHeadroom(step, t, planned) {
-			planned[t]++
-			chosen = append(chosen, t)
-		}
-	}
-	if len(chosen) < count || count == 0 {
-		return nil
-	}
-	return chosen
-}
-
-// hasTicket reports whether a step may start on a target as far as advice is concerned.
-func (step *stepRun) hasTicket(queue *cyclamendyke.Queue, t *target, now time.Duration) bool {
-	if queue.Advice == nil {
-		return true
-	}
-	v := step.advice.verdicts[t.info.ID]
-	return v.allowed && now < v.expiresAt
-}
-
 // checkTrials ends the trials that are over.
 func (s *Scheduler) checkTrials() {
 	for _, t := range s.targets {
