Start nothing on restarted targets while a successor is possible

Cause: a scheduler whose lease is in doubt goes on with targets that answer it. One that has restarted since has lost the fence of the successor, which may have started the same task elsewhere: it answered epoch 3 first, 25 ms before it was asked by epoch 4, and took a gang that epoch 4 was running.

Change: an incarnation that is first seen while a successor is possible gets no starts until the lease is known to be held.

Ruled out: the changing capacities, and a start that was on its way: the order was given after the restart was noticed ("VM restarted", "listed", "placed", in one log).

--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -92,3 +92,21 @@
 	sim.boot(v)
 	is.True(sim.sched.mayHaveUnlistedRuns(sim.sched.targets["vm-0"])) // An earlier epoch may have started runs since.
 }
+
+// TestSchedulerInDoubtStartsOnRestartedVM restarts a VM, which knows no fence then, while a successor may have started the task elsewhere.
+func TestSchedulerInDoubtStartsOnRestartedVM(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.run(20 * time.Second) // Runs of earlier epochs are over.
+	sim.crash(sim.vms["vm-0"])
+	sim.sched.SetSuccessorPossible(true)
+	sim.boot(sim.vms["vm-0"])
+	sim.submit(oneTask("job"))
+	sim.run(5 * time.Second)
+	is.Equal(sim.starts, 0)
+	sim.sched.SetSuccessorPossible(false)
+	sim.run(5 * time.Second)
+	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+	is.Equal(sim.starts, 1)
+}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -142,8 +142,14 @@
 }
 
 // SetSuccessorPossible says whether another scheduler may have been elected. While it may, the lease of a
-// target that does not answer does not count as over, since the other scheduler may have renewed it.
+// target that does not answer does not count as over, since the other scheduler may have renewed it, and nothing
+// is started on targets that have begun since: they would not refuse what the other one has started elsewhere.
 func (s *Scheduler) SetSuccessorPossible(possible bool) {
+	if s.successorPossible && !possible {
+		for _, t := range s.targets {
+			t.fenceInDoubt = false
+		}
+	}
 	s.successorPossible = possible
 }
 
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -15,6 +15,7 @@
 	ended               bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
 	silentRuns          []crashedRun           // Runs that it had when its lease expired in silence.
 	expired             bool                   // Its lease has expired or another incarnation replaced it, so no run is left.
+	fenceInDoubt        bool                   // Its incarnation was first seen while a successor was possible, which it may not have heard of.
 	closed              bool                   // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
 	wasDraining         bool                   // It was draining in an earlier epoch.
 	earlierRunsComplete bool                   // earlierRuns names every task that an earlier epoch may have left here.
@@ -148,7 +149,7 @@
 	t := s.targets[info.ID]
 	switch {
 	case t == nil:
-		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace}
+		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
 		s.targets[info.ID] = t
 		s.targetChanged(info.ID)
 		s.logTarget(info.ID, "new at "+info.Address)
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -15,6 +15,7 @@
 	t.ended, t.silentRuns, t.trial = false, nil, nil
 	t.listed, t.expired, t.wasDraining, t.earlierRunsComplete, t.earlierRuns = false, false, false, false, nil
 	t.finalListLeaseEnd, t.earlierLeaseOver = 0, false
+	t.fenceInDoubt = s.successorPossible
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
