Ask a target whether it has restarted before a start while a successor is possible

A VM was back within the 1.5 s for which the last scheduler had not heard of it, and took a task from it that the successor had run to its end. A start names the identifier, which the VM keeps, and its fence is gone.

Change: while a successor is possible, a target whose answer is older than 0.3 s is asked for its listing first. Only the targets chosen for a start are asked; the answer brings the next pass.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -117,15 +117,21 @@
 	return cyclamendyke.TaskName{Workflow: step.job.spec.ID, Occurrence: step.occ.number, Step: step.index, Index: index}
 }
 
-// placeTasks starts the waiting tasks one by one and returns how many it could not place.
+// placeTasks starts the waiting tasks one by one and returns how many it could not place. Those that wait only for
+// their targets' answers count as placed.
 func (s *Scheduler) placeTasks(step *stepRun, queue *cyclamendyke.Queue, waiting []int) int {
 	targets := s.candidates(step, queue)
+	asked := plan{}
 	for n, index := range waiting {
-		best := s.bestTarget(step, targets, step.tasks[index].avoidTarget, nil)
+		best := s.bestTarget(step, targets, step.tasks[index].avoidTarget, asked)
 		if best == nil {
 			s.logUnplaced(step, "no target with room and a ticket")
 			return len(waiting) - n
 		}
+		if !s.haveNotRestarted(best) {
+			asked[best]++
+			continue
+		}
 		s.start(step, index, best, s.nextRunNumber())
 	}
 	return 0
@@ -178,6 +184,9 @@
 		planned[t]++
 		chosen = append(chosen, t)
 	}
+	if !s.haveNotRestarted(chosen...) {
+		return 0
+	}
 	number := s.nextRunNumber()
 	for i, t := range chosen {
 		s.start(step, i, t, number)
--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -110,3 +110,26 @@
 	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 	is.Equal(sim.starts, 1)
 }
+
+// TestSchedulerInDoubtStartsOnVMThatRestartedUnnoticed restarts a VM while its last answer is a second old and the connection hangs.
+func TestSchedulerInDoubtStartsOnVMThatRestartedUnnoticed(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.run(20*time.Second + 200*time.Millisecond) // Runs of earlier epochs are over.
+	sched := sim.sched
+	for sim.now-sched.targets["vm-0"].answeredAt < time.Second { // It answers every two seconds.
+		sim.run(10 * time.Millisecond)
+	}
+	sched.SetSuccessorPossible(true)
+	sim.sched = nil // Its description reaches nobody.
+	sim.crash(sim.vms["vm-0"])
+	sim.boot(sim.vms["vm-0"])
+	sim.sched = sched
+	sim.submit(oneTask("job"))
+	sim.run(5 * time.Second)
+	is.Equal(sim.starts, 0)
+	sched.SetSuccessorPossible(false)
+	sim.run(5 * time.Second)
+	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+}
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -141,18 +141,6 @@
 	s.wall = wall
 }
 
-// SetSuccessorPossible says whether another scheduler may have been elected. While it may, the lease of a
-// target that does not answer does not count as over, since the other scheduler may have renewed it, and nothing
-// is started on targets that have begun since: they would not refuse what the other one has started elsewhere.
-func (s *Scheduler) SetSuccessorPossible(possible bool) {
-	if s.successorPossible && !possible {
-		for _, t := range s.targets {
-			t.fenceInDoubt = false
-		}
-	}
-	s.successorPossible = possible
-}
-
 func (s *Scheduler) emit(command Command) {
 	s.commands = append(s.commands, command)
 }
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -39,7 +39,7 @@
 			s.wantMissingTickets(step, queue, 1, noFitCache{})
 			continue
 		}
-		if s.copyWorthwhile(slow, t) {
+		if s.copyWorthwhile(slow, t) && s.haveNotRestarted(t) {
 			s.start(step, i, t, s.nextRunNumber())
 		}
 	}
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -68,6 +68,9 @@
 		s.logUnplaced(step, "to be tried apart from work that has just begun")
 		return true
 	}
+	if !s.haveNotRestarted(chosen...) {
+		return true
+	}
 	number := s.nextRunNumber()
 	for i, t := range chosen {
 		s.start(step, members[i], t, number)
