Keep the crashes that are not stored yet in the list of runs

Seen by callers: nothing; the model found it (TestInvariantsWithCrashingTasks, in KNOWN-RED.txt: a task that crashes its VM is started three times more after three crashes).

When the store is back after an outage, the list may be written first; a takeover right after it forgets the crash, of which neither the list nor the progress tells. Ends that are not stored are in the list for the same reason; crashes were in final lists only.

Change: every list of runs has the crashes that are not stored.

One earlier trace is left: starts right before takeovers and during outages, of which no list could tell.

--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -31,7 +31,6 @@
 	list := &runList{}
 	if loaded {
 		list = s.buildRunList()
-		list.Crashes = s.unstoredCrashes()
 		for i := range list.Targets {
 			list.Targets[i].Final = s.describeFinal(s.targets[list.Targets[i].ID])
 		}
--- a/core/dispatch/listedcrashes.go
+++ b/core/dispatch/listedcrashes.go
@@ -2,7 +2,7 @@
 
 import "cyclamendyke"
 
-// listedCrashes are the crashes under a task or a gang, as a final list tells the next epoch.
+// listedCrashes are the crashes under a task or a gang, as a list of runs tells the next epoch.
 type listedCrashes struct {
 	cyclamendyke.StepName
 	Task    int     `json:"task"` // As of stepRun.crashIndex.
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -15,11 +15,11 @@
 	WrittenAt time.Time       `json:"written"`
 	Targets   []runListTarget `json:"targets"`
 	Steps     []runListStep   `json:"steps"`
+	Crashes   []listedCrashes `json:"crashes,omitempty"` // That are not stored with the progress of their workflows.
 
 	// Only in a final list:
-	Epoch           uint64          `json:"epoch,omitempty"`
-	LeaseLeftMillis int64           `json:"lease-left-ms,omitempty"` // How long leases of earlier epochs can last on targets without an answer.
-	Crashes         []listedCrashes `json:"crashes,omitempty"`       // That are not stored with the progress of their workflows.
+	Epoch           uint64 `json:"epoch,omitempty"`
+	LeaseLeftMillis int64  `json:"lease-left-ms,omitempty"` // How long leases of earlier epochs can last on targets without an answer.
 }
 
 type runListTarget struct {
@@ -141,6 +141,7 @@
 func (s *Scheduler) buildRunList() *runList {
 	b := runListBuilder{now: s.now, steps: map[cyclamendyke.StepName]int{}}
 	b.list.WrittenAt = s.wall
+	b.list.Crashes = s.unstoredCrashes()
 	for id, t := range s.targets {
 		b.list.Targets = append(b.list.Targets, runListTarget{ID: id, StartedMillis: t.info.StartedMillis})
 		for _, r := range t.runs {
@@ -193,6 +194,7 @@
 	}
 	writtenAt := s.now - max(0, s.wall.Sub(list.WrittenAt)) - wallMargin
 	list.each(writtenAt, s.addEarlierRun)
+	s.addListedCrashes(list.Crashes)
 	return nil
 }
 
--- a/core/dispatch/simulatedcapacity_test.go
+++ b/core/dispatch/simulatedcapacity_test.go
@@ -19,15 +19,11 @@
 func (sim *simulation) changeCapacity(v *vm, capacity cyclamendyke.Resources) {
 	v.pastCapacities = append(v.pastCapacities, pastCapacity{v.info.Capacity, sim.now})
 	v.info.Capacity = capacity
-	sim.after(sim.randomTime(simHeartbeat), func() { sim.showCapacity(v) })
+	sim.after(sim.randomTime(simHeartbeat), func() { sim.whenStoreIsBack(func() { sim.showCapacity(v) }) })
 }
 
-// showCapacity shows a VM's capacity as soon as the store is back, whose outages may be cut short.
+// showCapacity shows a VM's capacity.
 func (sim *simulation) showCapacity(v *vm) {
-	if sim.storeAway() {
-		sim.after(simLatency, func() { sim.showCapacity(v) })
-		return
-	}
 	if !v.down && !v.removed && !v.replaced {
 		sim.sched.Advance(sim.now, sim.wall())
 		sim.sched.UpdateTarget(v.info)
--- a/core/dispatch/simulatedstore_test.go
+++ b/core/dispatch/simulatedstore_test.go
@@ -43,13 +43,13 @@
 	return sim.now < sim.storeBackAt
 }
 
-// whenStoreIsBack calls do at once or, while the store is away, when it is back.
+// whenStoreIsBack calls do at once or, while the store is away, when it is back. Outages may be cut short.
 func (sim *simulation) whenStoreIsBack(do func()) {
 	if !sim.storeAway() {
 		do()
 		return
 	}
-	sim.after(sim.storeBackAt-sim.now, func() { sim.whenStoreIsBack(do) })
+	sim.after(min(simLatency, sim.storeBackAt-sim.now), func() { sim.whenStoreIsBack(do) })
 }
 
 // storeRecords starts writing the scheduler's records and changes of known targets, several batches at a
--- a/core/dispatch/simulatedvm_test.go
+++ b/core/dispatch/simulatedvm_test.go
@@ -33,9 +33,9 @@
 	sim.boot(v)
 }
 
-// boot starts a VM without any state.
+// boot starts a VM without any state, which writes its description anew.
 func (sim *simulation) boot(v *vm) {
-	v.down = false
+	v.down, v.removed = false, false
 	v.bootedAt = sim.now
 	v.info.StartedMillis = int64(sim.now / time.Millisecond)
 	v.fence, v.leaseUntil, v.lastEndSequence, v.voidEnds, v.ends = 0, 0, 0, 0, nil
