--- a/core/dispatch/crashtakeover_test.go
+++ b/core/dispatch/crashtakeover_test.go
@@ -96,3 +96,16 @@
 	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad"})
 	is.Equal(len(step.crashHistory(0).crashes), 1)
 }
+
+// TestListOfRunsForgetsCrashThatIsNotStored begins an epoch after the list of runs was stored without the progress of any workflow.
+func TestListOfRunsForgetsCrashThatIsNotStored(t *testing.T) {
+	is := is.New(t)
+	sim := crashInOutage(t)
+	list, err := sim.sched.TakeRunList()
+	is.NoErr(err)
+	sim.storedRuns = list
+	sim.storeBackAt = 0
+	sim.elect()
+	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad", Step: 1})
+	is.Equal(len(step.crashHistory(0).crashes), 1)
+}
