Split the pass over the waiting steps into functions

placeAll did three things in 60 lines: which tasks wait for a target alone, where they start, and what is done for those that find none. What a pass has found so far is a type, and the condition for a target to be usable has named parts. Moves only; the tests of core/dispatch pass, the linter finds nothing.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -20,8 +20,9 @@
 
 // ready reports whether a target may be usable, whether its zone is evacuated or not.
 func (s *Scheduler) ready(t *target) bool {
-	return t.registered && t.listed && !t.expired && !t.closed && !t.fenceInDoubt && !t.info.Draining && !t.renewFailed && len(t.orphans) == 0 &&
-		!t.avoided && !s.staleServices[t.info.Service] && s.now >= t.blockedUntil && s.now-t.answeredAt <= maxAnswerAge
+	isPresent := t.registered && t.listed && !t.expired && !t.closed && !t.info.Draining
+	isHeld := t.fenceInDoubt || t.avoided || len(t.orphans) > 0 || s.staleServices[t.info.Service] || s.now < t.blockedUntil
+	return isPresent && !isHeld && !t.renewFailed && s.now-t.answeredAt <= maxAnswerAge
 }
 
 // plan is a tentative placement: the number of gang members on each target.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -2,64 +2,82 @@
 
 import "cyclamendyke"
 
+// placementPass is what one pass over the waiting steps has found so far.
+type placementPass struct {
+	noRoom          noFitCache // Needs that fit on no target.
+	noProjectedRoom noFitCache // Needs that fit on none with the room expected soon.
+	noRoomNow       noFitCache // Needs for which a step waits for room.
+	waitClaims      int        // Steps that have tried to claim room for which they wait.
+}
+
 // placeAll starts the tasks that can start, in order of rank.
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
-	waitClaims := 0
 	s.projectFree()
-	noRoom, noProjectedRoom, noRoomNow := noFitCache{}, noFitCache{}, noFitCache{}
+	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}}
 	for _, step := range s.active.sorted(s.rank) {
 		queue := step.job.queue(s)
 		if queue == nil || s.service(queue.Service) == nil {
 			continue
 		}
-		waiting := s.startableTasks(step)
-		if len(waiting) == 0 {
-			step.enterPhase(s.now, step.runPhase())
-			s.prefetchAdvice(step)
-			s.startSpeculative(step, queue)
-			continue
-		}
-		if step.job.inherited && !s.earlierRunsKnown {
-			step.enterPhase(s.now, phaseTakeover)
-			s.wantAdviceInTakeover(step, queue, len(waiting))
-			continue
-		}
-		waiting = s.admitted(step, waiting)
-		if len(waiting) == 0 {
-			s.dropClaims(step)
-			step.enterPhase(s.now, phaseLimit)
-			s.logUnplaced(step, "team limit reached")
-			continue
-		}
-		trusted, suspected := step.splitSuspected(waiting)
-		step.needsSound = false
-		unplaced := len(waiting)
-		switch {
-		case queue.Advice == nil && noRoom.has(queue.Service, step.spec.Reserved()):
-			s.logUnplaced(step, "no room")
-		case step.spec.Gang:
-			unplaced = s.placeGang(step, queue, len(suspected) > 0)
-		default:
-			unplaced = s.placeTasks(step, queue, trusted) + s.placeSuspected(step, queue, suspected)
-		}
-		if unplaced == 0 {
-			step.enterPhase(s.now, phaseStart)
-			s.dropClaims(step)
-			s.prefetchAdvice(step)
-			continue
-		}
-		s.enterWaitPhase(step, queue, unplaced, noRoomNow)
-		if queue.Advice == nil && len(step.claims) == 0 && !s.fitsAnywhere(step, queue) {
-			noRoom.add(queue.Service, step.spec.Reserved())
-		}
-		if len(suspected) == 0 {
-			s.makeRoom(step, queue, unplaced, &waitClaims) // Nothing is stopped or kept for a task that may crash its target.
+		if waiting := s.placeable(step, queue); len(waiting) > 0 {
+			s.placeStep(step, queue, waiting, pass)
 		}
-		s.wantMissingTickets(step, queue, unplaced, noProjectedRoom)
 	}
 }
 
+// placeable returns the tasks of a step that wait for nothing but a target.
+func (s *Scheduler) placeable(step *stepRun, queue *cyclamendyke.Queue) []int {
+	waiting := s.startableTasks(step)
+	if len(waiting) == 0 {
+		step.enterPhase(s.now, step.runPhase())
+		s.prefetchAdvice(step)
+		s.startSpeculative(step, queue)
+		return nil
+	}
+	if step.job.inherited && !s.earlierRunsKnown {
+		step.enterPhase(s.now, phaseTakeover)
+		s.wantAdviceInTakeover(step, queue, len(waiting))
+		return nil
+	}
+	admitted := s.admitted(step, waiting)
+	if len(admitted) == 0 {
+		s.dropClaims(step)
+		step.enterPhase(s.now, phaseLimit)
+		s.logUnplaced(step, "team limit reached")
+	}
+	return admitted
+}
+
+// placeStep starts those of a step's waiting tasks that find a target, and makes room for the others.
+func (s *Scheduler) placeStep(step *stepRun, queue *cyclamendyke.Queue, waiting []int, pass *placementPass) {
+	trusted, suspected := step.splitSuspected(waiting)
+	step.needsSound = false
+	unplaced := len(waiting)
+	switch {
+	case queue.Advice == nil && pass.noRoom.has(queue.Service, step.spec.Reserved()):
+		s.logUnplaced(step, "no room")
+	case step.spec.Gang:
+		unplaced = s.placeGang(step, queue, len(suspected) > 0)
+	default:
+		unplaced = s.placeTasks(step, queue, trusted) + s.placeSuspected(step, queue, suspected)
+	}
+	if unplaced == 0 {
+		step.enterPhase(s.now, phaseStart)
+		s.dropClaims(step)
+		s.prefetchAdvice(step)
+		return
+	}
+	s.enterWaitPhase(step, queue, unplaced, pass.noRoomNow)
+	if queue.Advice == nil && len(step.claims) == 0 && !s.fitsAnywhere(step, queue) {
+		pass.noRoom.add(queue.Service, step.spec.Reserved())
+	}
+	if len(suspected) == 0 {
+		s.makeRoom(step, queue, unplaced, &pass.waitClaims) // Nothing is stopped or kept for a task that may crash its target.
+	}
+	s.wantMissingTickets(step, queue, unplaced, pass.noProjectedRoom)
+}
+
 func (s *Scheduler) service(name cyclamendyke.ServiceName) *cyclamendyke.Service {
 	for i := range s.fleet.Services {
 		if s.fleet.Services[i].Name == name {
