--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -56,16 +56,32 @@
 		return false
 	}
 	history := r.step.crashHistory(max(0, r.index))
-	if !history.add(crash{
-		Target: t.info.ID, StartedMillis: t.info.StartedMillis, Run: r.number, LeastMillis: r.least.Milliseconds(), MostMillis: r.most.Milliseconds(),
-		Uncertain: !r.certain, Alone: alone,
-	}) {
+	if !history.add(r.crashOf(t, alone)) {
 		return false
 	}
 	s.markDirty(j)
 	j.hasCrashes, j.crashVersion = true, j.version
 	r.step.soundUntil = s.now + soundPatience
-	name := r.name()
+	s.logCharge(t, r, alone)
+	if !history.blamed() {
+		return false
+	}
+	s.explainCrashes(history)
+	s.finish(j, cyclamendyke.WorkflowFailed)
+	return true
+}
+
+// crashOf describes the crash of a target under the run.
+func (r *crashedRun) crashOf(t *target, alone bool) crash {
+	return crash{
+		Target: t.info.ID, StartedMillis: t.info.StartedMillis, Run: r.number, LeastMillis: r.least.Milliseconds(), MostMillis: r.most.Milliseconds(),
+		Uncertain: !r.certain, Alone: alone,
+	}
+}
+
+// logCharge logs that a crash was counted against a task.
+func (s *Scheduler) logCharge(t *target, r crashedRun, alone bool) {
+	history := r.step.crashHistory(max(0, r.index))
 	event := EventSuspected
 	if history.blamed() {
 		event = EventBlamed
@@ -78,14 +94,8 @@
 		reason += ", if it had begun"
 	}
 	s.cfg.LogDecision(Decision{
-		Event: event, Workflow: j.spec.ID, Task: name, Target: t.info.ID, Count: len(history.crashes), Age: r.most, Reason: reason,
+		Event: event, Workflow: r.step.job.spec.ID, Task: r.name(), Target: t.info.ID, Count: len(history.crashes), Age: r.most, Reason: reason,
 	})
-	if event == EventSuspected {
-		return false
-	}
-	s.explainCrashes(history)
-	s.finish(j, cyclamendyke.WorkflowFailed)
-	return true
 }
 
 // chargeRestarted counts a crash against a stored run whose target has restarted since. Nothing tells whether
