--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -37,20 +37,20 @@
 		}
 	}
 	alone := len(fresh) == 1 && !s.crashedLately(t)
-	if alone && s.charge(t, runs[fresh[0]], true) {
+	if alone && s.countCrash(t, runs[fresh[0]], true) {
 		return true
 	}
 	blamed := false
 	for i, r := range runs {
 		if !alone || i != fresh[0] {
-			blamed = s.charge(t, r, false) || blamed
+			blamed = s.countCrash(t, r, false) || blamed
 		}
 	}
 	return blamed
 }
 
-// charge counts a crash against a task, gives the task up if it is to blame, and reports whether it did.
-func (s *Scheduler) charge(t *target, r crashedRun, alone bool) bool {
+// countCrash counts a crash against a task, gives the task up if it is to blame, and reports whether it did.
+func (s *Scheduler) countCrash(t *target, r crashedRun, alone bool) bool {
 	j := r.step.job
 	if j.state.IsFinal() || r.least > maxBlamedAge || r.isDone() {
 		return false
@@ -61,8 +61,8 @@
 	}
 	s.markDirty(j)
 	j.hasCrashes, j.crashVersion = true, j.version
-	r.step.soundUntil = s.now + soundPatience
-	s.logCharge(t, r, alone)
+	r.step.stableUntil = s.now + stableTargetWait
+	s.logCountedCrash(t, r, alone)
 	if !history.blamed() {
 		return false
 	}
@@ -79,8 +79,8 @@
 	}
 }
 
-// logCharge logs that a crash was counted against a task.
-func (s *Scheduler) logCharge(t *target, r crashedRun, alone bool) {
+// logCountedCrash logs that a crash was counted against a task.
+func (s *Scheduler) logCountedCrash(t *target, r crashedRun, alone bool) {
 	history := r.step.crashHistory(max(0, r.index))
 	event := EventSuspected
 	if history.blamed() {
@@ -98,9 +98,9 @@
 	})
 }
 
-// chargeRestarted counts a crash against a stored run whose target has restarted since. Nothing tells whether
+// countRestartedCrash counts a crash against a stored run whose target has restarted since. Nothing tells whether
 // other targets crashed in the same moment, or how long it had worked.
-func (s *Scheduler) chargeRestarted(on runListTarget, r earlierRun) {
+func (s *Scheduler) countRestartedCrash(on runListTarget, r earlierRun) {
 	t := s.targets[on.ID]
 	step := s.findStep(r.task)
 	if t == nil || t.wasDraining || on.StartedMillis == 0 || step == nil || r.ended {
@@ -108,5 +108,5 @@
 	}
 	incarnation := &target{info: t.info}
 	incarnation.info.StartedMillis = on.StartedMillis
-	s.charge(incarnation, step.earlierCrashedRun(r), false)
+	s.countCrash(incarnation, step.earlierCrashedRun(r), false)
 }
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -29,19 +29,19 @@
 // crashHistory holds the crashes under one task, or under a gang, which is tried and blamed as a whole.
 type crashHistory struct {
 	crashes []crash
-	cleared bool // Since the last crash a run has worked for its probation.
+	cleared bool // Since the last crash a run has worked for its trial time.
 }
 
 // The rules for blaming a task for crashes.
 const (
-	freshTime         = 300 * time.Millisecond // A run that has worked for longer is not the first to be suspected.
-	quickCrash        = 100 * time.Millisecond // Crashes that soon after the start are no coincidence if they repeat.
-	maxBlamedAge      = 10 * time.Second       // A run that has worked for longer is not suspected at all.
-	maxProbation      = 2 * time.Second        // A task that crashes its targets later is known by the number of crashes.
-	suspiciousCrashes = 2                      // From so many crashes on a task is tried apart, however long it had worked.
-	certainCrashes    = 3                      // So many crashes, the last one apart from others, are the task's fault, however long it had worked.
-	forgivingTime     = time.Minute            // A run that has worked for that long makes earlier crashes count for nothing.
-	maxCrashes        = 4                      // A task is not started again after so many; one more may have been forgotten with its scheduler.
+	freshTime          = 300 * time.Millisecond // A run that has worked for longer is not the first to be suspected.
+	quickCrash         = 100 * time.Millisecond // Crashes that soon after the start are no coincidence if they repeat.
+	maxBlamedAge       = 10 * time.Second       // A run that has worked for longer is not suspected at all.
+	maxTrialTime       = 2 * time.Second        // A task that crashes its targets later is known by the number of crashes.
+	suspiciousCrashes  = 2                      // From so many crashes on a task is tried apart, however long it had worked.
+	certainCrashes     = 3                      // So many crashes, the last one apart from others, are the task's fault, however long it had worked.
+	forgetCrashesAfter = time.Minute            // A run that has worked for that long makes earlier crashes count for nothing.
+	maxCrashes         = 4                      // A task is not started again after so many; one more may have been forgotten with its scheduler.
 )
 
 // suspected reports whether the next run must be tried apart from other work.
@@ -64,13 +64,13 @@
 	return out
 }
 
-// probation returns for how long a run must work to be trusted: longer than before any crash.
-func (h *crashHistory) probation() time.Duration {
+// trialTime returns for how long a run must work to be trusted: longer than before any crash.
+func (h *crashHistory) trialTime() time.Duration {
 	longest := time.Duration(0)
 	for _, c := range h.crashes {
 		longest = max(longest, c.most())
 	}
-	return min(longest+freshTime, maxProbation)
+	return min(longest+freshTime, maxTrialTime)
 }
 
 // blamed reports whether the crashes are the task's fault, or too many to try again. Crashes that others explain
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -71,7 +71,7 @@
 		Run: r.number, Reason: string(kind), Count: int(sequence), Age: runTime,
 	})
 	step, j := r.step, r.step.job
-	if runTime > forgivingTime {
+	if runTime > forgetCrashesAfter {
 		*step.crashHistory(r.taskIndex) = crashHistory{}
 	}
 	if sequence != 0 {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -52,7 +52,7 @@
 // placeStep starts those of a step's waiting tasks that find a target, and makes room for the others.
 func (s *Scheduler) placeStep(step *stepRun, queue *cyclamendyke.Queue, waiting []int, pass *placementPass) {
 	trusted, suspected := step.splitSuspected(waiting)
-	step.needsSound = false
+	step.needsStable = false
 	unplaced := len(waiting)
 	switch {
 	case queue.Advice == nil && pass.noRoom.has(queue.Service, step.spec.Reserved()):
--- a/core/dispatch/projection.go
+++ b/core/dispatch/projection.go
@@ -106,7 +106,7 @@
 	var allowed []*target
 	for id, v := range step.advice.verdicts {
 		t := s.targets[id]
-		if v.allowed && t != nil && s.usable(t) && !s.isUnsoundFor(step, t) && need.FitsIn(t.projectedFree) && !t.claimedBy(step) && !a.has(t) &&
+		if v.allowed && t != nil && s.usable(t) && !s.isUnstableFor(step, t) && need.FitsIn(t.projectedFree) && !t.claimedBy(step) && !a.has(t) &&
 			!t.atMaxPerTarget(step) && s.eligible(step, queue, t) && (!roomNow || s.hasRoomFor(step, t)) {
 			allowed = append(allowed, t)
 		}
@@ -140,7 +140,7 @@
 			continue
 		}
 		anyFits = true
-		if a.has(t) || roomNow && !s.hasRoomFor(step, t) || s.isUnsoundFor(step, t) {
+		if a.has(t) || roomNow && !s.hasRoomFor(step, t) || s.isUnstableFor(step, t) {
 			continue
 		}
 		if _, hasVerdict := step.advice.verdicts[t.info.ID]; hasVerdict || t.claimedBy(step) || t.atMaxPerTarget(step) || !s.eligible(step, queue, t) {
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -212,7 +212,7 @@
 func (s *Scheduler) addEarlierRun(on runListTarget, r earlierRun) {
 	t := s.sameTarget(on)
 	if t == nil {
-		s.chargeRestarted(on, r)
+		s.countRestartedCrash(on, r)
 		return
 	}
 	if !t.earlierRunsComplete {
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -21,8 +21,8 @@
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
 	gangCrashes    crashHistory
-	needsSound     bool          // A suspected task waits for a target whose machine has not crashed lately.
-	soundUntil     time.Duration // How long suspected tasks wait for such a target.
+	needsStable    bool          // A suspected task waits for a target whose machine has not crashed lately.
+	stableUntil    time.Duration // How long suspected tasks wait for such a target.
 	advice         stepAdvice
 	rankKey        rankKey
 	haste          float64 // How much it gains by a fast target, from -1 to 1.
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -7,7 +7,7 @@
 )
 
 // trial keeps a target for a suspected task, or for members of a suspected gang: nothing else starts there from
-// some time before until the task has worked for its probation, so that a crash tells whether it is the cause.
+// some time before until the task has worked for its trial time, so that a crash tells whether it is the cause.
 type trial struct {
 	step  *stepRun
 	index int           // As of stepRun.crashIndex.
@@ -17,7 +17,7 @@
 
 // The rules for trials.
 const (
-	soundPatience    = 2 * time.Second        // How long a suspected task waits for a machine that has not crashed lately.
+	stableTargetWait = 2 * time.Second        // How long a suspected task waits for a machine that has not crashed lately.
 	trialReservation = 200 * time.Millisecond // Renewed in each pass in which the task waits for its target.
 	maxTrialShare    = 0.5                    // Part of a service's targets that are kept for trials at a time.
 )
@@ -102,7 +102,7 @@
 }
 
 // isTrialOver reports whether a target need not be kept any longer, and trusts the task if it has worked for its
-// probation.
+// trial time.
 func (s *Scheduler) isTrialOver(t *target) bool {
 	if !t.trial.began {
 		return s.now >= t.trial.until
@@ -115,7 +115,7 @@
 		return false
 	}
 	history := t.trial.step.crashHistory(max(0, t.trial.index))
-	passedAt := r.confirmedAt + history.probation()
+	passedAt := r.confirmedAt + history.trialTime()
 	if t.answeredAt < passedAt {
 		if s.now >= passedAt && !t.renewFailed {
 			s.requestListing(t)
--- a/core/dispatch/trialtargets.go
+++ b/core/dispatch/trialtargets.go
@@ -34,7 +34,7 @@
 func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) ([]*target, otherTrials) {
 	var kept, free []*target
 	var others otherTrials
-	step.needsSound = s.now < step.soundUntil && s.hasSound(step, queue)
+	step.needsStable = s.now < step.stableUntil && s.hasStableTarget(step, queue)
 	for _, t := range s.targets {
 		if t.info.Service != queue.Service || !s.ready(t) || s.evacuated(t) {
 			continue
@@ -45,7 +45,7 @@
 			others.kept++
 			continue
 		}
-		if !s.eligible(step, queue, t) || !step.hasTicket(queue, t, s.now) || s.isUnsoundFor(step, t) {
+		if !s.eligible(step, queue, t) || !step.hasTicket(queue, t, s.now) || s.isUnstableFor(step, t) {
 			continue
 		}
 		if isKept {
@@ -60,8 +60,8 @@
 	return s.fillTargets(step, append(kept, free...), count), others
 }
 
-// hasSound reports whether any target with room for a task of the step has a machine that has not crashed lately.
-func (s *Scheduler) hasSound(step *stepRun, queue *cyclamendyke.Queue) bool {
+// hasStableTarget reports whether any target with room for a task of the step has a machine that has not crashed lately.
+func (s *Scheduler) hasStableTarget(step *stepRun, queue *cyclamendyke.Queue) bool {
 	for _, t := range s.targets {
 		if s.ready(t) && !s.evacuated(t) && s.eligible(step, queue, t) && s.fitsNow(step, t, 0) && !s.crashedLately(t) {
 			return true
@@ -70,10 +70,10 @@
 	return false
 }
 
-// isUnsoundFor reports whether a step's suspected tasks should rather be tried elsewhere, since a crash of the
+// isUnstableFor reports whether a step's suspected tasks should rather be tried elsewhere, since a crash of the
 // target would say little about them.
-func (s *Scheduler) isUnsoundFor(step *stepRun, t *target) bool {
-	return step.needsSound && s.crashedLately(t)
+func (s *Scheduler) isUnstableFor(step *stepRun, t *target) bool {
+	return step.needsStable && s.crashedLately(t)
 }
 
 // fillTargets returns targets that have room for count tasks of a step together, one entry for each task, or nil.
