--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -36,6 +36,12 @@
 	EventEvacuation    Event = "evacuation" // Operators evacuate an availability zone, or no longer do.
 )
 
+// The reasons of EventTargetAvoided.
+const (
+	ReasonFailures = "consecutive failures"
+	ReasonCrashes  = "unexplained crashes" // Of its machine, with no task to blame.
+)
+
 // Decision is one decision with the values that led to it, for the log.
 type Decision struct {
 	Event    Event
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -193,6 +193,6 @@
 	t.failures++
 	if t.failures >= maxTargetFailures {
 		t.blockedUntil = max(t.blockedUntil, s.now+failureBackoff)
-		s.cfg.LogDecision(Decision{Event: EventTargetAvoided, Target: t.info.ID, Count: t.failures, Reason: "consecutive failures"})
+		s.cfg.LogDecision(Decision{Event: EventTargetAvoided, Target: t.info.ID, Count: t.failures, Reason: ReasonFailures})
 	}
 }
--- a/core/dispatch/unexplainedcrash.go
+++ b/core/dispatch/unexplainedcrash.go
@@ -30,7 +30,7 @@
 	}
 	s.unexplainedCrashes[t.info.Address] = now
 	if now.count >= avoidedCrashes {
-		s.cfg.LogDecision(Decision{Event: EventTargetAvoided, Target: t.info.ID, Count: now.count, Reason: "unexplained crashes"})
+		s.cfg.LogDecision(Decision{Event: EventTargetAvoided, Target: t.info.ID, Count: now.count, Reason: ReasonCrashes})
 	}
 }
 
--- a/core/explain/tellcontext.go
+++ b/core/explain/tellcontext.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"cyclamendyke/core/dispatch"
 )
 
 // tellContext tells a record about the whole fleet or about a target.
@@ -23,7 +25,7 @@
 	case messageTargetCrashed:
 		return fmt.Sprintf("target %s crashed under %s: %s", r.Target, plural(r.Count, "run"), r.Reason)
 	case messageTargetAvoided:
-		return fmt.Sprintf("target %s is avoided after %s of different workflows", r.Target, plural(r.Count, "failure"))
+		return tellAvoided(r)
 	case messageEvacuation:
 		return r.Reason
 	case messageTargetChanged:
@@ -32,6 +34,13 @@
 	return tellOther(r)
 }
 
+func tellAvoided(r *orderedRecord) string {
+	if r.Reason == dispatch.ReasonCrashes {
+		return fmt.Sprintf("target %s is avoided after %d crashes of its machine with no task to blame", r.Target, r.Count)
+	}
+	return fmt.Sprintf("target %s is avoided after %s of different workflows", r.Target, plural(r.Count, "failure"))
+}
+
 func tellStoreState(r *orderedRecord) string {
 	if r.Err == "" {
 		return "the store: " + r.State
