Group the fields of a target by what they are about

Fifty fields in a row become a target with three embedded parts: what earlier epochs may have left, the state of its renewals, and the ends that it reports. A restart resets two of them whole.

--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -8,20 +8,19 @@
 
 // target is a target VM with its runs and the lease it holds.
 type target struct {
-	info                cyclamendyke.Target
-	largestCapacity     cyclamendyke.Resources // The most that its present incarnation is known to have had.
-	registered          bool                   // Its description is in the store.
-	listed              bool                   // Its present incarnation has answered this epoch with a listing.
-	ended               bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
-	silentRuns          []crashedRun           // Runs that it had when its lease expired in silence.
-	expired             bool                   // Its lease has expired or another incarnation replaced it, so no run is left.
-	fenceInDoubt        bool                   // Its incarnation was first seen while a successor was possible, which it may not have heard of.
-	closed              bool                   // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
-	wasDraining         bool                   // It was draining in an earlier epoch.
-	earlierRunsComplete bool                   // earlierRuns names every task that an earlier epoch may have left here.
-	earlierRuns         []earlierRun
-	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
-	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
+	info            cyclamendyke.Target
+	largestCapacity cyclamendyke.Resources // The most that its present incarnation is known to have had.
+	registered      bool                   // Its description is in the store.
+	listed          bool                   // Its present incarnation has answered this epoch with a listing.
+	ended           bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
+	silentRuns      []crashedRun           // Runs that it had when its lease expired in silence.
+	expired         bool                   // Its lease has expired or another incarnation replaced it, so no run is left.
+	fenceInDoubt    bool                   // Its incarnation was first seen while a successor was possible, which it may not have heard of.
+	closed          bool                   // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
+
+	earlierEpochs
+	renewals
+	reportedEnds
 
 	clock       time.Duration // Last reading of the target's clock.
 	clockReadAt time.Duration // When the answer with that reading arrived.
@@ -34,6 +33,33 @@
 	asked         []askedRoom            // Room that requests for advice in flight count on.
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
 
+	lastStartAt  time.Duration // When a start was last ordered here.
+	avoided      bool          // Its machine crashes on its own.
+	trial        *trial        // Nothing but this trial's task is started here; nil if there is none.
+	blockedUntil time.Duration // Nothing is placed here before then.
+	ownRunsEndBy time.Duration // After a restart with unanswered starts: when the lease of a run that they began on the new incarnation is over.
+	mayLeaveAt   time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
+
+	claims             []*claim
+	speed              speed
+	coldUntil          time.Duration // The VM is slow after its start until then.
+	failures           int           // Consecutive failures; successive ones of the same workflow count once.
+	lastFailedWorkflow cyclamendyke.WorkflowID
+	fillerPace         int           // Percentage of full speed at which fillers run here.
+	paceHeldAt         time.Duration // When the pace last changed or the load last prevented an increase.
+}
+
+// earlierEpochs is what earlier epochs may have left on a target.
+type earlierEpochs struct {
+	wasDraining         bool // It was draining in an earlier epoch.
+	earlierRunsComplete bool // earlierRuns names every task that an earlier epoch may have left here.
+	earlierRuns         []earlierRun
+	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
+	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
+}
+
+// renewals is the state of the requests that renew a target's lease and list its runs.
+type renewals struct {
 	renewalInFlight  bool          // A regular renewal is in flight.
 	listingRequested bool          // An immediate renewal is in flight.
 	renewAt          time.Duration // When the next regular renewal is due.
@@ -43,24 +69,13 @@
 	renewalSentAt    time.Duration // When the last regular renewal was sent.
 	workedUntil      time.Duration // After a failed renewal: when the target was last known to work.
 	silentAt         time.Duration // After a failed renewal: when it failed.
-	lastStartAt      time.Duration // When a start was last ordered here.
-	avoided          bool          // Its machine crashes on its own.
-	trial            *trial        // Nothing but this trial's task is started here; nil if there is none.
-	blockedUntil     time.Duration // Nothing is placed here before then.
-	ownRunsEndBy     time.Duration // After a restart with unanswered starts: when the lease of a run that they began on the new incarnation is over.
-	mayLeaveAt       time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
+}
 
+// reportedEnds says which of the ends that a target reports are handled and stored.
+type reportedEnds struct {
 	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
 	lastEndStored  int64 // Highest sequence number of an end whose effect is stored.
 	unstoredEnds   []unstoredEnd
-
-	claims             []*claim
-	speed              speed
-	coldUntil          time.Duration // The VM is slow after its start until then.
-	failures           int           // Consecutive failures; successive ones of the same workflow count once.
-	lastFailedWorkflow cyclamendyke.WorkflowID
-	fillerPace         int           // Percentage of full speed at which fillers run here.
-	paceHeldAt         time.Duration // When the pace last changed or the load last prevented an increase.
 }
 
 // runKey identifies a run on a target.
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -13,15 +13,15 @@
 	s.targetEnded(t, "a later incarnation has its identifier")
 	s.endRuns(t, cyclamendyke.EndTargetEnded, true)
 	t.ended, t.silentRuns, t.trial = false, nil, nil
-	t.listed, t.expired, t.wasDraining, t.earlierRunsComplete, t.earlierRuns = false, false, false, false, nil
-	t.finalListLeaseEnd, t.earlierLeaseOver = 0, false
+	t.listed, t.expired = false, false
+	t.earlierEpochs = earlierEpochs{}
 	t.fenceInDoubt = s.successorPossible
 	if len(t.runs) > 0 {
 		t.ownRunsEndBy = s.now + time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin // A start's lease end, by the old clock, is cut to the longest.
 	}
 	s.targetChanged(t.info.ID)
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
-	t.lastEndHandled, t.lastEndStored, t.unstoredEnds = 0, 0, nil
+	t.reportedEnds = reportedEnds{}
 	t.orphans = map[runKey]bool{}
 	t.failures, t.fillerPace, t.mayLeaveAt = 0, fullPace, 0
 	for _, step := range s.active.steps {
