--- a/core/dispatch/successor.go
+++ b/core/dispatch/successor.go
@@ -8,7 +8,7 @@
 
 // SetSuccessorPossible says whether another scheduler may have been elected. While it may, the lease of a
 // target that does not answer does not count as over, since the other scheduler may have renewed it, and nothing
-// is started on targets that have begun since: they would not refuse what the other one has started elsewhere.
+// is started on an incarnation of a target that is first seen then, since it may not know the other one's fence.
 func (s *Scheduler) SetSuccessorPossible(possible bool) {
 	if s.successorPossible && !possible {
 		for _, t := range s.targets {
