Send a start order without an answer again, and stop a gang whose member did not start

Cause: an order that its target left unanswered was in doubt for 0.6 s, then looked for in a listing, stopped and placed elsewhere: 1.1 s for a look-up of one second. Change: an order names its run, so that it can be sent again: after 0.2 s without an answer, twice at most and for one order in ten, as more would say that this process is slow. Once a member is known not to have started, the other members are stopped. Callers: look-ups beside late orders wait 0.2 s in place of 1.1 s or 4 s. Tests fail on the old policy: TestLostStartIsRepeated, TestLostStartOfGangIsRepeated, TestGangStopsWithoutItsMember.

--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -77,6 +77,9 @@
 	if sequence != 0 {
 		j.started = true
 	}
+	if sequence == 0 && r.confirmedAt == 0 && step.spec.Gang {
+		s.stopGangOf(r, "a gang member did not start")
+	}
 	task := &step.tasks[r.taskIndex]
 	if task.done || j.state.IsFinal() {
 		return
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -25,6 +25,7 @@
 	target         *target
 	state          runState
 	startedAt      time.Duration // When it was ordered or adopted, or when its start became uncertain.
+	starts         startOrders   // The requests to start it; empty if it was adopted.
 	confirmedAt    time.Duration // When the target confirmed that it runs.
 	progress       progress
 	checkpoint     string  // Last reported checkpoint, at first the one that it was started from.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -45,8 +45,9 @@
 	forgetAt           time.Duration // When endedJobs is next searched for workflows to forget.
 	dirty              []*job        // Workflows whose progress must be stored.
 	lastRunNumber      int64
-	successorPossible  bool // Another scheduler may have been elected, and may have renewed the leases of silent targets.
-	superseded         bool // A target has refused a request because it knows a later epoch.
+	successorPossible  bool    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
+	superseded         bool    // A target has refused a request because it knows a later epoch.
+	startRepeatTokens  float64 // How many start orders may be repeated.
 	commands           []Command
 	forecasts          map[cyclamendyke.ServiceName]*forecast
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
@@ -104,6 +105,7 @@
 		forecasts:          map[cyclamendyke.ServiceName]*forecast{},
 		headrooms:          map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber:      int64(cfg.Epoch) * runsPerEpoch,
+		startRepeatTokens:  startRepeatBurst,
 	}
 }
 
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -29,11 +29,11 @@
 // measure keeps the run time of a task that is done for learnSpeeds.
 //
 // It leaves out runs that resumed from a checkpoint, which did a part of the work only, gangs, whose
-// members all take as long as the slowest, and runs that started on a cold target, which says nothing of
-// the time after.
+// members all take as long as the slowest, runs that started on a cold target, which says nothing of
+// the time after, and runs whose start was repeated, which may have begun late.
 func (s *Scheduler) measure(r *run) {
 	runTime := s.now - r.startedAt
-	if r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || runTime < minMeasuredTime {
+	if r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || r.starts.repeats > 0 || runTime < minMeasuredTime {
 		return
 	}
 	m := measuredRun{r.target, runTime}
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -34,10 +34,12 @@
 		Event: EventPlaced, Workflow: step.job.spec.ID, Task: r.taskName().String(), Target: t.info.ID, Run: number,
 		Age: s.now - t.answeredAt, Reason: "waited " + (s.now - step.releasedAt).Round(time.Millisecond).String() + step.crashNote(index),
 	})
-	s.emit(StartCommand{Target: t.info, Order: cyclamendyke.StartOrder{
+	r.starts = startOrders{target: t.info, order: cyclamendyke.StartOrder{
 		Task: r.taskName(), Run: number, Spec: step.job.spec.Spec, Until: until, Fence: s.cfg.Epoch,
 		Checkpoint: task.checkpoint, Ticket: ticket,
-	}})
+	}}
+	s.startRepeatTokens = min(startRepeatBurst, s.startRepeatTokens+startRepeatShare)
+	s.sendStart(r)
 }
 
 // answeringTarget returns the target that answered a request, or nil if it is no longer known or
@@ -64,6 +66,7 @@
 	if r == nil || r.state != runStarting {
 		return
 	}
+	r.starts.inFlight--
 	switch kind {
 	case "":
 		t.answeredAt = s.now
@@ -74,8 +77,12 @@
 		r.step.job.started = true
 		s.paceNewRun(r)
 	case cyclamendyke.KindUnknown:
-		s.startUnknown(r)
+		s.startUnanswered(r)
 	default:
+		if r.starts.repeats > 0 {
+			s.startUnknown(r) // An earlier request may have been carried out.
+			return
+		}
 		s.startRefused(r, kind)
 	}
 }
@@ -105,10 +112,6 @@
 		s.requestListing(t)
 	}
 	if r.step.spec.Gang {
-		for i := range r.step.tasks {
-			for _, other := range r.step.tasks[i].runs {
-				s.stop(other, "start of a gang member was refused")
-			}
-		}
+		s.stopGangOf(r, "start of a gang member was refused")
 	}
 }
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -55,10 +55,14 @@
 	}
 }
 
-// checkRun repeats a stop that had no answer, requests a listing if a stop takes too long, and
+// checkRun repeats a start or stop that had no answer, requests a listing if a stop takes too long, and
 // stops a stalled run.
 func (s *Scheduler) checkRun(r *run) {
 	switch r.state {
+	case runStarting:
+		if s.now >= r.starts.sentAt+startRepeatDelay {
+			s.repeatStart(r)
+		}
 	case runStopping:
 		switch {
 		case r.stopAcceptedAt == 0 && !r.stopInFlight && s.now >= r.stopSentAt+stopRetryDelay:
