Send callers elsewhere as soon as a zone is cut off

Cause: a VM in a cut zone was not ready only for the 0.15 s to 0.45 s after a write that no member stored, and for good 1.5 s after the last answer of the store. Change: no path from the moment at which the own path is broken and a member of another zone is out of reach, until the path works or a member of another zone answers. A check that hangs counts as out of reach, not as a refusal. While the store is away for all, members answer, so that nothing changes. Callers: in a cut zone, retries reach another zone a second sooner. Test that fails on the old policy: TestCutOffZoneHasNoPath.

--- a/core/storepath/config.go
+++ b/core/storepath/config.go
@@ -42,5 +42,6 @@
 // Config configures Paths.
 type Config struct {
 	Self cyclamendyke.MemberName
+	Zone cyclamendyke.ZoneName // Of this VM.
 	Rand *rand.Rand
 }
--- a/core/storepath/members.go
+++ b/core/storepath/members.go
@@ -19,9 +19,11 @@
 
 // memberHistory is how a member's latest attempts for this VM ended; zero times stand for never.
 type memberHistory struct {
+	zone          cyclamendyke.ZoneName
 	storedAt      time.Duration
 	failedAt      time.Duration
-	isUnreachable bool // The latest attempt found no connection or got no answer.
+	answeredAt    time.Duration // When an attempt was last answered, also by a refusal.
+	isUnreachable bool          // The latest attempt found no connection or got no answer.
 }
 
 // hasStored reports whether the member's latest attempt stored something lately.
@@ -84,8 +86,12 @@
 }
 
 // recordMember records how a member's attempt ended.
-func (p *Paths) recordMember(now time.Duration, name cyclamendyke.MemberName, outcome Outcome) {
-	h := p.members[name]
+func (p *Paths) recordMember(now time.Duration, member Member, outcome Outcome) {
+	h := p.members[member.Name]
+	h.zone = member.Zone
+	if outcome == Answered || outcome == Refused {
+		h.answeredAt = now
+	}
 	switch outcome {
 	case Answered:
 		h.storedAt, h.isUnreachable = now, false
@@ -94,7 +100,7 @@
 	default:
 		h.failedAt, h.isUnreachable = now, outcome != Refused
 	}
-	p.members[name] = h
+	p.members[member.Name] = h
 }
 
 // hasStoringMember reports whether a member stored something lately and has not failed since.
@@ -107,6 +113,22 @@
 	return false
 }
 
+// isZoneCutOff reports whether this VM's zone seems to be cut off from the others: since the own path has not been
+// good, members of other zones could not be reached, and none of them has answered.
+func (p *Paths) isZoneCutOff() bool {
+	found := false
+	for _, h := range p.members {
+		switch {
+		case h.zone == p.cfg.Zone || max(h.answeredAt, h.failedAt) < p.stateSince:
+		case h.answeredAt >= p.stateSince:
+			return false
+		default:
+			found = found || h.isUnreachable
+		}
+	}
+	return found
+}
+
 // forgetMembers drops the history of processes that are no longer members.
 func (p *Paths) forgetMembers(members []Member) {
 	if len(p.members) <= 2*len(members) {
--- a/core/storepath/paths.go
+++ b/core/storepath/paths.go
@@ -51,10 +51,10 @@
 	return state
 }
 
-// HasNoPath reports whether the own path is broken and no member stored the last writes, so that this VM can
-// store nothing.
+// HasNoPath reports whether the own path is broken and no member stored the last writes, or none outside of this
+// zone can be reached, so that this VM can store nothing.
 func (p *Paths) HasNoPath(now time.Duration) bool {
-	return p.State(now) == Broken && now < p.noMemberUntil
+	return p.State(now) == Broken && (now < p.noMemberUntil || p.isZoneCutOff())
 }
 
 // ShouldCheck reports whether a write by the own path should be preceded by a call without effect. If the
--- a/core/storepath/storepath_test.go
+++ b/core/storepath/storepath_test.go
@@ -52,7 +52,7 @@
 }
 
 func newTestPaths() *Paths {
-	return New(Config{Self: "self", Rand: rand.New(rand.NewPCG(1, 2))})
+	return New(Config{Self: "self", Zone: "z1", Rand: rand.New(rand.NewPCG(1, 2))})
 }
 
 // breakOwn makes the own path broken.
@@ -112,8 +112,8 @@
 func TestMembersAreAskedBestFirst(t *testing.T) {
 	is, p := is.New(t), newTestPaths()
 	breakOwn(p)
-	p.recordMember(5, "b", Answered)
-	p.recordMember(5, "c", Refused)
+	p.recordMember(5, testMembers[1], Answered)
+	p.recordMember(5, testMembers[2], Refused)
 	w := p.NewWrite("w", testDeadline, testMembers)
 	first := w.Next(10)
 	is.Equal(first.Member.Name, testMembers[1].Name)
@@ -152,6 +152,25 @@
 	breakOwn(p)
 	first, second := p.RetryAfter(10), p.RetryAfter(10)
 	is.True(first >= minRetryAfter/2 && second >= minRetryAfter/2 && first != second)
-	p.recordMember(10, "b", Answered)
+	p.recordMember(10, testMembers[1], Answered)
 	is.True(p.RetryAfter(20) < 2*retryElsewhere)
 }
+
+// TestCutOffZoneHasNoPath breaks the paths to the store and to the members of other zones. Callers must be sent
+// elsewhere from then on, until the path works again or a member outside answers, whatever one inside says.
+func TestCutOffZoneHasNoPath(t *testing.T) {
+	is, p := is.New(t), newTestPaths()
+	p.recordMember(1, testMembers[2], Refused)
+	is.True(!p.HasNoPath(1))
+	breakOwn(p)
+	is.True(!p.HasNoPath(2))
+	p.recordMember(3, testMembers[0], Refused)
+	is.True(!p.HasNoPath(3))
+	p.recordMember(4, testMembers[1], Unreachable)
+	is.True(p.HasNoPath(time.Second))
+	p.recordMember(time.Second, testMembers[2], Refused) // The store is away for other zones, too.
+	is.True(!p.HasNoPath(time.Second))
+	p.recordMember(2*time.Second, testMembers[2], Unreachable)
+	p.End(3*time.Second, p.Begin(2*time.Second), Answered)
+	is.True(!p.HasNoPath(3 * time.Second))
+}
--- a/core/storepath/write.go
+++ b/core/storepath/write.go
@@ -128,7 +128,7 @@
 	}
 	a.ended, a.outcome = true, outcome
 	if !a.isOwn {
-		w.paths.recordMember(now, a.member.Name, outcome)
+		w.paths.recordMember(now, a.member, outcome)
 		if outcome == Answered {
 			w.paths.memberLatency.observe(now - a.sent)
 		}
--- a/node/storepath.go
+++ b/node/storepath.go
@@ -27,7 +27,7 @@
 func newStorePaths(cfg Config) *storePaths {
 	return &storePaths{
 		log: cfg.Log, metrics: cfg.Metrics, probe: make(chan struct{}, 1), state: storepath.Good,
-		paths: storepath.New(storepath.Config{Self: cfg.Settings.Node, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
+		paths: storepath.New(storepath.Config{Self: cfg.Settings.Node, Zone: cfg.Settings.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}),
 	}
 }
 
--- a/node/storewrite.go
+++ b/node/storewrite.go
@@ -131,7 +131,7 @@
 	checkCtx, cancelCheck := context.WithTimeout(n.ctx, memberCheckTimeout)
 	defer cancelCheck()
 	if err := n.peers.CheckStore(checkCtx, address); err != nil {
-		return NewError("check", cyclamendyke.KindUnavailable, err)
+		return NewError("check", cyclamendyke.KindOf(err), err)
 	}
 	if !n.proceed(w, step) {
 		return NewError("store", cyclamendyke.KindUnavailable, errAnswered)
