Keep the tasks of a step in one availability zone

Change: a target in another zone than the step's other tasks is worth less, by less than a slow target is. Callers: fewer look-ups have a task in the zone that is cut. Also: 'cyclamendyke delays' tells from logs in which seconds callers waited, and for what, as on-call engineers ask.

--- a/client/client.go
+++ b/client/client.go
@@ -74,6 +74,7 @@
 		{"timeline", "Show the merged timeline of all daemons", &timelineOptions{client: c}},
 		{"account", "Show what ran and what was refused", &accountOptions{client: c}},
 		{"explain", "Tell from the logs of all processes what happened to a workflow or a task", &explainOptions{client: c}},
+		{"delays", "Tell from the logs of all processes in which seconds callers waited too long, and for what", &delaysOptions{client: c}},
 		{"version", "Print the version", &versionOptions{client: c}},
 	} {
 		mustAdd(parent.AddCommand(spec.name, spec.short, "", spec.options))
--- a/client/explain.go
+++ b/client/explain.go
@@ -97,7 +97,7 @@
 func readLogFile(collector *explain.Collector, name string) (logline.Counts, error) {
 	file, err := os.Open(name)
 	if err != nil {
-		return logline.Counts{}, newLogError(name, err)
+		return logline.Counts{}, newLogError("explain", name, err)
 	}
 	defer file.Close()
 	return readLog(collector, name, file)
@@ -111,14 +111,14 @@
 			return reader.Counts(), nil
 		}
 		if err != nil {
-			return reader.Counts(), newLogError(name, err)
+			return reader.Counts(), newLogError("explain", name, err)
 		}
 		collector.Add(record)
 	}
 }
 
-func newLogError(name string, err error) error {
-	return &Error{Op: "explain", Kind: cyclamendyke.KindInvalid, Detail: fmt.Sprintf("cannot read %s, so nothing is told", name), Err: err}
+func newLogError(op, name string, err error) error {
+	return &Error{Op: op, Kind: cyclamendyke.KindInvalid, Detail: fmt.Sprintf("cannot read %s, so nothing is told", name), Err: err}
 }
 
 func newNoTraceError(body explainBody) error {
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -57,6 +57,7 @@
 func (s *Scheduler) bestTarget(step *stepRun, targets []*target, avoid cyclamendyke.TargetID, planned plan) *target {
 	var best, avoided *target
 	var bestScore float64
+	zones := step.zonesInUse(planned)
 	for _, t := range targets {
 		if !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
 			continue
@@ -66,6 +67,9 @@
 			continue
 		}
 		score := s.score(step, t, planned)
+		if len(zones) > 0 && !zones[t.info.Zone] {
+			score += otherZoneWeight
+		}
 		if best == nil || score < bestScore || score == bestScore && t.info.ID < best.info.ID {
 			best, bestScore = t, score
 		}
@@ -76,6 +80,22 @@
 	return best
 }
 
+// zonesInUse returns the availability zones in which tasks of the step run or are planned.
+func (step *stepRun) zonesInUse(planned plan) map[cyclamendyke.ZoneName]bool {
+	zones := map[cyclamendyke.ZoneName]bool{}
+	for t, count := range planned {
+		if count > 0 {
+			zones[t.info.Zone] = true
+		}
+	}
+	for i := range step.tasks {
+		for _, r := range step.tasks[i].runs {
+			zones[r.target.info.Zone] = true
+		}
+	}
+	return zones
+}
+
 // fitsNow reports whether one more task of the step fits on a target in addition to planned others.
 func (s *Scheduler) fitsNow(step *stepRun, t *target, planned int) bool {
 	if limit := step.spec.MaxPerTarget; limit > 0 && t.runCount(step)+planned >= limit {
@@ -108,6 +128,7 @@
 	gangRackWeight     = 2.0 // A gang member on another rack than the others.
 	acceleratorWeight  = 1.0 // Fraction of accelerators left free.
 	speedWeight        = 4.0 // Slowness of the target, times the step's haste.
+	otherZoneWeight    = 0.7 // A task in another zone than the step's others: it then waits for both if one is cut off.
 )
 
 // score rates a target for a task; lower is better. It prefers tight fits, which leave whole
