Place nothing on targets that lag, and move urgent runs from them

Change: a target lags while the median of what runs there, by its reported progress and over three workflows at least, takes 2.5 times as long as expected. Only queues whose estimates are usually right count, and no lag counts if a quarter of a service's targets seem to have one. Nothing is placed there; an urgent run there is stopped if another one would end well before. Runs that take long are looked at without extending their target's lease.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -59,7 +59,7 @@
 	var bestScore float64
 	zones := step.zonesInUse(planned)
 	for _, t := range targets {
-		if !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
+		if s.lags(t) || !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
 			continue
 		}
 		if t.info.ID == avoid {
@@ -80,9 +80,14 @@
 	return best
 }
 
-// zonesInUse returns the availability zones in which tasks of the step run or are planned.
+// zonesInUse returns the availability zones in which tasks of the step run or are planned. It returns none for tasks
+// that always run, which had better not all be lost with one zone, and once targets have crashed under the workflow,
+// which must get away from them.
 func (step *stepRun) zonesInUse(planned plan) map[cyclamendyke.ZoneName]bool {
 	zones := map[cyclamendyke.ZoneName]bool{}
+	if step.spec.LongRunning || step.job.hasCrashes {
+		return zones
+	}
 	for t, count := range planned {
 		if count > 0 {
 			zones[t.info.Zone] = true
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -33,6 +33,7 @@
 		step.enterPhase(s.now, step.runPhase())
 		s.prefetchAdvice(step)
 		s.startSpeculative(step, queue)
+		s.moveLagging(step)
 		return nil
 	}
 	if step.job.inherited && !s.earlierRunsKnown {
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -64,6 +64,17 @@
 	s.emit(RenewCommand{Target: t.info, Renewal: s.renewal(t, 0), Immediate: true})
 }
 
+// requestProgress asks for an immediate listing without extending the lease, which must run out if the target does not
+// answer.
+func (s *Scheduler) requestProgress(t *target) {
+	if t.listingRequested || !t.listed {
+		return
+	}
+	t.listingRequested = true
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndStored}
+	s.emit(RenewCommand{Target: t.info, Renewal: renewal, Immediate: true})
+}
+
 // Renewed handles a target's answer to a renewal; sent is when the renewal was sent.
 func (s *Scheduler) Renewed(info cyclamendyke.Target, immediate bool, sent time.Duration, listing cyclamendyke.Listing) {
 	t := s.targets[info.ID]
@@ -108,6 +119,7 @@
 	}
 	s.applyEnds(t, listing.Ended)
 	s.reconcile(t, sent, listing.Running)
+	s.updateLag(t)
 	s.updateFillerPace(t)
 	t.acknowledge()
 	t.renewAt = s.now
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -50,6 +50,8 @@
 	startRepeatTokens  float64 // How many start orders may be repeated.
 	commands           []Command
 	forecasts          map[cyclamendyke.ServiceName]*forecast
+	estimateErrors     map[cyclamendyke.QueueName]*estimateError
+	lagsIgnored        map[cyclamendyke.ServiceName]bool      // So many targets seem to lag that the estimates are wrong; computed in each pass.
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	claims             []*claim
 	roomIndex          roomIndex
@@ -106,6 +108,7 @@
 		headrooms:          map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber:      int64(cfg.Epoch) * runsPerEpoch,
 		startRepeatTokens:  startRepeatBurst,
+		estimateErrors:     map[cyclamendyke.QueueName]*estimateError{},
 	}
 }
 
@@ -158,6 +161,7 @@
 	s.indexUsable()
 	s.checkTargets()
 	s.checkTrials()
+	s.updateLagging()
 	s.resetRoomIndex()
 	s.updateHeadroom()
 	s.placeAll()
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -36,6 +36,7 @@
 	if r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || r.starts.repeats > 0 || runTime < minMeasuredTime {
 		return
 	}
+	s.learnEstimateError(r, runTime)
 	m := measuredRun{r.target, runTime}
 	r.step.measured = append(r.step.measured, m)
 	r.step.measuredWork += m.work()
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -42,6 +42,7 @@
 
 	claims             []*claim
 	speed              speed
+	lagsUntil          time.Duration // It is much slower than usual, by what was seen up to lagMemory before then.
 	coldUntil          time.Duration // The VM is slow after its start until then.
 	failures           int           // Consecutive failures; successive ones of the same workflow count once.
 	lastFailedWorkflow cyclamendyke.WorkflowID
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -23,7 +23,7 @@
 	t.clock, t.clockReadAt, t.leaseUntil = 0, 0, 0
 	t.reportedEnds = reportedEnds{}
 	t.orphans = map[runKey]bool{}
-	t.failures, t.fillerPace, t.mayLeaveAt = 0, fullPace, 0
+	t.failures, t.fillerPace, t.mayLeaveAt, t.lagsUntil = 0, fullPace, 0, 0
 	for _, step := range s.active.steps {
 		delete(step.advice.verdicts, t.info.ID)
 	}
