--- a/core/dispatch/lagging.go
+++ b/core/dispatch/lagging.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -14,38 +15,11 @@
 	minLagWorkflows = 3               // One workflow's estimate may be wrong, but hardly those of so many.
 	maxLaggingShare = 0.25            // If more of a service's targets seem slow, the estimates are wrong.
 	lagMemory       = 2 * time.Second // After the last sign of it, the target is used again.
-
-	maxEstimateError = 0.5 // Logarithm by which a queue's estimates may usually be wrong to be relied on.
-	minEstimates     = 10  // Runs after which the error is known.
-	estimateMemory   = 100 // Runs whose error counts.
 )
 
-// estimateError is by how much the estimates of a queue's run times are usually wrong.
-type estimateError struct {
-	mean float64 // Of the logarithm of the run time as a multiple of the estimate, without its sign.
-	runs int
-}
-
-func (e *estimateError) isReliable() bool {
-	return e != nil && e.runs >= minEstimates && e.mean <= maxEstimateError
-}
-
-// learnEstimateError compares the run time of a task that is done with its estimate.
-func (s *Scheduler) learnEstimateError(r *run, runTime time.Duration) {
-	queue := r.step.job.spec.Queue
-	e := s.estimateErrors[queue]
-	if e == nil {
-		e = &estimateError{}
-		s.estimateErrors[queue] = e
-	}
-	e.runs = min(e.runs+1, estimateMemory)
-	expected := float64(r.step.spec.Estimate) * math.Exp(r.target.speed.slowness)
-	e.mean += (math.Abs(math.Log(float64(runTime)/max(1, expected))) - e.mean) / float64(e.runs)
-}
-
 // updateLag judges by a target's newest listing whether it lags.
 func (s *Scheduler) updateLag(t *target) {
-	factors := map[cyclamendyke.WorkflowID]float64{}
+	factors := map[cyclamendyke.WorkflowID]float64{} // Run times as multiples of those expected.
 	for _, r := range t.runs {
 		perPercent, known := r.progress.perPercent()
 		if !known || r.state != runRunning || !s.estimateErrors[r.step.job.spec.Queue].isReliable() {
@@ -56,18 +30,22 @@
 	if len(factors) < minLagWorkflows {
 		return
 	}
-	sorted := make([]float64, 0, len(factors))
-	for _, factor := range factors {
-		sorted = append(sorted, factor)
-	}
-	slices.Sort(sorted)
-	wasLagging := s.now < t.lagsUntil
+	sorted := slices.Sorted(maps.Values(factors))
+	s.setLag(t, sorted[(len(sorted)-1)/2] >= minLagFactor)
+}
+
+// setLag records whether a target lags, and logs that if it has changed.
+func (s *Scheduler) setLag(t *target, lags bool) {
+	lagged := s.now < t.lagsUntil
 	t.lagsUntil = 0
-	if sorted[(len(sorted)-1)/2] >= minLagFactor {
+	if lags {
 		t.lagsUntil = s.now + lagMemory
 	}
-	if lags := s.now < t.lagsUntil; lags != wasLagging {
-		s.logTarget(t.info.ID, map[bool]string{true: "lags", false: "no longer lags"}[lags])
+	switch {
+	case lags && !lagged:
+		s.logTarget(t.info.ID, "lags")
+	case lagged && !lags:
+		s.logTarget(t.info.ID, "no longer lags")
 	}
 }
 
