Reserve work only against schedulers that keep reservations; play takeovers with reserved work

A scheduler of an earlier version would start reserved work without a word, and its successor start it again: its record now has to say that it keeps reservations.

--- a/core/dispatch/reservedwork_test.go
+++ b/core/dispatch/reservedwork_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -17,12 +18,8 @@
 	sim.elect()
 	sim.run(20 * time.Second) // Runs of earlier epochs are over.
 	sim.vms["vm-0"].unreachable = true
-	for id, afterEpoch := range map[string]uint64{"reserved": sim.epoch, "other": 0} {
-		spec := workflow(id, cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: time.Second})
-		spec.AcceptedAt, spec.AfterEpoch = sim.wall(), afterEpoch
-		sim.revision++
-		sim.workflows[spec.ID] = storedWorkflow{spec, sim.revision}
-	}
+	sim.storeReserved("reserved", sim.epoch)
+	sim.storeReserved("other", 0)
 	sim.elect()
 	sim.run(1200 * time.Millisecond)
 	is.Equal(sim.status("reserved"), cyclamendyke.WorkflowCompleted)
@@ -46,3 +43,40 @@
 	is.True(sim.sched.mayBeStarted(&cyclamendyke.Workflow{}, elected))
 	is.True(!sim.sched.mayBeStarted(&cyclamendyke.Workflow{}, elected+1))
 }
+
+// TestReservedWorkRunsOnce takes over again and again while VMs are away at random, each time after work was stored
+// that is reserved for the next epoch.
+func TestReservedWorkRunsOnce(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			sim := limitedFleet(t, seed, 6)
+			sim.fleet.Teams = nil
+			sim.elect()
+			sim.faults = simFaults{loseAnswer: 0.05, delay: 0.05}
+			for i := range 30 {
+				sim.submit(workflow(fmt.Sprint("known-", i), cyclamendyke.Step{Count: 3, Need: cores(4), Estimate: time.Second}))
+				sim.run(sim.randomTime(2 * time.Second))
+				v := sim.vms[cyclamendyke.TargetID(fmt.Sprint("vm-", sim.random.IntN(6)))]
+				v.unreachable = true
+				sim.after(sim.randomTime(12*time.Second), func() { v.unreachable = false })
+				if i%3 == 0 {
+					sim.storeReserved(fmt.Sprint("reserved-", i), sim.epoch)
+					sim.elect()
+				}
+			}
+			sim.endFaults()
+			sim.run(40 * time.Second)
+			is.Equal(sim.states()[cyclamendyke.WorkflowCompleted], len(sim.workflows))
+			is.Equal(len(sim.violations), 0)
+		})
+	}
+}
+
+// storeReserved stores work that no scheduler up to an epoch may start, and of which the present one does not hear.
+func (sim *simulation) storeReserved(id string, afterEpoch uint64) {
+	spec := workflow(id, cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: time.Second})
+	spec.AcceptedAt, spec.AfterEpoch = sim.wall(), afterEpoch
+	sim.revision++
+	sim.workflows[spec.ID] = storedWorkflow{spec, sim.revision}
+}
--- a/node/directory.go
+++ b/node/directory.go
@@ -21,6 +21,7 @@
 	memberRecord
 	Epoch             uint64 `json:"epoch"`
 	PredecessorsEnded bool   `json:"predecessors-ended,omitempty"` // No earlier scheduler acts any more.
+	KeepsReservations bool   `json:"keeps-reservations,omitempty"` // It does not start work that is reserved for a later one, as earlier versions would.
 }
 
 // directory is a local copy of the store's records of members, scheduler and epoch.
@@ -69,6 +70,13 @@
 	return view{d.loaded, d.scheduler, d.schedulerRevision, d.epoch, d.epochRevision, d.resignation}
 }
 
+// lastScheduler returns the scheduler of the latest epoch whose record was seen, also if it was removed since.
+func (d *directory) lastScheduler() schedulerRecord {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.lastSchedulers[0]
+}
+
 // storeCandidates returns the other members, each of which may store a workflow for this one.
 func (d *directory) storeCandidates(self cyclamendyke.MemberName) []storepath.Member {
 	d.mu.Lock()
--- a/node/election.go
+++ b/node/election.go
@@ -116,7 +116,7 @@
 
 // claimRole writes this process's scheduler record and the next epoch in one commit.
 func (n *Node) claimRole(v view, lease cyclamendyke.LeaseID) (electionResult, error) {
-	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, PredecessorsEnded: v.predecessorsEnded()}
+	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, PredecessorsEnded: v.predecessorsEnded(), KeepsReservations: true}
 	value, err := json.Marshal(record)
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
--- a/node/reservedwork_test.go
+++ b/node/reservedwork_test.go
@@ -56,6 +56,15 @@
 	eventually(t, "the end", func() bool { return isCompleted(second, "00000000000000a1") })
 	is.Equal(second.reservedAfter(), uint64(0))
 	c.servers["a"].Close()
+	second.reach.lose(first.term.Load().epoch)
+	is.Equal(second.reservedAfter(), first.term.Load().epoch)
+	second.dir.mu.Lock()
+	second.dir.lastSchedulers[0].KeepsReservations = false // As an earlier version.
+	second.dir.mu.Unlock()
+	is.Equal(second.reservedAfter(), uint64(0))
+	second.dir.mu.Lock()
+	second.dir.lastSchedulers[0].KeepsReservations = true
+	second.dir.mu.Unlock()
 	submitUntilAccepted(t, second, "00000000000000a2")
 	eventually(t, "the scheduler out of reach", func() bool { return second.reservedAfter() == first.term.Load().epoch })
 	submitUntilAccepted(t, second, "00000000000000a3") // The scheduler finds it in the store.
--- a/node/schedulerreach.go
+++ b/node/schedulerreach.go
@@ -51,14 +51,10 @@
 // which is gone or out of reach, so that its successor need not wait for what it may have started. It is zero while
 // there is a scheduler in reach.
 func (n *Node) reservedAfter() uint64 {
-	v := n.dir.view()
-	switch {
-	case !v.loaded || n.term.Load() != nil:
+	v, last := n.dir.view(), n.dir.lastScheduler()
+	isGone := v.scheduler == nil || n.reach.isLost(v.scheduler.Epoch)
+	if n.term.Load() != nil || !isGone || last.Epoch != v.schedulerEpoch() || !last.KeepsReservations {
 		return 0
-	case v.scheduler == nil:
-		return v.epoch
-	case n.reach.isLost(v.scheduler.Epoch):
-		return v.scheduler.Epoch
 	}
-	return 0
+	return last.Epoch
 }
