--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "cyclamendyke"
+import (
+	"cyclamendyke"
+	"cyclamendyke/core/crash"
+)
 
 // targetEnded handles the proof that a target's incarnation has ended; reason says what proves it. An end
 // before which it did not drain is a crash. Silence proves nothing: a cut or a frozen process looks the same.
@@ -52,18 +55,18 @@
 // countCrash counts a crash against a task, gives the task up if it is to blame, and reports whether it did.
 func (s *Scheduler) countCrash(t *target, r crashedRun, alone bool) bool {
 	j := r.step.job
-	if j.state.IsFinal() || r.least > maxBlamedAge || r.isDone() {
+	if j.state.IsFinal() || r.least > crash.MaxBlamedAge || r.isDone() {
 		return false
 	}
 	history := r.step.crashHistory(max(0, r.index))
-	if !history.add(r.crashOf(t, alone)) {
+	if !history.Add(r.crashOf(t, alone)) {
 		return false
 	}
 	s.markDirty(j)
 	j.hasCrashes, j.crashVersion = true, j.version
 	r.step.stableUntil = s.now + stableTargetWait
 	s.logCountedCrash(t, r, alone)
-	if !history.blamed() {
+	if !history.Blamed() {
 		return false
 	}
 	s.explainCrashes(history)
@@ -72,8 +75,8 @@
 }
 
 // crashOf describes the crash of a target under the run.
-func (r *crashedRun) crashOf(t *target, alone bool) crash {
-	return crash{
+func (r *crashedRun) crashOf(t *target, alone bool) crash.Record {
+	return crash.Record{
 		Target: t.info.ID, StartedMillis: t.info.StartedMillis, Run: r.number, LeastMillis: r.least.Milliseconds(), MostMillis: r.most.Milliseconds(),
 		Uncertain: !r.certain, Alone: alone,
 	}
@@ -83,7 +86,7 @@
 func (s *Scheduler) logCountedCrash(t *target, r crashedRun, alone bool) {
 	history := r.step.crashHistory(max(0, r.index))
 	event := EventSuspected
-	if history.blamed() {
+	if history.Blamed() {
 		event = EventBlamed
 	}
 	reason := "beside other work"
@@ -94,7 +97,7 @@
 		reason += ", if it had begun"
 	}
 	s.cfg.LogDecision(Decision{
-		Event: event, Workflow: r.step.job.spec.ID, Task: r.name(), Target: t.info.ID, Count: len(history.crashes), Age: r.most, Reason: reason,
+		Event: event, Workflow: r.step.job.spec.ID, Task: r.name(), Target: t.info.ID, Count: len(history.Crashes), Age: r.most, Reason: reason,
 	})
 }
 
--- a/core/dispatch/crashedrun.go
+++ b/core/dispatch/crashedrun.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cyclamendyke/core/crash"
+	"time"
+)
 
 // crashedRun is a run that a target had, or may have had, when its incarnation ended.
 type crashedRun struct {
@@ -14,7 +17,7 @@
 
 // fresh reports whether the run is among the first to be suspected.
 func (r *crashedRun) fresh() bool {
-	return !r.certain || r.least < freshTime || r.step.crashHistory(max(0, r.index)).suspected()
+	return !r.certain || r.least < crash.FreshTime || r.step.crashHistory(max(0, r.index)).Suspected()
 }
 
 func (r *crashedRun) isDone() bool {
@@ -78,7 +81,7 @@
 }
 
 // unknownAge stands for the age of a run that an earlier epoch has started: too long to be quick.
-const unknownAge = quickCrash + time.Millisecond
+const unknownAge = crash.QuickCrash + time.Millisecond
 
 // earlierCrashedRun describes a run that an earlier epoch may have left on a target.
 func (step *stepRun) earlierCrashedRun(r earlierRun) crashedRun {
--- a/core/dispatch/crashtakeover_test.go
+++ b/core/dispatch/crashtakeover_test.go
@@ -81,7 +81,7 @@
 	sim.storeBackAt = 0
 	sim.elect()
 	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad", Step: 1})
-	is.Equal(len(step.crashHistory(0).crashes), 1)
+	is.Equal(len(step.crashHistory(0).Crashes), 1)
 }
 
 // TestCrashRightBeforeTakeoverIsForgotten crashes and restarts a VM just before the next epoch begins.
@@ -94,7 +94,7 @@
 	}
 	sim.elect()
 	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad"})
-	is.Equal(len(step.crashHistory(0).crashes), 1)
+	is.Equal(len(step.crashHistory(0).Crashes), 1)
 }
 
 // TestListOfRunsForgetsCrashThatIsNotStored begins an epoch after the list of runs was stored without the progress of any workflow.
@@ -107,5 +107,5 @@
 	sim.storeBackAt = 0
 	sim.elect()
 	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad", Step: 1})
-	is.Equal(len(step.crashHistory(0).crashes), 1)
+	is.Equal(len(step.crashHistory(0).Crashes), 1)
 }
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // reserve counts a run against its target and its team.
@@ -71,8 +72,8 @@
 		Run: r.number, Reason: string(kind), Count: int(sequence), Age: runTime,
 	})
 	step, j := r.step, r.step.job
-	if runTime > forgetCrashesAfter {
-		*step.crashHistory(r.taskIndex) = crashHistory{}
+	if runTime > crash.ForgetAfter {
+		*step.crashHistory(r.taskIndex) = crash.History{}
 	}
 	if sequence != 0 {
 		j.started = true
--- a/core/dispatch/listedcrashes.go
+++ b/core/dispatch/listedcrashes.go
@@ -1,12 +1,15 @@
 package dispatch
 
-import "cyclamendyke"
+import (
+	"cyclamendyke"
+	"cyclamendyke/core/crash"
+)
 
 // listedCrashes are the crashes under a task or a gang, as a list of runs tells the next epoch.
 type listedCrashes struct {
 	cyclamendyke.StepName
-	Task    int     `json:"task"` // As of stepRun.crashIndex.
-	Crashes []crash `json:"crashes"`
+	Task    int            `json:"task"` // As of stepRun.crashIndex.
+	Crashes []crash.Record `json:"crashes"`
 }
 
 // unstoredCrashes returns the crashes under tasks of workflows that are not stored with all their crashes.
@@ -27,14 +30,14 @@
 
 func (step *stepRun) listCrashes() []listedCrashes {
 	var out []listedCrashes
-	add := func(index int, crashes []crash) {
+	add := func(index int, crashes []crash.Record) {
 		if len(crashes) > 0 {
 			out = append(out, listedCrashes{StepName: step.name(), Task: index, Crashes: crashes})
 		}
 	}
-	add(gangTask, step.gangCrashes.crashes)
+	add(gangTask, step.gangCrashes.Crashes)
 	for i := range step.tasks {
-		add(i, step.tasks[i].crashes.crashes)
+		add(i, step.tasks[i].crashes.Crashes)
 	}
 	return out
 }
@@ -51,7 +54,7 @@
 		}
 		history := step.crashHistory(max(0, list.Task))
 		for _, c := range list.Crashes {
-			if history.add(c) {
+			if history.Add(c) {
 				s.markDirty(step.job)
 				step.job.hasCrashes, step.job.crashVersion = true, step.job.version
 			}
@@ -63,10 +66,10 @@
 // giveUpIfBlamed fails a workflow if a task of the step is to blame for crashes that an earlier epoch counted.
 func (s *Scheduler) giveUpIfBlamed(step *stepRun) {
 	for i := range step.tasks {
-		if !step.job.state.IsFinal() && !step.tasks[i].done && step.crashHistory(i).blamed() {
+		if !step.job.state.IsFinal() && !step.tasks[i].done && step.crashHistory(i).Blamed() {
 			s.cfg.LogDecision(Decision{
 				Event: EventBlamed, Workflow: step.job.spec.ID, Task: step.taskName(i).String(), Reason: "by an earlier epoch",
-				Count: len(step.crashHistory(i).crashes),
+				Count: len(step.crashHistory(i).Crashes),
 			})
 			s.finish(step.job, cyclamendyke.WorkflowFailed)
 		}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // jobRecord is the progress of an unfinished workflow as it is stored.
@@ -32,13 +33,13 @@
 
 // stepRecord is the progress of one step; a step without progress is left out.
 type stepRecord struct {
-	Occurrence  int                `json:"k,omitempty"`
-	Step        int                `json:"s,omitempty"`
-	AllDone     bool               `json:"all,omitempty"`
-	Done        []int              `json:"done,omitempty"`
-	FailedRuns  map[int][]int64    `json:"fails,omitempty"` // By task; those of a gang are under gangTask.
-	Checkpoints map[int]checkpoint `json:"saved,omitempty"`
-	Crashes     map[int][]crash    `json:"crashes,omitempty"` // By task; those of a gang are under gangTask.
+	Occurrence  int                    `json:"k,omitempty"`
+	Step        int                    `json:"s,omitempty"`
+	AllDone     bool                   `json:"all,omitempty"`
+	Done        []int                  `json:"done,omitempty"`
+	FailedRuns  map[int][]int64        `json:"fails,omitempty"` // By task; those of a gang are under gangTask.
+	Checkpoints map[int]checkpoint     `json:"saved,omitempty"`
+	Crashes     map[int][]crash.Record `json:"crashes,omitempty"` // By task; those of a gang are under gangTask.
 }
 
 type checkpoint = string
@@ -166,7 +167,7 @@
 	if len(step.failedRuns) > 0 {
 		out.setFailedRuns(gangTask, step.failedRuns)
 	}
-	out.setCrashes(gangTask, step.gangCrashes.crashes)
+	out.setCrashes(gangTask, step.gangCrashes.Crashes)
 	for i := range step.tasks {
 		t := &step.tasks[i]
 		if t.done {
@@ -176,7 +177,7 @@
 		if len(t.failedRuns) > 0 {
 			out.setFailedRuns(i, t.failedRuns)
 		}
-		out.setCrashes(i, t.crashes.crashes)
+		out.setCrashes(i, t.crashes.Crashes)
 		if t.checkpoint != "" {
 			if out.Checkpoints == nil {
 				out.Checkpoints = map[int]checkpoint{}
@@ -187,12 +188,12 @@
 	return out, len(out.Done)+len(out.FailedRuns)+len(out.Checkpoints)+len(out.Crashes) > 0
 }
 
-func (r *stepRecord) setCrashes(index int, crashes []crash) {
+func (r *stepRecord) setCrashes(index int, crashes []crash.Record) {
 	if len(crashes) == 0 {
 		return
 	}
 	if r.Crashes == nil {
-		r.Crashes = map[int][]crash{}
+		r.Crashes = map[int][]crash.Record{}
 	}
 	r.Crashes[index] = crashes
 }
@@ -247,12 +248,12 @@
 		step.tasks[i].done = true
 	}
 	step.failedRuns = r.FailedRuns[gangTask]
-	step.gangCrashes.crashes = r.Crashes[gangTask]
+	step.gangCrashes.Crashes = r.Crashes[gangTask]
 	step.tasksDone = 0
 	for i := range step.tasks {
 		t := &step.tasks[i]
 		t.failedRuns = r.FailedRuns[i]
-		t.crashes.crashes = r.Crashes[i]
+		t.crashes.Crashes = r.Crashes[i]
 		t.checkpoint = r.Checkpoints[i]
 		if t.done {
 			step.tasksDone++
--- a/core/dispatch/silence.go
+++ b/core/dispatch/silence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // silence is a target that stopped answering.
@@ -44,7 +45,7 @@
 	}
 	s.silences = append(s.silences, silence{
 		target: t.info.ID, service: t.info.Service, rack: rackOf(t), from: t.workedUntil, at: s.now,
-		explained: t.trial != nil && t.trial.began || t.workedUntil-t.lastStartAt < quickCrash,
+		explained: t.trial != nil && t.trial.began || t.workedUntil-t.lastStartAt < crash.QuickCrash,
 	})
 }
 
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -27,7 +27,7 @@
 	}
 	for i := range step.tasks {
 		task := &step.tasks[i]
-		if task.done || task.crashes.suspected() || len(task.runs) != 1 || !s.slow(task.runs[0]) {
+		if task.done || task.crashes.Suspected() || len(task.runs) != 1 || !s.slow(task.runs[0]) {
 			continue
 		}
 		slow := task.runs[0]
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // stepRun is one step of one occurrence.
@@ -20,7 +21,7 @@
 	inActiveList   bool          // Present in activeSteps.steps.
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
-	gangCrashes    crashHistory
+	gangCrashes    crash.History
 	needsStable    bool          // A suspected task waits for a target whose machine has not crashed lately.
 	stableUntil    time.Duration // How long suspected tasks wait for such a target.
 	advice         stepAdvice
@@ -40,8 +41,8 @@
 type task struct {
 	done        bool
 	runs        []*run
-	failedRuns  []int64      // Numbers of failed runs; stopped runs do not count.
-	crashes     crashHistory // Of a gang's members, only stepRun.gangCrashes is used.
+	failedRuns  []int64       // Numbers of failed runs; stopped runs do not count.
+	crashes     crash.History // Of a gang's members, only stepRun.gangCrashes is used.
 	checkpoint  string
 	preemptions int                   // How often a run was stopped for more urgent work.
 	avoidTarget cyclamendyke.TargetID // Target on which it last failed or made no progress.
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // trial keeps a target for a suspected task, or for members of a suspected gang: nothing else starts there from
@@ -25,7 +26,7 @@
 // splitSuspected returns a step's waiting tasks that may run beside others, and those to be tried apart.
 func (step *stepRun) splitSuspected(waiting []int) (trusted, suspected []int) {
 	for _, index := range waiting {
-		if step.crashHistory(index).suspected() {
+		if step.crashHistory(index).Suspected() {
 			suspected = append(suspected, index)
 		} else {
 			trusted = append(trusted, index)
@@ -81,7 +82,7 @@
 
 // isQuiet reports whether nothing has begun on a target lately, or may have.
 func (s *Scheduler) isQuiet(t *target) bool {
-	if s.now-t.lastStartAt < freshTime {
+	if s.now-t.lastStartAt < crash.FreshTime {
 		return false
 	}
 	for _, r := range t.runs {
@@ -115,17 +116,17 @@
 		return false
 	}
 	history := t.trial.step.crashHistory(max(0, t.trial.index))
-	passedAt := r.confirmedAt + history.trialTime()
+	passedAt := r.confirmedAt + history.TrialTime()
 	if t.answeredAt < passedAt {
 		if s.now >= passedAt && !t.renewFailed {
 			s.requestListing(t)
 		}
 		return false
 	}
-	history.cleared = true
+	history.Cleared = true
 	s.cfg.LogDecision(Decision{
 		Event: EventTrusted, Workflow: r.step.job.spec.ID, Task: r.taskName().String(), Target: t.info.ID, Run: r.number,
-		Count: len(history.crashes), Age: t.answeredAt - r.confirmedAt,
+		Count: len(history.Crashes), Age: t.answeredAt - r.confirmedAt,
 	})
 	return true
 }
@@ -142,7 +143,7 @@
 
 // adoptTrial keeps a target on which an earlier epoch has started a suspected task.
 func (t *target) adoptTrial(r *run) {
-	if t.trial == nil && r.step.crashHistory(r.taskIndex).suspected() {
+	if t.trial == nil && r.step.crashHistory(r.taskIndex).Suspected() {
 		t.trial = &trial{step: r.step, index: r.step.crashIndex(r.taskIndex), began: true}
 	}
 }
--- a/core/dispatch/unexplainedcrash.go
+++ b/core/dispatch/unexplainedcrash.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/crash"
 )
 
 // unexplainedCrash is a machine's last crash for which no task is known to be to blame.
@@ -59,9 +60,9 @@
 
 // explainCrashes trusts the machines again that a task crashed which is known to be to blame, and the other tasks
 // that ran there.
-func (s *Scheduler) explainCrashes(history *crashHistory) {
+func (s *Scheduler) explainCrashes(history *crash.History) {
 	for address, last := range s.unexplainedCrashes {
-		if slices.ContainsFunc(history.crashes, func(c crash) bool { return c.Target == last.target }) {
+		if slices.ContainsFunc(history.Crashes, func(c crash.Record) bool { return c.Target == last.target }) {
 			delete(s.unexplainedCrashes, address)
 		}
 	}
@@ -77,13 +78,13 @@
 
 // explainCrashes marks the crashes under a workflow's tasks that another task has caused, and reports whether there
 // were any.
-func (j *job) explainCrashes(blamed *crashHistory) bool {
+func (j *job) explainCrashes(blamed *crash.History) bool {
 	found := false
 	for _, occ := range j.occurrences {
 		for _, step := range occ.steps {
-			found = step.gangCrashes.explain(blamed) || found
+			found = step.gangCrashes.Explain(blamed) || found
 			for i := range step.tasks {
-				found = step.tasks[i].crashes.explain(blamed) || found
+				found = step.tasks[i].crashes.Explain(blamed) || found
 			}
 		}
 	}
