End a target's runs only when a later incarnation has answered

Cause: a start order may reach a VM just after its restart. Its answer does not say which incarnation gave it, but the run counted as one of the incarnation before, and ended when the new one's description came. The same conclusion was drawn for stops that the incarnation before had accepted, from a description that another writer may have written, and from failures of requests to the incarnation before.

Change: a later incarnation's listing is the proof that the one before has ended. A description with a later start only makes the scheduler ask for it, and nothing is started there until it comes. Runs that the first listing names are the new incarnation's; of the others those end whose orders were all answered before it was asked for, and the rest stay in doubt. The lease of a restarted target counts as the longest that it grants, to which it cuts one that was computed for its old clock. Since a restarted VM is used at once now, and no longer rests until an old request times out, a machine rests for a second after an unexplained crash.

Before: TestRunOfNewIncarnationIsStartedElsewhere fails with 2 starts instead of 1, TestTaskOfRestartedVMWaits with 1 instead of 2, TestDescriptionOfAnotherWriterEndsRuns with a workflow that does not complete; TestInvariantsUnderFaultsWithLateDescriptions is violated after 247 draws (-rapid.checks 1000).

--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -47,7 +47,7 @@
 // describeFinal describes a target. Whether a successor is possible does not matter: the one that asks is the
 // only one so far.
 func (s *Scheduler) describeFinal(t *target) *finalTarget {
-	leaseEnd := max(s.earlierLeaseEnd(t), t.ownRunsEndBy)
+	leaseEnd := s.earlierLeaseEnd(t)
 	if t.listed {
 		leaseEnd = s.leaseEnd(t)
 	}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -86,9 +86,10 @@
 }
 
 // mayHaveUnlistedRuns reports whether runs of an earlier epoch, or ends that still count, may be left on a
-// target that has not answered this one. While a successor is possible, it may have renewed the lease.
+// target of which an incarnation has not answered this one. While a successor is possible, it may have renewed the lease.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
-	return !t.listed && !t.expired && (s.successorPossible || s.now < s.earlierRunsEndBy(t))
+	isSilent := t.announced != nil || !t.listed && !t.expired
+	return isSilent && (s.successorPossible || s.now < s.earlierRunsEndBy(t))
 }
 
 // earlierRunsEndBy returns when runs of earlier epochs count as ended on a target that has not answered.
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -77,7 +77,11 @@
 			s.stop(r, "missing from the target's listing")
 		}
 	case runStartUnknown:
-		if sent > r.startedAt {
+		switch {
+		case sent <= r.startedAt:
+		case r.startsAnswered(): // It ran on the incarnation before.
+			s.runEnded(r, cyclamendyke.EndTargetEnded, r.checkpoint, 0)
+		default:
 			s.stop(r, "start in doubt")
 		}
 	}
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -21,6 +21,7 @@
 // renewAll emits the renewals that are due.
 func (s *Scheduler) renewAll() {
 	for _, t := range s.targets {
+		s.probeAnnounced(t)
 		if t.renewalInFlight || s.now < t.renewAt {
 			continue
 		}
@@ -81,22 +82,21 @@
 	if t == nil {
 		return
 	}
-	t.renewalDone(immediate)
-	if listing.StartedMillis != 0 && t.info.StartedMillis != 0 && listing.StartedMillis < t.info.StartedMillis {
+	t.renewalDone(info, immediate)
+	if listing.StartedMillis != 0 && listing.StartedMillis < t.info.StartedMillis {
 		t.renewAt = s.now
 		return // An answer of an earlier incarnation.
 	}
-	if listing.StartedMillis > t.info.StartedMillis {
-		if t.info.StartedMillis != 0 {
-			s.resetRestartedTarget(t)
-		}
-		t.info.StartedMillis = listing.StartedMillis
+	var missing []*run
+	if t.info.StartedMillis != 0 && listing.StartedMillis > t.info.StartedMillis {
+		missing = s.restarted(t, &listing)
 	}
+	t.info.StartedMillis = max(t.info.StartedMillis, listing.StartedMillis)
 	if !t.listed {
 		t.listed = true
 		s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 		// An earlier epoch may have granted its longest lease right before this answer.
-		t.leaseUntil = listing.Clock + LongestLease(s.cfg.Bounds)
+		t.leaseUntil = max(t.leaseUntil, listing.Clock+LongestLease(s.cfg.Bounds))
 		s.logTarget(info.ID, "listed")
 	}
 	t.expired, t.ended, t.silentRuns = false, false, nil
@@ -117,6 +117,9 @@
 		t.info.Remaining = listing.Remaining
 		s.setMayLeaveAt(t, listing.Remaining)
 	}
+	for _, r := range missing {
+		s.endOrDoubt(r, sent)
+	}
 	s.applyEnds(t, listing.Ended)
 	s.reconcile(t, sent, listing.Running)
 	s.updateLag(t)
@@ -128,10 +131,15 @@
 	}
 }
 
-func (t *target) renewalDone(immediate bool) {
-	if immediate {
+// renewalDone notes the end of a request for which info described the target.
+func (t *target) renewalDone(info cyclamendyke.Target, immediate bool) {
+	switch {
+	case isLater(info, t.info):
+		t.probeInFlight = false
+	case isLater(t.info, info): // The incarnation that it was for has been replaced since.
+	case immediate:
 		t.listingRequested = false
-	} else {
+	default:
 		t.renewalInFlight = false
 	}
 }
@@ -142,27 +150,41 @@
 	if t == nil {
 		return
 	}
-	t.renewalDone(immediate)
+	t.renewalDone(info, immediate)
+	if kind == cyclamendyke.KindFenced {
+		s.superseded = true
+	}
+	switch {
+	case isLater(info, t.info):
+		t.probeAt = s.now + renewRetryDelay
+		return
+	case isLater(t.info, info):
+		return
+	}
 	t.renewAt = s.now + renewRetryDelay
 	if !t.renewFailed {
 		s.noteSilence(t, !immediate && kind == cyclamendyke.KindUnknown && s.now-t.renewalSentAt < renewWait)
 		t.renewFailed = true
 		s.logTarget(info.ID, "renewal failed: "+string(kind))
 	}
-	switch kind {
-	case cyclamendyke.KindFenced:
-		s.superseded = true
-	case cyclamendyke.KindWrongTarget:
-		if t.info.Address == info.Address {
-			s.targetEnded(t, "another incarnation answers at its address")
-			s.endReplacedTarget(t)
-		}
+	if kind == cyclamendyke.KindWrongTarget {
+		s.wrongTargetAnswered(t, info)
+	}
+}
+
+// wrongTargetAnswered handles that another target has answered a request, for which info described the target: unless
+// it has moved since, its incarnation has ended.
+func (s *Scheduler) wrongTargetAnswered(t *target, info cyclamendyke.Target) {
+	if t.info.Address != info.Address || isLater(t.info, info) {
+		return
 	}
+	s.targetEnded(t, "another target answers at its address")
+	s.endReplacedTarget(t)
 }
 
-// endReplacedTarget ends a target's runs when another incarnation has its address.
+// endReplacedTarget ends a target's runs when another target has its address.
 func (s *Scheduler) endReplacedTarget(t *target) {
-	s.endRuns(t, cyclamendyke.EndTargetEnded, false)
+	s.endRuns(t, cyclamendyke.EndTargetEnded)
 	t.expired = true
 	if !t.registered {
 		delete(s.targets, t.info.ID)
--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -133,3 +133,99 @@
 	sim.run(5 * time.Second)
 	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 }
+
+// rebootUnnoticed restarts a VM; its description reaches the scheduler only when announce is called.
+func (sim *simulation) rebootUnnoticed(v *vm) {
+	sched := sim.sched
+	sim.sched = nil
+	sim.crash(v)
+	sim.boot(v)
+	sim.sched = sched
+}
+
+// awaitPoll waits until a renewal that waits for a run to end has just begun.
+func (sim *simulation) awaitPoll(id cyclamendyke.TargetID) {
+	target := sim.sched.targets[id]
+	for sim.vms[id].pendingReply == nil || sim.now-target.renewalSentAt > 50*time.Millisecond {
+		sim.run(time.Millisecond)
+	}
+}
+
+// announce tells the scheduler of a VM's description.
+func (sim *simulation) announce(v *vm) {
+	sim.sched.Advance(sim.now, sim.wall())
+	sim.sched.UpdateTarget(v.info)
+}
+
+// TestRunOfNewIncarnationIsStartedElsewhere lets a VM accept a start after it has restarted and before that is known.
+func TestRunOfNewIncarnationIsStartedElsewhere(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		announce time.Duration // From the start until the description arrives.
+	}{
+		{"description while the start is on its way", time.Millisecond / 2},
+		{"description with the answer", 2 * time.Millisecond},
+		{"description later", 300 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			sim := limitedFleet(t, 1, 1)
+			sim.elect()
+			sim.run(20 * time.Second) // Runs of earlier epochs are over.
+			v := sim.vms["vm-0"]
+			sim.awaitPoll("vm-0") // So that no renewal finds the new incarnation.
+			sim.rebootUnnoticed(v)
+			sim.submit(workflow("job", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 6 * time.Second}))
+			for len(sim.sched.targets["vm-0"].runs) == 0 {
+				sim.run(100 * time.Microsecond)
+			}
+			sim.addVM(cyclamendyke.Target{ID: "other", Service: "s", Address: "other", Capacity: cores(16)})
+			sim.run(test.announce)
+			sim.announce(v)
+			sim.run(20 * time.Second)
+			is.Equal(sim.starts, 1)
+			is.Equal(sim.stops, 0)
+			is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+			is.Equal(len(sim.violations), 0)
+		})
+	}
+}
+
+// TestTaskOfRestartedVMWaits restarts a VM on which a task runs; the task must start again as soon as the VM is back.
+func TestTaskOfRestartedVMWaits(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.run(20 * time.Second) // Runs of earlier epochs are over.
+	sim.submit(workflow("job", cyclamendyke.Step{Count: 1, Need: cores(4), Estimate: 6 * time.Second}))
+	sim.run(time.Second)
+	is.Equal(sim.starts, 1)
+	sim.awaitPoll("vm-0")
+	v := sim.vms["vm-0"]
+	sim.rebootUnnoticed(v)
+	sim.announce(v)
+	sim.run(200 * time.Millisecond)
+	is.Equal(sim.starts, 2)
+	is.Equal(len(sim.violations), 0)
+}
+
+// TestDescriptionOfAnotherWriterEndsRuns describes a VM as restarted although it is not.
+func TestDescriptionOfAnotherWriterEndsRuns(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 2)
+	sim.elect()
+	sim.run(20 * time.Second) // Runs of earlier epochs are over.
+	sim.submit(workflow("job", cyclamendyke.Step{Count: 8, Need: cores(4), Estimate: 6 * time.Second}))
+	sim.run(time.Second)
+	is.Equal(sim.starts, 8)
+	for _, v := range sim.vms {
+		info := v.info
+		info.StartedMillis += 1000
+		sim.sched.Advance(sim.now, sim.wall())
+		sim.sched.UpdateTarget(info)
+	}
+	sim.run(30 * time.Second)
+	is.Equal(sim.starts, 8)
+	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/simulatedvm_test.go
+++ b/core/dispatch/simulatedvm_test.go
@@ -41,12 +41,26 @@
 	v.fence, v.leaseUntil, v.lastEndSequence, v.voidEnds, v.ends = 0, 0, 0, 0, nil
 	v.runs = map[cyclamendyke.TaskName]*vmRun{}
 	v.highestEnded = map[cyclamendyke.TaskName]int64{}
+	if sim.describeDelay > 0 {
+		sim.describeLater(v)
+		return
+	}
 	if sim.sched != nil {
 		sim.sched.Advance(sim.now, sim.wall())
 		sim.sched.UpdateTarget(v.info)
 	}
 }
 
+// describeLater passes on a VM's description after a while, if it is still valid then.
+func (sim *simulation) describeLater(v *vm) {
+	bootedAt := v.bootedAt
+	sim.after(sim.randomTime(sim.describeDelay), func() {
+		if v.bootedAt == bootedAt && !v.down && !v.removed {
+			sim.announce(v)
+		}
+	})
+}
+
 // crash ends all runs on a VM without reporting them.
 func (sim *simulation) crash(v *vm) {
 	for name, r := range v.runs {
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -63,13 +63,21 @@
 		return
 	}
 	r := t.runs[runKey{order.Task, order.Run}]
-	if r == nil || r.state != runStarting {
+	if r == nil {
 		return
 	}
 	r.starts.inFlight--
+	if kind == cyclamendyke.KindUnknown {
+		r.starts.unanswered++
+	}
+	if r.state != runStarting {
+		return
+	}
 	switch kind {
 	case "":
-		t.answeredAt = s.now
+		if t.announced == nil {
+			t.answeredAt = s.now
+		}
 		r.state = runRunning
 		r.confirmedAt = s.now
 		r.progress.begin(0, s.now)
@@ -87,14 +95,11 @@
 	}
 }
 
-// startUnknown handles a start whose answer was lost: it may have been carried out or may still be.
+// startUnknown handles a start whose answer was lost, so that it may have been carried out or may still be, or a run
+// of which it is not known whether the target's last incarnation had begun it or the present one has.
 func (s *Scheduler) startUnknown(r *run) {
 	r.state = runStartUnknown
 	s.cfg.LogDecision(Decision{Event: EventStartUnknown, Workflow: r.step.job.spec.ID, Task: r.taskName().String(), Target: r.target.info.ID, Run: r.number})
-	if !r.target.listed {
-		s.stop(r, "start in doubt")
-		return
-	}
 	r.startedAt = s.now
 	s.requestListing(r.target)
 }
--- a/core/dispatch/startrepeat.go
+++ b/core/dispatch/startrepeat.go
@@ -22,6 +22,13 @@
 	sentAt   time.Duration       // When the last request was sent.
 	inFlight int                 // Requests without an outcome.
 	repeats  int
+
+	unanswered int // Requests whose outcome is unknown, so that they may yet be carried out.
+}
+
+// startsAnswered reports whether all requests to start the run have a known outcome.
+func (r *run) startsAnswered() bool {
+	return r.starts.inFlight == 0 && r.starts.unanswered == 0
 }
 
 // sendStart sends the order to start a run, for the first time or again.
@@ -46,7 +53,7 @@
 func (s *Scheduler) mayRepeatStart(r *run) bool {
 	t := r.target
 	isSame := t.listed && t.info.StartedMillis == r.starts.target.StartedMillis && t.info.Address == r.starts.target.Address
-	isOpen := t.registered && !t.closed && !t.renewFailed && !t.info.Draining && !s.evacuated(t)
+	isOpen := t.announced == nil && t.registered && !t.closed && !t.renewFailed && !t.info.Draining && !s.evacuated(t)
 	return isSame && isOpen && !s.successorPossible && !s.startsHeld && !r.step.job.state.IsFinal()
 }
 
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -46,12 +46,15 @@
 	r.stopInFlight = false
 	switch kind {
 	case "":
+		if isLater(t.info, info) {
+			return // The incarnation that has accepted it may be gone.
+		}
 		r.stopAcceptedAt = s.now
 		if r.confirmedAt == 0 {
 			s.requestListing(t)
 		}
 	case cyclamendyke.KindWrongTarget:
-		s.runEnded(r, cyclamendyke.EndLeaseExpired, r.checkpoint, 0)
+		s.wrongTargetAnswered(t, info)
 	}
 }
 
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -157,10 +157,27 @@
 	rapid.Check(t, func(rt *rapid.T) { checkInvariantsUnderFaults(t, rt, lastFaultOfTargets, true) })
 }
 
+// TestInvariantsUnderFaultsWithLateDescriptions lets the descriptions of VMs that boot arrive late, so that they accept
+// starts before they are known to have restarted.
+func TestInvariantsUnderFaultsWithLateDescriptions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		checkInvariantsOf(t, rt, func(sim *simulation) { sim.describeDelay = maxDescribeDelay }, lastFaultOfTargets, false)
+	})
+}
+
+// maxDescribeDelay is longer than the longest time between two renewals.
+const maxDescribeDelay = 3 * time.Second
+
 // checkInvariantsUnderFaults draws a day with faults up to a kind, and with final lists or without.
 func checkInvariantsUnderFaults(t *testing.T, rt *rapid.T, lastFault int, hasFinalLists bool) {
+	checkInvariantsOf(t, rt, func(*simulation) {}, lastFault, hasFinalLists)
+}
+
+// checkInvariantsOf is checkInvariantsUnderFaults for a simulation that is changed before the first election.
+func checkInvariantsOf(t *testing.T, rt *rapid.T, change func(*simulation), lastFault int, hasFinalLists bool) {
 	seed := rapid.Uint64().Draw(rt, "seed")
 	sim := limitedFleet(t, seed, 5)
+	change(sim)
 	sim.faults = simFaults{
 		loseAnswer: rapid.Float64Range(0, 0.2).Draw(rt, "lose"),
 		delay:      rapid.Float64Range(0, 0.2).Draw(rt, "late"),
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -20,6 +20,7 @@
 
 	earlierEpochs
 	renewals
+	announcement
 	reportedEnds
 
 	clock       time.Duration // Last reading of the target's clock.
@@ -37,7 +38,6 @@
 	avoided      bool          // Its machine crashes on its own.
 	trial        *trial        // Nothing but this trial's task is started here; nil if there is none.
 	blockedUntil time.Duration // Nothing is placed here before then.
-	ownRunsEndBy time.Duration // After a restart with unanswered starts: when the lease of a run that they began on the new incarnation is over.
 	mayLeaveAt   time.Duration // Earliest time at which a draining target may be gone; zero if unknown.
 
 	claims             []*claim
@@ -72,6 +72,14 @@
 	silentAt         time.Duration // After a failed renewal: when it failed.
 }
 
+// announcement is a later incarnation of a target that is described in the store and has not answered yet.
+type announcement struct {
+	announced        *cyclamendyke.Target // Nil if there is none.
+	probeInFlight    bool                 // It is being asked for its listing.
+	probeAt          time.Duration        // When it is asked next.
+	announcedRunsEnd time.Duration        // When the lease of a run is over that a start for the incarnation before has begun on it.
+}
+
 // reportedEnds says which of the ends that a target reports are handled and stored.
 type reportedEnds struct {
 	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
@@ -118,10 +126,10 @@
 // leaseEnd returns when every lease that the target may hold has expired, on this process's clock.
 func (s *Scheduler) leaseEnd(t *target) time.Duration {
 	if !t.listed {
-		return max(s.earlierRunsEndBy(t), t.ownRunsEndBy)
+		return s.earlierRunsEndBy(t)
 	}
 	left := time.Duration(float64(t.leaseUntil-t.clock) / minClockRate)
-	return t.clockReadAt + left + leaseMargin
+	return max(t.clockReadAt+left+leaseMargin, t.announcedRunsEnd)
 }
 
 // runsEndBy returns when the runs on a target that does not answer count as ended, so that their tasks
@@ -160,21 +168,38 @@
 	return t.clockNow(s.now) + time.Duration(leaseFraction*float64(s.cfg.Bounds.MaxLease))
 }
 
-// UpdateTarget adds or updates a target from its description in the store.
+// UpdateTarget adds or updates a target from its description in the store. A description proves nothing of what runs
+// on the target: the end of its incarnation is known once the next one has answered.
 func (s *Scheduler) UpdateTarget(info cyclamendyke.Target) {
 	t := s.targets[info.ID]
 	switch {
 	case t == nil:
-		t = &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
-		s.targets[info.ID] = t
-		s.targetChanged(info.ID)
-		s.logTarget(info.ID, "new at "+info.Address)
-		s.addressTaken(info)
-	case info.StartedMillis != 0 && t.info.StartedMillis != 0 && info.StartedMillis < t.info.StartedMillis:
+		t = s.addTarget(info)
+	case isLater(t.info, info):
 		return // A stale description; the target has reported a later incarnation itself.
-	case t.info.StartedMillis != 0 && info.StartedMillis > t.info.StartedMillis:
-		s.resetRestartedTarget(t)
+	case isLater(info, t.info):
+		s.announce(t, info)
+		return
 	}
+	s.describe(t, info)
+}
+
+// isLater reports whether a describes a later incarnation of a target than b.
+func isLater(a, b cyclamendyke.Target) bool {
+	return b.StartedMillis != 0 && a.StartedMillis > b.StartedMillis
+}
+
+func (s *Scheduler) addTarget(info cyclamendyke.Target) *target {
+	t := &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
+	s.targets[info.ID] = t
+	s.targetChanged(info.ID)
+	s.logTarget(info.ID, "new at "+info.Address)
+	s.addressTaken(info)
+	return t
+}
+
+// describe applies a description of a target's present incarnation.
+func (s *Scheduler) describe(t *target, info cyclamendyke.Target) {
 	if info.Draining && !t.info.Draining {
 		s.logTarget(info.ID, "draining")
 		s.targetChanged(info.ID)
@@ -191,7 +216,7 @@
 	}
 	t.largestCapacity = t.largestCapacity.Max(info.Capacity)
 	t.info = info
-	t.registered = true
+	t.registered, t.announced = true, nil
 	s.setMayLeaveAt(t, info.Remaining)
 	t.coldUntil = s.now + info.ColdFor
 }
@@ -199,7 +224,7 @@
 // RemoveTargetDescription records that a target's description was removed from the store.
 func (s *Scheduler) RemoveTargetDescription(id cyclamendyke.TargetID) {
 	if t := s.targets[id]; t != nil && t.registered {
-		t.registered = false
+		t.registered, t.announced = false, nil
 		s.targetChanged(id)
 		s.logTarget(id, "description removed from the store")
 	}
--- a/core/dispatch/unexplainedcrash.go
+++ b/core/dispatch/unexplainedcrash.go
@@ -20,7 +20,8 @@
 	crashMemory     = 30 * time.Second // How long an unexplained crash is remembered.
 	avoidedCrashes  = 2                // After so many, nothing is started on a machine for a while.
 	avoidedFor      = 10 * time.Second
-	maxAvoidedShare = 0.25 // Part of a service's targets; if more crash, the machines are not the cause.
+	crashRest       = time.Second // Nothing is started on a machine for so long after any such crash.
+	maxAvoidedShare = 0.25        // Part of a service's targets; if more crash, the machines are not the cause.
 )
 
 // noteUnexplained notes that a target's machine has crashed and no task is known to be to blame.
@@ -40,7 +41,7 @@
 	targets, avoided := map[cyclamendyke.ServiceName]int{}, map[cyclamendyke.ServiceName]int{}
 	for _, t := range s.targets {
 		last := s.unexplainedCrashes[t.info.Address]
-		t.avoided = last.count >= avoidedCrashes && s.now-last.at < avoidedFor
+		t.avoided = last.count >= avoidedCrashes && s.now-last.at < avoidedFor || last.count > 0 && s.now-last.at < crashRest
 		targets[t.info.Service]++
 		if t.avoided {
 			avoided[t.info.Service]++
