Store a cancellation again when its work was replaced meanwhile

Cause: a cancellation is stored on the condition that the work's entry has not changed since it was read. A scheduler that claims reserved work replaces that entry. The store then refuses the cancellation, and each refusal counted as 'already cancelled or removed'.

Change: the entries that the store returns with a conflict say what it was. A cancellation whose work was replaced is stored on the new revision; one whose work has gone is answered by the work's final state, or 410. A submission that meets a conflict counts as stored only if its work or its final state is returned.

Before: TestCancellationIsForgottenBesideAnotherWrite fails for replaced work (no cancellation stored, no error) and removed work (no error), TestConflictCountsAsStored fails.

--- a/node/cancel.go
+++ b/node/cancel.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 
 	"cyclamendyke"
 )
@@ -61,19 +63,46 @@
 	}
 	work, err := n.cfg.Store.Get(ctx, workKey(id))
 	n.recordStoreResult(err)
+	for err == nil {
+		var current []cyclamendyke.Entry
+		_, current, err = n.cfg.Store.Commit(ctx, cyclamendyke.Batch{
+			Guards: []cyclamendyke.Guard{{Key: workKey(id), Expected: work.Revision}},
+			Puts:   []cyclamendyke.Put{{Key: workKey(id) + cancelSuffix, Value: []byte("{}")}},
+		})
+		n.recordStoreResult(err)
+		if cyclamendyke.KindOf(err) != cyclamendyke.KindConflict {
+			return err
+		}
+		if hasEntry(current, workKey(id)+cancelSuffix) {
+			return nil
+		}
+		work, err = replacedWork(current, work)
+	}
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
 		_, err = n.storedFinalStatus(ctx, id)
-		return err
-	}
-	if err != nil {
-		return err
-	}
-	_, _, err = n.cfg.Store.Commit(ctx, cyclamendyke.Batch{
-		Guards: []cyclamendyke.Guard{{Key: work.Key, Expected: work.Revision}},
-		Puts:   []cyclamendyke.Put{{Key: workKey(id) + cancelSuffix, Value: []byte("{}")}},
-	})
-	if cyclamendyke.KindOf(err) == cyclamendyke.KindConflict {
-		return nil // A cancellation is already stored, or the workflow has since been removed.
 	}
 	return err
 }
+
+// replacedWork returns the entry that has replaced a workflow's since it was read, as when a scheduler claims it, from
+// the entries that the store returned with a conflict. The error is KindNotFound if the workflow has been removed.
+func replacedWork(current []cyclamendyke.Entry, read cyclamendyke.Entry) (cyclamendyke.Entry, error) {
+	for _, entry := range current {
+		switch {
+		case entry.Key != read.Key || entry.Revision == 0:
+		case entry.Revision == read.Revision:
+			return entry, NewError("cancel", cyclamendyke.KindUnknown, errConflictWithoutCause)
+		default:
+			return entry, nil
+		}
+	}
+	return cyclamendyke.Entry{}, NewError("cancel", cyclamendyke.KindNotFound, nil)
+}
+
+// errConflictWithoutCause says that the store refused a batch although its conditions hold by the entries returned.
+var errConflictWithoutCause = errors.New("the store reports a conflict that its entries do not show")
+
+// hasEntry reports whether a key exists among entries that the store returned.
+func hasEntry(entries []cyclamendyke.Entry, key string) bool {
+	return slices.ContainsFunc(entries, func(e cyclamendyke.Entry) bool { return e.Key == key && e.Revision != 0 && !e.Deleted })
+}
--- a/node/intake.go
+++ b/node/intake.go
@@ -78,6 +78,9 @@
 	})
 	n.recordStoreResult(err)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindConflict {
+		if !hasEntry(current, workKey(workflow.ID)) && !hasEntry(current, doneKey(workflow.ID)) {
+			return NewError("store", cyclamendyke.KindUnknown, errConflictWithoutCause)
+		}
 		n.notifyOfEarlierAttempt(workflow.ID, current)
 		return nil
 	}
