Take no entry of the store for a proof that a target was replaced

Cause: the entry was taken for a target although fields were missing and its service is unknown, and its address and start for the proof that the target there had ended.

A target of an unknown service is neither asked nor used until the configuration names the service. A target has replaced those at its address once it has answered there, and one that was never seen does not count as a crash of the machine at its address. Unusable entries are logged once and counted.

--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -12,7 +12,8 @@
 		return
 	}
 	t.ended = true
-	if t.info.Draining || t.wasDraining {
+	wasSeen := t.listed || len(t.earlierRuns) > 0 // Otherwise another writer may have described it.
+	if t.info.Draining || t.wasDraining || !wasSeen {
 		return
 	}
 	runs := s.crashedRuns(t)
--- a/core/dispatch/crashproof.go
+++ b/core/dispatch/crashproof.go
@@ -15,7 +15,8 @@
 	}
 }
 
-// addressTaken handles that a target has the address of others, whose incarnations have ended if they began before.
+// addressTaken handles that a target has answered at the address of others, whose incarnations have ended if they began
+// before.
 func (s *Scheduler) addressTaken(info cyclamendyke.Target) {
 	const reason = "a later incarnation has its address"
 	began := func(old *target) bool {
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -33,9 +34,14 @@
 // if it is from the list that earlier versions stored. Its own record, added later, replaces what the list says.
 func (s *Scheduler) AddKnownTarget(known KnownTarget, revision cyclamendyke.Revision) {
 	id := known.Target.ID
+	info, isOfUnknownService := s.unknownTargets[id]
+	if isOfUnknownService { // It may hold runs from before its service was removed.
+		delete(s.unknownTargets, id)
+		s.describe(s.addTarget(info), info)
+	}
 	isRegistered := s.targets[id] != nil
 	if !isRegistered {
-		s.UpdateTarget(known.Target)
+		s.describe(s.addTarget(known.Target), known.Target)
 		s.targets[id].registered = false
 	}
 	t := s.targets[id]
@@ -214,13 +220,10 @@
 	return counts
 }
 
-// TargetIDs returns the IDs of the known targets.
+// TargetIDs returns the IDs of the known targets, those of unknown services included.
 func (s *Scheduler) TargetIDs() []cyclamendyke.TargetID {
-	ids := make([]cyclamendyke.TargetID, 0, len(s.targets))
-	for id := range s.targets {
-		ids = append(ids, id)
-	}
-	return ids
+	ids := slices.Collect(maps.Keys(s.targets))
+	return slices.AppendSeq(ids, maps.Keys(s.unknownTargets))
 }
 
 // unschedulable reports whether the target takes no new runs because it drains or is not
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -98,6 +98,7 @@
 		// An earlier epoch may have granted its longest lease right before this answer.
 		t.leaseUntil = max(t.leaseUntil, listing.Clock+LongestLease(s.cfg.Bounds))
 		s.logTarget(info.ID, "listed")
+		s.addressTaken(t.info)
 	}
 	t.expired, t.ended, t.silentRuns = false, false, nil
 	if t.renewFailed {
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -32,6 +32,7 @@
 	teams              map[cyclamendyke.TeamName]*team
 	jobs               map[cyclamendyke.WorkflowID]*job
 	targets            map[cyclamendyke.TargetID]*target
+	unknownTargets     map[cyclamendyke.TargetID]cyclamendyke.Target // Described targets of services that the configuration does not name.
 	active             activeSteps
 	unreleased         map[*job]struct{}                     // Workflows with occurrences that are not due yet.
 	planner            *advice.Planner                       // Plans the members' requests for advice.
@@ -95,6 +96,7 @@
 		jobs:               map[cyclamendyke.WorkflowID]*job{},
 		endedJobs:          map[cyclamendyke.WorkflowID]endedJob{},
 		targets:            map[cyclamendyke.TargetID]*target{},
+		unknownTargets:     map[cyclamendyke.TargetID]cyclamendyke.Target{},
 		unreleased:         map[*job]struct{}{},
 		planner:            advice.NewPlanner(),
 		adviceUses:         map[cyclamendyke.QueueName]*AdviceUse{},
@@ -138,6 +140,7 @@
 	for _, config := range fleet.Teams {
 		s.team(config.Team).config = config
 	}
+	s.addTargetsOfNewServices()
 }
 
 // Advance sets the current time, which every other method uses.
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -169,10 +169,15 @@
 }
 
 // UpdateTarget adds or updates a target from its description in the store. A description proves nothing of what runs
-// on the target: the end of its incarnation is known once the next one has answered.
+// on the target, or on another one with its address: what ends an incarnation is an answer of the one that follows.
+//
+// A target of a service that the configuration does not name is not used, nor asked for anything, before it does.
 func (s *Scheduler) UpdateTarget(info cyclamendyke.Target) {
 	t := s.targets[info.ID]
 	switch {
+	case t == nil && !s.knowsService(info.Service):
+		s.unknownTargets[info.ID] = info
+		return
 	case t == nil:
 		t = s.addTarget(info)
 	case isLater(t.info, info):
@@ -194,10 +199,24 @@
 	s.targets[info.ID] = t
 	s.targetChanged(info.ID)
 	s.logTarget(info.ID, "new at "+info.Address)
-	s.addressTaken(info)
 	return t
 }
 
+// knowsService reports whether the configuration names a service. Without any configuration each counts as named.
+func (s *Scheduler) knowsService(name cyclamendyke.ServiceName) bool {
+	return s.fleet == nil || s.service(name) != nil
+}
+
+// addTargetsOfNewServices adds the described targets of services that the configuration names now.
+func (s *Scheduler) addTargetsOfNewServices() {
+	for id, info := range s.unknownTargets {
+		if s.knowsService(info.Service) {
+			delete(s.unknownTargets, id)
+			s.UpdateTarget(info)
+		}
+	}
+}
+
 // describe applies a description of a target's present incarnation.
 func (s *Scheduler) describe(t *target, info cyclamendyke.Target) {
 	if info.Draining && !t.info.Draining {
@@ -223,6 +242,7 @@
 
 // RemoveTargetDescription records that a target's description was removed from the store.
 func (s *Scheduler) RemoveTargetDescription(id cyclamendyke.TargetID) {
+	delete(s.unknownTargets, id)
 	if t := s.targets[id]; t != nil && t.registered {
 		t.registered, t.announced = false, nil
 		s.targetChanged(id)
--- a/node/load.go
+++ b/node/load.go
@@ -153,64 +153,6 @@
 	}
 }
 
-// updateTargets applies changed target descriptions; one that cannot be decoded counts as deleted.
-func (t *term) updateTargets(entries []cyclamendyke.Entry) {
-	prefix := t.node.cfg.Codec.TargetsPrefix()
-	for _, entry := range entries {
-		id := cyclamendyke.TargetID(entry.Key[len(prefix):])
-		if entry.Deleted {
-			t.sched.RemoveTargetDescription(id)
-			continue
-		}
-		target, err := t.node.cfg.Codec.Target(entry)
-		if err != nil {
-			t.node.cfg.Log.Warn("cannot decode target description", "target", id, "revision", entry.Revision, "err", err)
-			t.sched.RemoveTargetDescription(id)
-			continue
-		}
-		t.sched.UpdateTarget(target)
-	}
-}
-
-// followTargets follows changes of the targets' descriptions.
-func (t *term) followTargets(at cyclamendyke.Revision) {
-	prefix := t.node.cfg.Codec.TargetsPrefix()
-	apply := func(entries []cyclamendyke.Entry) { t.post(func() { t.updateTargets(entries) }) }
-	t.node.watchFrom(t.ctx, prefix, at, followBatchDelay, apply)
-	t.node.followWithContext(t.ctx, prefix, followBatchDelay, t.replaceTargets, apply)
-}
-
-// confirmTargets tells the scheduler as of when it has all descriptions of targets, behind the changes that are
-// still in the inbox.
-func (t *term) confirmTargets() {
-	asOf := t.node.confirmed.of(t.node.cfg.Codec.TargetsPrefix()).asOf
-	if asOf == t.confirmedTargets {
-		return
-	}
-	select {
-	case t.inbox <- func() { t.sched.SetTargetsAsOf(asOf) }:
-		t.confirmedTargets = asOf
-	default: // The inbox is full; the next pass tries again.
-	}
-}
-
-// replaceTargets applies a full listing of target descriptions and removes those missing from it.
-func (t *term) replaceTargets(entries []cyclamendyke.Entry, _ cyclamendyke.Revision) {
-	t.post(func() {
-		prefix := t.node.cfg.Codec.TargetsPrefix()
-		present := map[cyclamendyke.TargetID]bool{}
-		for _, entry := range entries {
-			present[cyclamendyke.TargetID(entry.Key[len(prefix):])] = true
-		}
-		for _, id := range t.sched.TargetIDs() {
-			if !present[id] {
-				t.sched.RemoveTargetDescription(id)
-			}
-		}
-		t.updateTargets(entries)
-	})
-}
-
 // followWork follows new workflows and cancellations. A long batch delay is acceptable, since members
 // also notify the scheduler of each workflow directly.
 func (t *term) followWork(at cyclamendyke.Revision) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,8 @@
 	UnstoredEnds prometheus.Gauge
 	// RunListBytes is the length of the list of runs that this scheduler stored last.
 	RunListBytes prometheus.Gauge
+	// UnusableTargets is the number of entries among the descriptions of targets that name no usable target.
+	UnusableTargets prometheus.Gauge
 	// FinalLists counts the final lists of last schedulers that this process asked for, by outcome.
 	FinalLists *prometheus.CounterVec
 	// EvacuatedZones is 1 for each availability zone that operators evacuate, as far as this process knows.
@@ -105,6 +107,9 @@
 		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
 		}),
+		UnusableTargets: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cyclamendyke_fleet_unusable_targets", Help: "Entries among the descriptions of targets that name no usable target.",
+		}),
 		FinalLists: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cyclamendyke_fleet_final_lists_total", Help: "Final lists of last schedulers that this process asked for, by outcome.",
 		}, []string{"outcome"}),
@@ -130,7 +135,7 @@
 			Name: "cyclamendyke_fleet_advice_backlog", Help: "Steps that wait for a member to make their request for advice.",
 		}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes,
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.UnusableTargets,
 		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
 	m.ConfigVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "cyclamendyke_fleet_config_version", Help: "Version of the configuration in force.",
--- a/node/term.go
+++ b/node/term.go
@@ -49,6 +49,7 @@
 	deferred           []func()                         // Changes that wait until the state is loaded.
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
+	unusable           map[cyclamendyke.TargetID]bool   // Described targets whose descriptions cannot be used.
 	claiming           map[cyclamendyke.WorkflowID]bool // Workflows that are reserved for a later epoch, until the store says otherwise.
 	lastPassDuration   time.Duration
 	confirmedTargets   time.Duration // As of when the descriptions of targets are complete once the inbox is applied.
@@ -57,7 +58,11 @@
 // beginTerm starts acting as the scheduler.
 func (n *Node) beginTerm(election electionResult) {
 	ctx, cancel := context.WithCancel(n.ctx)
-	t := &term{node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize), cancellations: map[cyclamendyke.WorkflowID]bool{}, claiming: map[cyclamendyke.WorkflowID]bool{}}
+	t := &term{
+		node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize),
+		cancellations: map[cyclamendyke.WorkflowID]bool{}, claiming: map[cyclamendyke.WorkflowID]bool{},
+		unusable: map[cyclamendyke.TargetID]bool{},
+	}
 	t.final = &finalList{epoch: t.epoch, ready: make(chan struct{})}
 	bounds := n.cfg.Settings.Bounds
 	grace := authorityGrace
@@ -110,6 +115,7 @@
 	defer tick.Stop()
 	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
 	defer t.node.cfg.Metrics.RunListBytes.Set(0)
+	defer t.node.cfg.Metrics.UnusableTargets.Set(0)
 	defer t.node.cfg.Metrics.AdviceBacklog.Set(0)
 	for {
 		select {
