End a run in doubt only by a listing that was asked for after all its starts were answered

Cause: since a run in doubt ended when all requests to start it had an outcome and a listing did not name it. The listing had only to be asked for after the doubt began. With a repeated start, one request may be refused (the doubt begins, the listing is asked for and answered) and the other be carried out after that: its answer came before the listing's, the run went on, and its room counted as free and its task was started again. The same conclusion was drawn from the first listing of a new incarnation. Class: an observation that is older than the act it is held against.

Change: a listing proves that a run is absent only if it was asked for after the last outcome of any request to start it.

--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -79,8 +79,10 @@
 	case runStartUnknown:
 		switch {
 		case sent <= r.startedAt:
-		case r.startsAnswered(): // It ran on the incarnation before.
+		case r.provenAbsent(sent): // It ran on the incarnation before, or never.
 			s.runEnded(r, cyclamendyke.EndTargetEnded, r.checkpoint, 0)
+		case r.startsAnswered():
+			s.requestListing(r.target)
 		default:
 			s.stop(r, "start in doubt")
 		}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -15,6 +15,7 @@
 	simLatency       = time.Millisecond // One way.
 	simTick          = 50 * time.Millisecond
 	simPassDelay     = 4 * time.Millisecond   // Between an answer and the pass that follows it.
+	simSlowest       = 900 * time.Millisecond // One way, for a slow message.
 	simAnswerTimeout = 600 * time.Millisecond // After which a sender gives up.
 	simStopTime      = 100 * time.Millisecond
 	simAdviceTimeout = 3 * time.Second // After which a member gives up a request for advice.
@@ -25,6 +26,8 @@
 	loseAnswer float64 // A request is carried out but not answered.
 	delay      float64 // A request is carried out 2 to 12 s later and not answered.
 	failRun    float64 // A run fails.
+	refuse     float64 // A target that is not well refuses an order and does nothing.
+	slow       float64 // A message takes up to simSlowest on its way, so that later ones overtake it.
 }
 
 // simulation simulates targets, store, advice service and time for a scheduler, and checks its
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -14,9 +14,17 @@
 	case roll < sim.faults.delay:
 		return 2*time.Second + time.Duration(sim.random.Int64N(int64(10*time.Second))), false
 	case roll < sim.faults.delay+sim.faults.loseAnswer:
-		return simLatency, false
+		return sim.transit(), false
 	}
-	return simLatency, true
+	return sim.transit(), true
+}
+
+// transit draws how long a message is on its way.
+func (sim *simulation) transit() time.Duration {
+	if sim.faults.slow == 0 || sim.random.Float64() >= sim.faults.slow {
+		return simLatency
+	}
+	return simLatency + sim.randomTime(simSlowest)
 }
 
 // deliver carries out a command and passes any answer to the scheduler that sent it.
@@ -109,12 +117,15 @@
 			sim.after(simLatency, func() { reply(cyclamendyke.KindWrongTarget) })
 			return
 		}
-		if v.down || v.unreachable || v.bootedAt != bootedAt && delay > simLatency {
+		if v.down || v.unreachable || v.bootedAt != bootedAt && delay > simSlowest+simLatency {
 			return // A delayed request is lost if its VM restarts.
 		}
-		err := act(v)
+		var err error = cyclamendyke.KindLimited
+		if sim.faults.refuse == 0 || sim.random.Float64() >= sim.faults.refuse {
+			err = act(v)
+		}
 		if answered {
-			sim.after(simLatency, func() { reply(kindOf(err)) })
+			sim.after(sim.transit(), func() { reply(kindOf(err)) })
 		}
 	})
 }
@@ -250,29 +261,28 @@
 // renew delivers a renewal, whose answer may wait for an end.
 func (sim *simulation) renew(sched *Scheduler, c RenewCommand) {
 	sent := sim.now
-	done := false
-	fail := func() {
+	done, replied := false, false
+	finish := func(handle func()) {
 		if !done {
 			done = true
-			sim.answer(sched, func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindUnknown) })
+			sim.answer(sched, handle)
 		}
 	}
+	fail := func() {
+		finish(func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindUnknown) })
+	}
 	sim.after(c.Renewal.Wait+900*time.Millisecond, fail)
-	sim.after(simLatency, func() {
+	sim.after(sim.transit(), func() {
 		v := sim.vms[c.Target.ID]
-		if v.replaced && !done {
-			done = true
-			sim.answer(sched, func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindWrongTarget) })
+		if v.replaced {
+			finish(func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindWrongTarget) })
 			return
 		}
 		if v.down || v.unreachable {
 			return
 		}
 		if c.Renewal.Fence < v.fence {
-			sim.answer(sched, func() {
-				done = true
-				sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindFenced)
-			})
+			finish(func() { sched.RenewFailed(c.Target, c.Immediate, cyclamendyke.KindFenced) })
 			return
 		}
 		v.fence = c.Renewal.Fence
@@ -281,12 +291,12 @@
 			sim.extendLease(v, c.Renewal.Until)
 		}
 		reply := func() {
-			if done || v.down || v.unreachable {
+			if done || replied || v.down || v.unreachable {
 				return
 			}
-			done = true
+			replied = true
 			listing := sim.list(v)
-			sim.after(simLatency, func() { sim.answer(sched, func() { sched.Renewed(c.Target, c.Immediate, sent, listing) }) })
+			sim.after(sim.transit(), func() { finish(func() { sched.Renewed(c.Target, c.Immediate, sent, listing) }) })
 		}
 		if len(v.ends) > 0 || c.Renewal.Wait == 0 {
 			reply()
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -67,6 +67,7 @@
 		return
 	}
 	r.starts.inFlight--
+	r.starts.answeredAt = s.now
 	if kind == cyclamendyke.KindUnknown {
 		r.starts.unanswered++
 	}
--- a/core/dispatch/startrepeat.go
+++ b/core/dispatch/startrepeat.go
@@ -23,7 +23,8 @@
 	inFlight int                 // Requests without an outcome.
 	repeats  int
 
-	unanswered int // Requests whose outcome is unknown, so that they may yet be carried out.
+	unanswered int           // Requests whose outcome is unknown, so that they may yet be carried out.
+	answeredAt time.Duration // When the last outcome came.
 }
 
 // startsAnswered reports whether all requests to start the run have a known outcome.
@@ -31,6 +32,12 @@
 	return r.starts.inFlight == 0 && r.starts.unanswered == 0
 }
 
+// provenAbsent reports whether a listing that was requested at sent, and does not name the run, proves that no request
+// to start it has taken effect on the incarnation that answered: all had their outcome by then.
+func (r *run) provenAbsent(sent time.Duration) bool {
+	return r.startsAnswered() && sent > r.starts.answeredAt && sent > r.confirmedAt
+}
+
 // sendStart sends the order to start a run, for the first time or again.
 func (s *Scheduler) sendStart(r *run) {
 	r.starts.sentAt = s.now
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -104,7 +104,7 @@
 // stays in doubt if an order to start it may yet arrive there, or may have arrived since.
 func (s *Scheduler) endOrDoubt(r *run, sent time.Duration) {
 	switch {
-	case r.startsAnswered() && sent > r.confirmedAt:
+	case r.provenAbsent(sent):
 		s.runEnded(r, cyclamendyke.EndTargetEnded, r.checkpoint, 0)
 	case r.state == runStopping:
 		r.stopAcceptedAt = 0 // The incarnation that has accepted it is gone.
