Start nothing on a restarted target before the new incarnation's description has come

What callers would see: a target that comes back with less room under its identifier is given more than it has room for (LIMIT), or a task for whose label it is no longer eligible (ROUTE).

Cause: a regular renewal may prove the restart before the new description arrives, and until then the description of the incarnation before said what it has room for. Class: as for runs in doubt, a fact is held against a later state of the target than it was observed in.

Change: a target is not ready until its present incarnation is described.

Before: TestSmallerIncarnationIsGivenRoomOfTheOneBefore fails with a start that exceeds the capacity. After: it passes. TestSchedulerInDoubtStartsOnVMThatRestartedUnnoticed never let the new description arrive, which a target repeats with each heartbeat; it is announced now before the last wait, and every check stands.

--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -130,6 +130,7 @@
 	sim.run(5 * time.Second)
 	is.Equal(sim.starts, 0)
 	sched.SetSuccessorPossible(false)
+	sim.announce(sim.vms["vm-0"])
 	sim.run(5 * time.Second)
 	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 }
@@ -229,3 +230,24 @@
 	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestSmallerIncarnationIsGivenRoomOfTheOneBefore restarts a VM with less room, whose description comes after its listing.
+func TestSmallerIncarnationIsGivenRoomOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.run(20 * time.Second) // Runs of earlier epochs are over.
+	v := sim.vms["vm-0"]
+	sim.rebootUnnoticed(v)
+	v.info.Capacity = cores(4)
+	sim.run(3 * time.Second) // A listing shows the restart.
+	is.True(sim.sched.targets["vm-0"].info.StartedMillis == v.info.StartedMillis)
+	sim.submit(workflow("job", cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: time.Second}))
+	sim.run(time.Second)
+	is.Equal(len(sim.violations), 0)
+	is.Equal(sim.starts, 0)
+	sim.announce(v)
+	sim.run(3 * time.Second)
+	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -11,6 +11,7 @@
 	info            cyclamendyke.Target
 	largestCapacity cyclamendyke.Resources // The most that its present incarnation is known to have had.
 	registered      bool                   // Its description is in the store.
+	undescribed     bool                   // No description of its present incarnation has come, which may have another room and other labels.
 	listed          bool                   // Its present incarnation has answered this epoch with a listing.
 	ended           bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
 	silentRuns      []crashedRun           // Runs that it had when its lease expired in silence.
@@ -235,7 +236,7 @@
 	}
 	t.largestCapacity = t.largestCapacity.Max(info.Capacity)
 	t.info = info
-	t.registered, t.announced = true, nil
+	t.registered, t.undescribed, t.announced = true, false, nil
 	s.setMayLeaveAt(t, info.Remaining)
 	t.coldUntil = s.now + info.ColdFor
 }
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -79,11 +79,12 @@
 	return named
 }
 
-// beginIncarnation clears what is known of a target's last incarnation but for its runs. If no description of the new
-// one has come yet, the last one's is used.
+// beginIncarnation clears what is known of a target's last incarnation but for its runs. Nothing is started on the new
+// one before its description has come.
 func (t *target) beginIncarnation(startedMillis int64) {
+	t.undescribed = true
 	if next := t.announced; next != nil && next.StartedMillis == startedMillis {
-		t.info, t.largestCapacity = *next, next.Capacity
+		t.info, t.largestCapacity, t.undescribed = *next, next.Capacity, false
 	}
 	t.info.StartedMillis = startedMillis
 	if next := t.announced; next != nil && next.StartedMillis <= startedMillis {
