Take nothing from a listing that a later one has overtaken, or that is older than the proof of its target's end

Cause: a listing was applied as of its arrival. Answers on different connections overtake each other. A run that came back this way kept room and, if its task was to run again, kept that from starting until the next listing.

Change: runs are compared only with the listing with the latest reading of the target's clock; answers to requests that were sent before a target's runs were found to have ended are not used.

Before: TestListingOvertakenByLaterOneBringsBackEndedRun fails with an orphan instead of none, and TestLateListingBringsBackReplacedTarget with a target that is alive. After: both pass.

--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -83,9 +83,10 @@
 		return
 	}
 	t.renewalDone(info, immediate)
-	if listing.StartedMillis != 0 && listing.StartedMillis < t.info.StartedMillis {
+	isOfEarlier := listing.StartedMillis != 0 && listing.StartedMillis < t.info.StartedMillis
+	if isOfEarlier || sent <= t.runsEndedAt {
 		t.renewAt = s.now
-		return // An answer of an earlier incarnation.
+		return // It was given before the incarnation, or all its runs, are known to have ended.
 	}
 	var missing []*run
 	if t.info.StartedMillis != 0 && listing.StartedMillis > t.info.StartedMillis {
@@ -122,7 +123,9 @@
 		s.endOrDoubt(r, sent)
 	}
 	s.applyEnds(t, listing.Ended)
-	s.reconcile(t, sent, listing.Running)
+	if listing.Clock >= t.clock { // Otherwise a later listing has overtaken it.
+		s.reconcile(t, sent, listing.Running)
+	}
 	s.updateLag(t)
 	s.updateFillerPace(t)
 	t.acknowledge()
@@ -186,7 +189,7 @@
 // endReplacedTarget ends a target's runs when another target has its address.
 func (s *Scheduler) endReplacedTarget(t *target) {
 	s.endRuns(t, cyclamendyke.EndTargetEnded)
-	t.expired = true
+	t.expired, t.runsEndedAt = true, s.now
 	if !t.registered {
 		delete(s.targets, t.info.ID)
 		s.targetChanged(t.info.ID)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -16,6 +16,7 @@
 	ended           bool                   // Its incarnation is known to have ended, and its crash, if it was one, is counted.
 	silentRuns      []crashedRun           // Runs that it had when its lease expired in silence.
 	expired         bool                   // Its lease has expired or another incarnation replaced it, so no run is left.
+	runsEndedAt     time.Duration          // When expired was last set; answers to earlier requests tell nothing.
 	fenceInDoubt    bool                   // Its incarnation was first seen while a successor was possible, which it may not have heard of.
 	closed          bool                   // Its record is not stored, or says that it is closed or soon will, so nothing is started on it.
 
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -153,6 +153,6 @@
 		t.silentRuns = append(t.silentRuns, s.describeCrashed(r))
 	}
 	s.endRuns(t, cyclamendyke.EndLeaseExpired)
-	t.expired = true
+	t.expired, t.runsEndedAt = true, s.now
 	s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 }
