--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -30,6 +30,7 @@
 	EventTrusted       Event = "task trusted"   // A suspected task has worked for longer than before any crash.
 	EventBlamed        Event = "task blamed"    // It crashes targets, so that its workflow fails.
 	EventCapacities    Event = "capacities"     // Whether the capacities of targets are known.
+	EventOverfull      Event = "target overfull" // More runs on it than it has room for.
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
 	EventLate          Event = "late"       // A workflow became final after its target time.
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"cyclamendyke"
@@ -42,6 +43,21 @@
 			s.handleMissing(r, sent)
 		}
 	}
+	t.reconciled = true
+	s.checkRoom(t)
+}
+
+// checkRoom notes when the runs on a target need more than it has room for, since its capacity has shrunk or it runs what
+// was taken to have ended.
+func (s *Scheduler) checkRoom(t *target) {
+	isOverfull := !t.used.FitsIn(t.info.Capacity)
+	if isOverfull && !t.isOverfull {
+		s.cfg.LogDecision(Decision{
+			Event: EventOverfull, Target: t.info.ID, Count: len(t.runs),
+			Reason: fmt.Sprintf("%+v needed, %+v there", t.used, t.info.Capacity),
+		})
+	}
+	t.isOverfull = isOverfull
 }
 
 // confirm updates a run from the target's report.
@@ -89,8 +105,8 @@
 	}
 }
 
-// adopt adds a reported run of an earlier epoch and stops it if it is not needed; a run that belongs
-// to no workflow becomes an orphan and is stopped.
+// adopt adds a reported run of an earlier epoch, or one that was taken to have ended, and stops it if it is not needed; a run
+// that belongs to no workflow becomes an orphan and is stopped.
 func (s *Scheduler) adopt(t *target, report cyclamendyke.RunReport) {
 	key := runKey{report.Task, report.Run}
 	step := s.findStep(report.Task)
@@ -108,7 +124,13 @@
 	needed := !task.done && !step.job.state.IsFinal() && (len(task.runs) == 0 || step.spec.Speculative)
 	s.reserve(r)
 	step.job.started = true
-	s.cfg.LogDecision(Decision{Event: EventAdopted, Workflow: report.Task.Workflow, Task: report.Task.String(), Target: t.info.ID, Run: report.Run})
+	reason := ""
+	if t.reconciled {
+		reason = "not in an earlier listing"
+	}
+	s.cfg.LogDecision(Decision{
+		Event: EventAdopted, Workflow: report.Task.Workflow, Task: report.Task.String(), Target: t.info.ID, Run: report.Run, Reason: reason,
+	})
 	t.adoptTrial(r)
 	if !needed {
 		s.stop(r, "not needed")
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -31,6 +31,8 @@
 
 	runs          map[runKey]*run
 	used          cyclamendyke.Resources
+	reconciled    bool                   // Its present incarnation's runs were compared with a listing.
+	isOverfull    bool                   // They need more than it has room for.
 	urgentRuns    int                    // Runs of queues with priority 0.
 	projectedFree cyclamendyke.Resources // Free now or soon, less what earlier steps of this pass have taken.
 	asked         []askedRoom            // Room that requests for advice in flight count on.
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -93,7 +93,7 @@
 	t.announcedRunsEnd = 0
 	t.renewalInFlight, t.listingRequested, t.renewFailed = false, false, false
 	t.ended, t.silentRuns, t.trial = false, nil, nil
-	t.listed, t.expired = false, false
+	t.listed, t.reconciled, t.expired = false, false, false
 	t.earlierEpochs = earlierEpochs{}
 	t.clock, t.clockReadAt = 0, 0
 	t.reportedEnds = reportedEnds{}
