--- a/standin/silent/listener.go
+++ b/standin/silent/listener.go
@@ -11,6 +11,7 @@
 	net.Listener
 	mu    sync.Mutex
 	conns []*conn
+	dark  bool // New connections are silent from the start.
 }
 
 // Accept waits for the next connection.
@@ -23,9 +24,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns = append(l.conns, c)
+	c.silent.Store(l.dark)
 	return c, nil
 }
 
+// GoDark makes all connections silent for good, those included that are accepted later, as when a machine loses power.
+func (l *Listener) GoDark() {
+	l.mu.Lock()
+	l.dark = true
+	l.mu.Unlock()
+	l.Silence()
+}
+
 // Silence makes all connections accepted so far silent for good, and returns their number.
 func (l *Listener) Silence() int {
 	l.mu.Lock()
