Move the forecast of urgent work and the error of estimates into core/forecast

Moves and names only, out of the folder of core/dispatch: what they learn needs nothing of the scheduler. The tests of core/dispatch for headroom, speeds, lagging targets and loads pass.

--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -10,7 +10,7 @@
 //   - state: job, occurrence, steprun, run, target, team, active
 //   - one pass over what waits: scheduler (Run), place, rank, share, phases
 //   - which target: choose, nofit, roomindex, cold, speed, lagging, draining, evacuation
-//   - making room: room, claim, preempt, headroom, forecast, projection
+//   - making room: room, claim, preempt, headroom, projection (core/forecast expects the urgent work)
 //   - tickets: advice, advicerequests, advicetargets, adviceuse, tickets
 //   - starting, following and stopping runs: start, startrepeat, renewal, listing, ends, stop, remaining, speculative, pace
 //   - targets that fall silent, restart or leave: silence, targetend, knowntarget, capacityage
--- a/core/dispatch/headroom.go
+++ b/core/dispatch/headroom.go
@@ -1,6 +1,12 @@
 package dispatch
 
-import "cyclamendyke"
+import (
+	"cyclamendyke"
+	"cyclamendyke/core/forecast"
+)
+
+// maxHeadroomShare is the largest part of a service's room that is kept for urgent work.
+const maxHeadroomShare = 0.6
 
 // headroom is the room of one service that less urgent work leaves free for the urgent work expected
 // soon, which cannot wait for a run to end or to stop. It is counted in slots: an average urgent task
@@ -31,8 +37,8 @@
 func (s *Scheduler) updateHeadroom() {
 	clear(s.headrooms)
 	for service, f := range s.forecasts {
-		f.expire(s.now)
-		tasks, need := f.demand()
+		f.Expire(s.now)
+		tasks, need := f.Demand()
 		if tasks == 0 {
 			continue
 		}
@@ -74,3 +80,22 @@
 	lost := h.slotsLost(s.urgentFree(t), step.spec.Reserved(), planned[t])
 	return lost == 0 || h.free-lost >= h.reserve
 }
+
+// expectUrgent adds a workflow of a queue with priority 0 to the forecast of its service.
+func (s *Scheduler) expectUrgent(j *job) {
+	queue := j.queue(s)
+	if queue == nil || queue.Priority > 0 || j.overShare {
+		return
+	}
+	f := s.forecasts[queue.Service]
+	if f == nil {
+		f = &forecast.Forecast{}
+		s.forecasts[queue.Service] = f
+	}
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		if !spec.LongRunning {
+			f.Add(forecast.Step{At: j.acceptedAt, Tasks: spec.Count, RunTime: spec.Estimate, Need: spec.Reserved()})
+		}
+	}
+}
--- a/core/dispatch/headroom_test.go
+++ b/core/dispatch/headroom_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"cyclamendyke"
+	"cyclamendyke/core/forecast"
 )
 
 // TestUrgentWorkFindsHeadroom submits more batch work than the fleet can run, whose tasks cannot be
@@ -65,7 +66,7 @@
 	sim.submit(batch("batch", cyclamendyke.Step{Count: 20, Need: cores(8), Estimate: 20 * time.Second}))
 	sim.run(500 * time.Millisecond)
 	is.True(total(sim.runsOf("batch")) < 20)
-	sim.run(forecastWindow)
+	sim.run(forecast.Window)
 	is.Equal(total(sim.runsOf("batch")), 20)
 	is.Equal(len(sim.violations), 0)
 }
--- a/core/dispatch/lagging.go
+++ b/core/dispatch/lagging.go
@@ -22,7 +22,7 @@
 	factors := map[cyclamendyke.WorkflowID]float64{} // Run times as multiples of those expected.
 	for _, r := range t.runs {
 		perPercent, known := r.progress.perPercent()
-		if !known || r.state != runRunning || !s.estimateErrors[r.step.job.spec.Queue].isReliable() {
+		if !known || r.state != runRunning || !s.estimateErrors[r.step.job.spec.Queue].IsReliable() {
 			continue
 		}
 		factors[r.step.job.spec.ID] = 100 * float64(perPercent) / float64(r.step.runTimeOn(t))
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -6,6 +6,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/advice"
+	"cyclamendyke/core/forecast"
 	"cyclamendyke/core/invariant"
 )
 
@@ -51,8 +52,8 @@
 	superseded         bool    // A target has refused a request because it knows a later epoch.
 	startRepeatTokens  float64 // How many start orders may be repeated.
 	commands           []Command
-	forecasts          map[cyclamendyke.ServiceName]*forecast
-	estimateErrors     map[cyclamendyke.QueueName]*estimateError
+	forecasts          map[cyclamendyke.ServiceName]*forecast.Forecast
+	estimateErrors     map[cyclamendyke.QueueName]*forecast.EstimateError
 	lagsIgnored        map[cyclamendyke.ServiceName]bool      // So many targets seem to lag that the estimates are wrong; computed in each pass.
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	claims             []*claim
@@ -108,11 +109,11 @@
 		unexplainedCrashes: map[string]unexplainedCrash{},
 		droppedTargets:     map[string]*target{},
 		knownRecords:       map[cyclamendyke.TargetID]*knownRecord{},
-		forecasts:          map[cyclamendyke.ServiceName]*forecast{},
+		forecasts:          map[cyclamendyke.ServiceName]*forecast.Forecast{},
 		headrooms:          map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber:      int64(cfg.Epoch) * runsPerEpoch,
 		startRepeatTokens:  startRepeatBurst,
-		estimateErrors:     map[cyclamendyke.QueueName]*estimateError{},
+		estimateErrors:     map[cyclamendyke.QueueName]*forecast.EstimateError{},
 	}
 }
 
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"cyclamendyke/core/forecast"
 )
 
 // The rules for learning how fast targets run tasks.
@@ -42,6 +44,17 @@
 	r.step.measuredWork += m.work()
 }
 
+// learnEstimateError compares the run time of a task that is done with its estimate.
+func (s *Scheduler) learnEstimateError(r *run, runTime time.Duration) {
+	queue := r.step.job.spec.Queue
+	e := s.estimateErrors[queue]
+	if e == nil {
+		e = &forecast.EstimateError{}
+		s.estimateErrors[queue] = e
+	}
+	e.Learn(runTime, time.Duration(float64(r.step.spec.Estimate)*math.Exp(r.target.speed.slowness)))
+}
+
 // learnSpeeds compares the run times of a finished step's tasks, which do about the same work, and
 // corrects the slowness of their targets.
 func (step *stepRun) learnSpeeds() {
