Measure no run time of a run that this epoch has not seen begin

What was wrong: the end of a run that a scheduler never listed as running, as after a takeover with its target away, was measured from the VM's boot. One such end spoils what is known of how far a queue's estimates can be relied on and of a target's speed, for a hundred runs.

Before: TestEndOfEarlierEpochsRunIsMeasured fails, an error of the estimates is learnt. After: it passes, with the other tests of speeds and lagging targets.

--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -32,10 +32,10 @@
 //
 // It leaves out runs that resumed from a checkpoint, which did a part of the work only, gangs, whose
 // members all take as long as the slowest, runs that started on a cold target, which says nothing of
-// the time after, and runs whose start was repeated, which may have begun late.
+// the time after, runs whose start was repeated, which may have begun late, and runs that this epoch has not seen begin.
 func (s *Scheduler) measure(r *run) {
 	runTime := s.now - r.startedAt
-	if r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || r.starts.repeats > 0 || runTime < minMeasuredTime {
+	if r.startedAt == 0 || r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || r.starts.repeats > 0 || runTime < minMeasuredTime {
 		return
 	}
 	s.learnEstimateError(r, runTime)
--- a/core/dispatch/speed_test.go
+++ b/core/dispatch/speed_test.go
@@ -91,3 +91,20 @@
 	}
 	is.Equal(total(sim.runsOf("patient"))+total(sim.runsOf("urgent")), 8)
 }
+
+// TestEndOfEarlierEpochsRunIsMeasured lets a run end unseen and a new scheduler hear of it, which does not know when it began.
+func TestEndOfEarlierEpochsRunIsMeasured(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.elect()
+	sim.submit(workflow("job", cyclamendyke.Step{Count: 2, Need: cores(4), Estimate: 600 * time.Millisecond}))
+	sim.run(500 * time.Millisecond)
+	is.Equal(sim.starts, 2)
+	sim.vms["vm-0"].unreachable = true
+	sim.run(time.Second)
+	sim.elect()
+	sim.vms["vm-0"].unreachable = false
+	sim.run(time.Second)
+	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+	is.Equal(sim.sched.estimateErrors["q"], nil)
+}
