--- a/core/dispatch/roommodel_test.go
+++ b/core/dispatch/roommodel_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// checkRoomUnderFaults draws a day on which VMs are full, messages are slow, lost and late, work is cancelled and any fault
-// up to a kind happens; change changes the simulation before the first election.
-func checkRoomUnderFaults(t *testing.T, rt *rapid.T, change func(*simulation), lastFault int, hasFinalLists bool) {
+// checkRoomUnderFaults draws a day on which VMs are full, messages are slow, lost and late, work is cancelled and faults of
+// targets and takeovers happen; change changes the simulation before the first election.
+func checkRoomUnderFaults(t *testing.T, rt *rapid.T, change func(*simulation), hasFinalLists bool) {
 	sim := fullFleet(t, rapid.Uint64().Draw(rt, "seed"))
 	change(sim)
 	sim.faults = simFaults{
@@ -61,7 +61,7 @@
 		if hasFinalLists {
 			sim.drawAsking(rt)
 		}
-		sim.injectFault(rapid.IntRange(0, lastFault).Draw(rt, "trouble"))
+		sim.injectFault(rapid.IntRange(0, lastFaultOfTargets).Draw(rt, "trouble"))
 		sim.run(time.Duration(rapid.IntRange(100, 1500).Draw(rt, "pause")) * time.Millisecond)
 	}
 	sim.endFaults()
@@ -76,24 +76,24 @@
 
 // TestFullTargetIsGivenMoreThanItsRoom lets messages overtake each other, beside all faults of targets and takeovers.
 func TestFullTargetIsGivenMoreThanItsRoom(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { checkRoomUnderFaults(t, rt, func(*simulation) {}, lastFaultOfTargets, false) })
+	rapid.Check(t, func(rt *rapid.T) { checkRoomUnderFaults(t, rt, func(*simulation) {}, false) })
 }
 
 // TestRestartedTargetIsGivenMoreThanItsRoom lets the descriptions of VMs that boot arrive late as well.
 func TestRestartedTargetIsGivenMoreThanItsRoom(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		checkRoomUnderFaults(t, rt, func(sim *simulation) { sim.describeDelay = maxDescribeDelay }, lastFaultOfTargets, false)
+		checkRoomUnderFaults(t, rt, func(sim *simulation) { sim.describeDelay = maxDescribeDelay }, false)
 	})
 }
 
 // TestTargetIsGivenMoreThanItsRoomAfterTakeover lets elected schedulers ask the last one for its final list, or not.
 func TestTargetIsGivenMoreThanItsRoomAfterTakeover(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) { checkRoomUnderFaults(t, rt, func(*simulation) {}, lastFaultOfTargets, true) })
+	rapid.Check(t, func(rt *rapid.T) { checkRoomUnderFaults(t, rt, func(*simulation) {}, true) })
 }
 
 // TestLateOrdersFillRestartedTargets lets late orders reach the next incarnations of their VMs, and checks nothing but room.
 func TestLateOrdersFillRestartedTargets(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		checkRoomUnderFaults(t, rt, func(sim *simulation) { sim.ordersOutlive = true }, lastFaultOfTargets, true)
+		checkRoomUnderFaults(t, rt, func(sim *simulation) { sim.ordersOutlive = true }, true)
 	})
 }
