--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -13,7 +13,7 @@
 //   - making room: room, claim, preempt, headroom, projection (core/forecast expects the urgent work)
 //   - tickets: advice, advicerequests, advicetargets, adviceuse, tickets
 //   - starting, following and stopping runs: start, startrepeat, renewal, listing, ends, stop, remaining, speculative, pace
-//   - targets that fall silent, restart or leave: silence, targetend, knowntarget, capacityage
+//   - targets that fall silent, restart or leave: silence, targetend, lateorder, knowntarget, capacityage
 //   - tasks that crash their targets: the files with crash in their name, trial, trialtargets
 //   - taking over from an earlier epoch: earlierruns, runlist, finallist, successor
 //   - what is stored: record, endedjob, finalwaiter
