--- a/node/faketarget_test.go
+++ b/node/faketarget_test.go
@@ -14,7 +14,8 @@
 	fence        uint64                   // The highest fence received.
 	ends         []cyclamendyke.EndReport // Ends that the scheduler has not acknowledged.
 	lastSequence int64
-	starts       map[cyclamendyke.TaskName]int // Number of starts by task.
+	starts       map[cyclamendyke.TaskName]int   // Number of runs by task.
+	lastRuns     map[cyclamendyke.TaskName]int64 // The highest run of each task, which has ended.
 }
 
 func (f *fakeTarget) checkFence(fence uint64) error {
@@ -36,15 +37,22 @@
 	return cyclamendyke.Listing{Clock: bootTime(), Ended: append([]cyclamendyke.EndReport(nil), f.ends...)}, f.checkFence(renewal.Fence)
 }
 
-// Start completes a run at once.
+// Start completes a run at once, and rejects a repetition of its order.
 func (f *fakeTarget) Start(_ context.Context, _ cyclamendyke.Target, order cyclamendyke.StartOrder) (time.Duration, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.checkFence(order.Fence); err != nil {
 		return 0, err
 	}
+	if order.Run != 0 && order.Run <= f.lastRuns[order.Task] { // Runs are numbered from one; some tests send orders without a number.
+		return 0, cyclamendyke.KindStaleRun
+	}
 	f.lastSequence++
 	f.starts[order.Task]++
+	if f.lastRuns == nil {
+		f.lastRuns = map[cyclamendyke.TaskName]int64{}
+	}
+	f.lastRuns[order.Task] = order.Run
 	f.ends = append(f.ends, cyclamendyke.EndReport{Sequence: f.lastSequence, Task: order.Task, Run: order.Run, Kind: cyclamendyke.EndDone})
 	return bootTime(), nil
 }
