--- a/standin/silent/listener.go
+++ b/standin/silent/listener.go
@@ -28,7 +28,8 @@
 	return c, nil
 }
 
-// GoDark makes all connections silent for good, those included that are accepted later, as when a machine loses power.
+// GoDark makes all connections silent for good, those included that are accepted before Lighten, as when a machine loses
+// power or is cut off.
 func (l *Listener) GoDark() {
 	l.mu.Lock()
 	l.dark = true
@@ -36,6 +37,13 @@
 	l.Silence()
 }
 
+// Lighten ends GoDark: connections that are accepted from now on are not silent.
+func (l *Listener) Lighten() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dark = false
+}
+
 // Silence makes all connections accepted so far silent for good, and returns their number.
 func (l *Listener) Silence() int {
 	l.mu.Lock()
