Bound the leases on silent targets by what the store holds, so that no election moves their end

Cause: only the scheduler that had granted a lease knew its end. Each successor counted the longest lease anew from its own election, after the 6.5 s for which another one may have gone on; and each order that was sent to a target before its silence was noticed carried a lease that counted from its sending.

Change: a scheduler stores a round each 0.75 s and the list of silent targets with the time that their leases have left, and grants nothing beyond 7.25 s after the last stored round, nor anything on a target in the list. Members note on their own clocks when they saw both; a new scheduler claims the role on the condition that it has seen the last of both, and asks others. A lease counts from the target's last answer; targets are asked each second. Resignations and 'predecessors ended' are gone: the rounds say more.

--- a/core/dispatch/cancellation_test.go
+++ b/core/dispatch/cancellation_test.go
@@ -25,6 +25,7 @@
 	sim.fleet.Teams[0].Limit = cores(24)
 	sim.stopTime = time.Second
 	sim.batchEntries = smallBatch
+	sim.leases.areSeen = true
 	sim.elect()
 	rounds := rapid.IntRange(3, 12).Draw(rt, "rounds")
 	for i := range rounds {
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -22,7 +22,7 @@
 func (s *Scheduler) ready(t *target) bool {
 	isPresent := t.registered && !t.undescribed && t.announced == nil && t.listed && !t.expired && !t.closed && !t.info.Draining
 	isHeld := t.fenceInDoubt || t.mayStartLate() || t.avoided || len(t.orphans) > 0 || s.staleServices[t.info.Service] || s.now < t.blockedUntil
-	return isPresent && !isHeld && !t.renewFailed && s.now-t.answeredAt <= maxAnswerAge
+	return isPresent && !isHeld && !t.renewFailed && s.now-t.answeredAt <= maxAnswerAge && s.canHoldLease(t)
 }
 
 // plan is a tentative placement: the number of gang members on each target.
--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -17,32 +17,35 @@
 	ended      bool          // It had ended when that was stored.
 }
 
-// checkEarlierRuns updates earlierRunsKnown, unlistedTasks, orphansLeft and the teams' maxUnlistedUse.
+// checkEarlierRuns updates earlierRunsKnown, unlistedRunsEnded, unlistedTasks, orphansLeft and the teams' maxUnlistedUse.
 func (s *Scheduler) checkEarlierRuns() {
 	s.earlierLeasesOver = s.earlierLeasesOver || !s.successorPossible && s.now >= s.cfg.EarlierRunsEndBy
 	if s.earlierRunsKnown && len(s.unlistedTasks) == 0 && !s.orphansLeft {
 		return
 	}
 	knownBefore := s.earlierRunsKnown
-	s.earlierRunsKnown, s.orphansLeft = true, false
+	s.earlierRunsKnown, s.unlistedRunsEnded, s.orphansLeft = true, true, false
+	s.earlierRunsKnownAt = 0
 	silentTargets := 0
 	var unlistedCapacity cyclamendyke.Resources
 	s.unlistedTasks = map[cyclamendyke.TaskName]bool{}
 	for _, t := range s.targets {
 		t.earlierLeaseOver = s.isEarlierLeaseOver(t)
-		switch {
-		case !s.mayHaveUnlistedRuns(t):
-			if t.expired || len(t.orphans) == 0 {
-				t.earlierRuns = nil
-			}
-			s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
-		case t.earlierRunsComplete || t.earlierLeaseOver:
+		if !s.mayHaveUnlistedRuns(t) {
+			s.forgetEarlierRuns(t)
+			continue
+		}
+		if !s.earlierRunsListed(t) {
+			s.earlierRunsKnown = false
+			s.earlierRunsKnownAt = max(s.earlierRunsKnownAt, s.earlierRunsEndBy(t))
+		}
+		if t.earlierRunsComplete || t.earlierLeaseOver {
 			silentTargets++
 			s.addUnlistedTasks(t)
-		default:
-			s.earlierRunsKnown = false
-			unlistedCapacity = unlistedCapacity.Add(t.largestCapacity)
+			continue
 		}
+		s.earlierRunsKnown, s.unlistedRunsEnded = false, false
+		unlistedCapacity = unlistedCapacity.Add(t.largestCapacity)
 	}
 	s.updateMaxUnlistedUse(unlistedCapacity)
 	if !s.earlierRunsKnown || knownBefore {
@@ -54,6 +57,19 @@
 	})
 }
 
+// forgetEarlierRuns forgets the runs of earlier epochs on a target that has told what is left of them.
+func (s *Scheduler) forgetEarlierRuns(t *target) {
+	if t.expired || len(t.orphans) == 0 {
+		t.earlierRuns = nil
+	}
+	s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
+}
+
+// earlierRunsListed reports whether all tasks are listed that may be done on a target without an answer.
+func (s *Scheduler) earlierRunsListed(t *target) bool {
+	return t.earlierRunsComplete || !t.wasUsed || t.presumedGone() || s.hasLapsingRun(t)
+}
+
 // addUnlistedTasks adds the tasks that wait for a target to answer.
 func (s *Scheduler) addUnlistedTasks(t *target) {
 	for _, r := range t.earlierRuns {
@@ -136,8 +152,7 @@
 	return step != nil && !step.job.state.IsFinal() && !step.spec.LongRunning && !step.spec.Speculative && !step.tasks[r.task.Index].done
 }
 
-// lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends. Then all runs
-// on that target are known to have lapsed, and ends before that count for nothing.
+// lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends.
 func (s *Scheduler) lapsesOnTarget(t *target, r earlierRun) bool {
 	step := s.findStep(r.task)
 	if r.worksUntil == 0 || step == nil {
@@ -148,6 +163,10 @@
 
 // mayHoldDoneTasks reports whether an end that only a target knows may still count.
 func (s *Scheduler) mayHoldDoneTasks(t *target) bool {
-	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) &&
-		!slices.ContainsFunc(t.earlierRuns, func(r earlierRun) bool { return s.lapsesOnTarget(t, r) })
+	return slices.ContainsFunc(t.earlierRuns, s.mayBeDone) && !s.hasLapsingRun(t)
+}
+
+// outlivesEnds reports whether the step's tasks may start again although an end that is not known says that they are done.
+func (step *stepRun) outlivesEnds() bool {
+	return step.spec.LongRunning || step.spec.Speculative
 }
--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // FinalListTimes bounds when a final list was taken, on this process's clock.
@@ -67,7 +68,7 @@
 		return FinalListSummary{}, NewError("final list", cyclamendyke.KindInvalid, err)
 	}
 	endOf := func(leftMillis int64) time.Duration {
-		return max(1, taken.NotAfter+time.Duration(leftMillis)*time.Millisecond+leaseMargin)
+		return max(1, taken.NotAfter+time.Duration(leftMillis)*time.Millisecond+lease.Margin)
 	}
 	s.addListedCrashes(list.Crashes)
 	if len(list.Targets) == 0 {
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	"cyclamendyke"
 )
@@ -47,6 +46,7 @@
 	t := s.targets[id]
 	if t.info.StartedMillis == known.Target.StartedMillis {
 		t.largestCapacity = t.largestCapacity.Max(known.Target.Capacity)
+		t.wasUsed = true
 	}
 	t.wasDraining = known.Draining && t.info.StartedMillis == known.Target.StartedMillis
 	if revision != 0 {
@@ -98,35 +98,6 @@
 	return isSilent && (s.successorPossible || s.now < s.earlierRunsEndBy(t))
 }
 
-// earlierRunsEndBy returns when runs of earlier epochs count as ended on a target that has not answered.
-//
-// A task that is stored as started there may be done already, with an end that only the target knows. If it
-// started again when the lease ends, it could run twice, so such a target gets the longest lease again to come
-// back. Only those tasks wait for it.
-func (s *Scheduler) earlierRunsEndBy(t *target) time.Duration {
-	if t.presumedGone() || !s.mayHoldDoneTasks(t) {
-		return s.earlierLeaseEnd(t)
-	}
-	return s.earlierLeaseEnd(t) + s.cfg.Bounds.MaxLease
-}
-
-// earlierLeaseEnd returns when all leases that earlier epochs granted on a target are over.
-func (s *Scheduler) earlierLeaseEnd(t *target) time.Duration {
-	if t.finalListLeaseEnd != 0 {
-		return t.finalListLeaseEnd
-	}
-	return s.cfg.EarlierRunsEndBy
-}
-
-// isEarlierLeaseOver reports whether nothing that an earlier epoch started still runs on a target that has
-// not answered.
-func (s *Scheduler) isEarlierLeaseOver(t *target) bool {
-	if t.finalListLeaseEnd == 0 {
-		return s.earlierLeasesOver
-	}
-	return t.earlierLeaseOver || !s.successorPossible && s.now >= t.finalListLeaseEnd
-}
-
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
 func (s *Scheduler) HasKnownTargetChanges() bool {
 	if !s.knownTargetsDirty {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -36,7 +36,7 @@
 		s.moveLagging(step)
 		return nil
 	}
-	if step.job.inherited && !s.earlierRunsKnown {
+	if step.job.inherited && !s.earlierRunsKnown && (!s.unlistedRunsEnded || !step.outlivesEnds()) {
 		step.enterPhase(s.now, phaseTakeover)
 		s.wantAdviceInTakeover(step, queue, len(waiting))
 		return nil
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -8,14 +8,11 @@
 
 // The timing of renewals.
 const (
-	renewWait       = 2 * time.Second                  // How long a target may wait for a run to end before it answers.
+	renewWait       = time.Second                      // How long a target may wait for a run to end before it answers.
 	servingWait     = 500 * time.Millisecond           // Replaces renewWait where fillers run beside serving tasks, whose latency must be seen sooner.
 	renewRetryDelay = 250 * time.Millisecond           // Pause after a failed renewal.
 	unstoredDelay   = 150 * time.Millisecond           // Pause while ends wait to be stored; the target answers at once until they are acknowledged.
 	maxAnswerAge    = renewWait + 700*time.Millisecond // A target whose last answer is older gets no new runs.
-	minClockRate    = 0.98                             // Slowest rate at which a target's clock may run.
-	leaseMargin     = 200 * time.Millisecond           // Added to the computed end of a lease before its runs count as ended.
-	leaseFraction   = 0.85                             // Fraction of Bounds.MaxLease that is granted.
 )
 
 // renewAll emits the renewals that are due.
@@ -50,8 +47,7 @@
 	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndStored, Wait: wait}
 	// The lease of a target that does not answer must be able to expire.
 	if t.listed && !t.renewFailed {
-		renewal.Until = s.newLeaseEnd(t)
-		t.leaseUntil = max(t.leaseUntil, renewal.Until)
+		renewal.Until = s.grantLease(t)
 	}
 	return renewal
 }
@@ -95,10 +91,9 @@
 	}
 	t.info.StartedMillis = max(t.info.StartedMillis, listing.StartedMillis)
 	if !t.listed {
-		t.listed = true
+		t.listed, s.lastListedAt = true, s.now
 		s.runListStale = s.runListStale || len(t.earlierRuns) > 0
-		// An earlier epoch may have granted its longest lease right before this answer.
-		t.leaseUntil = max(t.leaseUntil, listing.Clock+LongestLease(s.cfg.Bounds))
+		t.leaseUntil = max(t.leaseUntil, listing.Clock+s.earlierLeaseLeft(t))
 		s.logTarget(info.ID, "listed")
 		s.addressTaken(t.info)
 	}
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // runList is what is stored of all runs, so that the next epoch knows what may run or be done on targets
@@ -53,7 +54,7 @@
 
 // runConfirmed notes that a run has begun. The list of runs says so only if it certainly outlasts a lease.
 func (s *Scheduler) runConfirmed(r *run) {
-	if r.worksUntil() > s.now+LongestLease(s.cfg.Bounds) {
+	if r.worksUntil() > s.now+lease.Longest(s.cfg.Bounds.MaxLease) {
 		s.runListDirty = true
 	}
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -8,15 +8,17 @@
 	"cyclamendyke/core/advice"
 	"cyclamendyke/core/forecast"
 	"cyclamendyke/core/invariant"
+	"cyclamendyke/core/lease"
 )
 
 // Config configures a Scheduler.
 type Config struct {
 	Epoch           uint64
 	ElectedRevision cyclamendyke.Revision // Store revision at which this epoch began.
+	ClaimedAt       time.Duration         // When the claim that began it was sent.
 	Bounds          cyclamendyke.Bounds
 	// EarlierRunsEndBy is the time by which the leases that earlier epochs granted are over on every target
-	// that has not answered this epoch, unless a final list says more. Tasks that may be done there wait longer.
+	// that has not answered this epoch, unless it is known to be sooner. Tasks that may be done there wait longer.
 	EarlierRunsEndBy time.Duration
 	LogDecision      func(Decision)
 
@@ -48,9 +50,13 @@
 	forgetAt           time.Duration // When endedJobs is next searched for workflows to forget.
 	dirty              []*job        // Workflows whose progress must be stored.
 	lastRunNumber      int64
-	successorPossible  bool    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
-	superseded         bool    // A target has refused a request because it knows a later epoch.
-	startRepeatTokens  float64 // How many start orders may be repeated.
+	leases             *lease.Ledger
+	leasesStated       bool                                    // This epoch has taken a statement about its leases.
+	lastListedAt       time.Duration                           // When a target last answered this epoch for the first time; before that, when the first one was added.
+	silentLeaseEnds    map[cyclamendyke.TargetID]time.Duration // When leases of earlier epochs are over on targets that were silent for them.
+	successorPossible  bool                                    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
+	superseded         bool                                    // A target has refused a request because it knows a later epoch.
+	startRepeatTokens  float64                                 // How many start orders may be repeated.
 	commands           []Command
 	forecasts          map[cyclamendyke.ServiceName]*forecast.Forecast
 	estimateErrors     map[cyclamendyke.QueueName]*forecast.EstimateError
@@ -63,7 +69,9 @@
 	knownRecords       map[cyclamendyke.TargetID]*knownRecord
 	knownTargetsDirty  bool                           // Some of knownRecords may be dirty.
 	unlistedTasks      map[cyclamendyke.TaskName]bool // Tasks that may still run, or be done, on targets that have not answered.
-	earlierRunsKnown   bool                           // Runs left from earlier epochs are all reported by their targets or in unlistedTasks.
+	earlierRunsKnown   bool                           // Runs left from earlier epochs, and their ends, are all reported by their targets or in unlistedTasks.
+	earlierRunsKnownAt time.Duration                  // When earlierRunsKnown is expected at the latest.
+	unlistedRunsEnded  bool                           // Runs left from earlier epochs are; there may be more ends.
 	earlierLeasesOver  bool                           // EarlierRunsEndBy has come while no successor was possible.
 	silences           []silence                      // Targets that do not answer, or ended so.
 	unexplainedCrashes map[string]unexplainedCrash    // By address: the last crash of a machine.
@@ -91,8 +99,9 @@
 	if cfg.RecordViolation == nil {
 		cfg.RecordViolation = func(invariant.Name, string) {}
 	}
-	return &Scheduler{
+	s := &Scheduler{
 		cfg:                cfg,
+		silentLeaseEnds:    map[cyclamendyke.TargetID]time.Duration{},
 		queues:             map[cyclamendyke.QueueName]*cyclamendyke.Queue{},
 		learntQueues:       map[cyclamendyke.QueueName]time.Time{},
 		teams:              map[cyclamendyke.TeamName]*team{},
@@ -115,6 +124,8 @@
 		startRepeatTokens:  startRepeatBurst,
 		estimateErrors:     map[cyclamendyke.QueueName]*forecast.EstimateError{},
 	}
+	s.leases = s.newLedger(nil)
+	return s
 }
 
 // runsPerEpoch is the number of run numbers set aside for each epoch, so that they increase across
@@ -167,6 +178,7 @@
 	s.updateStaleServices()
 	s.indexUsable()
 	s.checkTargets()
+	s.updateSilent()
 	s.checkTrials()
 	s.updateLagging()
 	s.resetRoomIndex()
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -27,8 +27,7 @@
 	queue := step.job.queue(s)
 	ticket, _ := step.ticket(queue, t, s.now)
 	s.useTicket(step, t.info.ID)
-	until := s.newLeaseEnd(t)
-	t.leaseUntil = max(t.leaseUntil, until)
+	until := s.grantLease(t)
 	step.unplacedReason = ""
 	s.cfg.LogDecision(Decision{
 		Event: EventPlaced, Workflow: step.job.spec.ID, Task: r.taskName().String(), Target: t.info.ID, Run: number,
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -1,9 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // target is a target VM with its runs and the lease it holds.
@@ -29,6 +31,8 @@
 	clock       time.Duration // Last reading of the target's clock.
 	clockReadAt time.Duration // When the answer with that reading arrived.
 	leaseUntil  time.Duration // Latest end of any lease it may hold, on its own clock.
+	grantedEnd  time.Duration // Latest end of the leases that this epoch has granted to its present incarnation, on its own clock.
+	addedAt     time.Duration // When this epoch first knew of it.
 
 	runs          map[runKey]*run
 	used          cyclamendyke.Resources
@@ -58,9 +62,11 @@
 // earlierEpochs is what earlier epochs may have left on a target.
 type earlierEpochs struct {
 	wasDraining         bool // It was draining in an earlier epoch.
+	wasUsed             bool // An earlier epoch may have started something on its present incarnation.
 	earlierRunsComplete bool // earlierRuns names every task that an earlier epoch may have left here.
 	earlierRuns         []earlierRun
 	finalListLeaseEnd   time.Duration // When leases that earlier epochs granted here are over by the last one's final list; zero without one.
+	lateOrdersEnd       time.Duration // Until when an order for an earlier incarnation may run on this one, which has not answered; zero if there is none.
 	earlierLeaseOver    bool          // Leases that earlier epochs granted here are over, and no successor can have renewed them.
 }
 
@@ -133,8 +139,8 @@
 	if !t.listed {
 		return s.earlierRunsEndBy(t)
 	}
-	left := time.Duration(float64(t.leaseUntil-t.clock) / minClockRate)
-	return max(t.clockReadAt+left+leaseMargin, t.announcedRunsEnd)
+	left := time.Duration(float64(t.leaseUntil-t.clock) / lease.MinClockRate)
+	return max(t.clockReadAt+left+lease.Margin, t.announcedRunsEnd)
 }
 
 // runsEndBy returns when the runs on a target that does not answer count as ended, so that their tasks
@@ -142,7 +148,7 @@
 //
 // A run that was still working when the lease ended was killed then. One that had ended before may be
 // done, and a target without any other run does not tell that its lease has ended, so that the end would
-// count when the target is back. Such a target gets as long again as the longest lease to come back.
+// count when the target is back. Such a target gets returnTime to come back.
 func (s *Scheduler) runsEndBy(t *target) time.Duration {
 	leaseEnd := s.leaseEnd(t)
 	if !t.listed || len(t.runs) == 0 || t.presumedGone() {
@@ -153,7 +159,7 @@
 			return leaseEnd
 		}
 	}
-	return leaseEnd + s.cfg.Bounds.MaxLease
+	return leaseEnd + returnTime(s.cfg.Bounds)
 }
 
 // presumedGone reports whether the target's description was removed after it began to drain, so that it is
@@ -162,17 +168,6 @@
 	return !t.registered && (t.info.Draining || t.wasDraining)
 }
 
-// LongestLease returns the longest time for which a granted lease can last, allowing for the
-// slowest target clock.
-func LongestLease(bounds cyclamendyke.Bounds) time.Duration {
-	return time.Duration(leaseFraction * float64(bounds.MaxLease) / minClockRate)
-}
-
-// newLeaseEnd returns the end of a lease granted now, on the target's clock.
-func (s *Scheduler) newLeaseEnd(t *target) time.Duration {
-	return t.clockNow(s.now) + time.Duration(leaseFraction*float64(s.cfg.Bounds.MaxLease))
-}
-
 // UpdateTarget adds or updates a target from its description in the store. A description proves nothing of what runs
 // on the target, or on another one with its address: what ends an incarnation is an answer of the one that follows.
 //
@@ -200,8 +195,9 @@
 }
 
 func (s *Scheduler) addTarget(info cyclamendyke.Target) *target {
-	t := &target{closed: true, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
+	t := &target{closed: true, addedAt: s.now, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
 	s.targets[info.ID] = t
+	s.lastListedAt = cmp.Or(s.lastListedAt, s.now)
 	s.targetChanged(info.ID)
 	s.logTarget(info.ID, "new at "+info.Address)
 	return t
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // announce notes that the store describes a later incarnation of a target, which is asked for its listing.
@@ -16,7 +17,7 @@
 	if t.announced == nil || isLater(info, *t.announced) {
 		s.logTarget(info.ID, "a later incarnation is described in the store")
 		t.probeAt = s.now
-		t.earlierRunsComplete, t.finalListLeaseEnd = false, 0 // What earlier epochs have left on it is not known.
+		s.doubtIncarnation(t)
 		if len(t.runs) > 0 {
 			t.announcedRunsEnd = s.now + s.longestForeignLease()
 		}
@@ -31,7 +32,7 @@
 // longestForeignLease returns the longest time for which a target may hold a lease that was computed for the clock of
 // another incarnation: the target cuts it to the longest that it grants.
 func (s *Scheduler) longestForeignLease() time.Duration {
-	return time.Duration(float64(s.cfg.Bounds.MaxLease)/minClockRate) + leaseMargin
+	return time.Duration(float64(s.cfg.Bounds.MaxLease)/lease.MinClockRate) + lease.Margin
 }
 
 // probeAnnounced asks an announced incarnation for its listing. It grants no lease, since its clock is not known.
@@ -95,7 +96,7 @@
 	t.ended, t.silentRuns, t.trial = false, nil, nil
 	t.listed, t.reconciled, t.expired = false, false, false
 	t.earlierEpochs = earlierEpochs{}
-	t.clock, t.clockReadAt, t.rejectsAt = 0, 0, 0
+	t.clock, t.clockReadAt, t.grantedEnd, t.rejectsAt = 0, 0, 0, 0
 	t.reportedEnds = reportedEnds{}
 	t.orphans = map[runKey]bool{}
 	t.failures, t.fillerPace, t.mayLeaveAt, t.lagsUntil = 0, fullPace, 0, 0
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -47,7 +47,7 @@
 // step is urgent, it does so only once that wait is expected to end within adviceLead: earlier tickets would
 // lapse.
 func (s *Scheduler) wantAdviceInTakeover(step *stepRun, queue *cyclamendyke.Queue, waiting int) {
-	if queue.Priority == 0 || queue.Advice != nil && s.now+adviceLead(queue) >= s.cfg.EarlierRunsEndBy {
+	if queue.Priority == 0 || queue.Advice != nil && s.now+adviceLead(queue) >= s.earlierRunsKnownAt {
 		s.wantInitialAdvice(step, queue, waiting)
 	}
 }
--- a/io/member/client.go
+++ b/io/member/client.go
@@ -157,6 +157,11 @@
 	return err
 }
 
+// LeaseSightings asks the member at an address when it has seen what the store says of leases on targets.
+func (c *Client) LeaseSightings(ctx context.Context, address string, request LeaseSightingsRequest) (LeaseSightings, error) {
+	return call[LeaseSightingsRequest, LeaseSightings](ctx, c, connKey{address, classFinal}, methodLeaseSightings, request)
+}
+
 // FinalList asks the last scheduler at an address for its final list; KindInvalid means that it is of a version
 // without one.
 func (c *Client) FinalList(ctx context.Context, address string, request FinalListRequest) (FinalList, error) {
--- a/io/member/server.go
+++ b/io/member/server.go
@@ -26,6 +26,7 @@
 	methodReportOutcomes  = "carried"
 	methodFinalList       = "final-list"
 	methodOperators       = "operators"
+	methodLeaseSightings  = "lease-sightings"
 )
 
 // maxConcurrentCalls limits the calls that are handled concurrently on one connection.
@@ -76,6 +77,8 @@
 	ReportOutcomes(ctx context.Context, outcomes Outcomes) error
 	// FinalList ends an earlier term and returns its final list, or KindNotFound.
 	FinalList(ctx context.Context, request FinalListRequest) (FinalList, error)
+	// LeaseSightings returns when this member has seen what the store says of leases on targets.
+	LeaseSightings(ctx context.Context, request LeaseSightingsRequest) (LeaseSightings, error)
 	// Operators returns this member's copy of what operators have written, or KindNotFound.
 	Operators(ctx context.Context, request OperatorsRequest) (OperatorsCopy, error)
 }
@@ -138,6 +141,7 @@
 		methodExecuteOrders:   rpcHandlerNoResult(h.ExecuteOrders),
 		methodReportOutcomes:  rpcHandlerNoResult(h.ReportOutcomes),
 		methodFinalList:       rpcHandler(h.FinalList),
+		methodLeaseSightings:  rpcHandler(h.LeaseSightings),
 		methodOperators:       rpcHandler(h.Operators),
 	}
 	go func() {
--- a/node/directory.go
+++ b/node/directory.go
@@ -20,7 +20,6 @@
 type schedulerRecord struct {
 	memberRecord
 	Epoch             uint64 `json:"epoch"`
-	PredecessorsEnded bool   `json:"predecessors-ended,omitempty"` // No earlier scheduler acts any more.
 	KeepsReservations bool   `json:"keeps-reservations,omitempty"` // It does not start work that is reserved for a later one, as earlier versions would.
 }
 
@@ -35,9 +34,9 @@
 	lastSchedulers    [2]schedulerRecord    // Of the latest epochs seen, also after their records were removed; latest first.
 	epoch             uint64
 	epochRevision     cyclamendyke.Revision // Revision of the key that holds the epoch.
-	resignation       epochRecord           // The last epoch whose scheduler stepped down.
-	changed           chan struct{}         // Wakes the election loop.
-	storeFailing      atomic.Bool           // The last call to the store failed.
+	leases            leaseView
+	changed           chan struct{} // Wakes the election loop.
+	storeFailing      atomic.Bool   // The last call to the store failed.
 }
 
 // view is a consistent copy of the directory without its members.
@@ -47,7 +46,7 @@
 	schedulerRevision cyclamendyke.Revision
 	epoch             uint64
 	epochRevision     cyclamendyke.Revision
-	resignation       epochRecord
+	leases            leaseView
 }
 
 // schedulerEpoch returns the epoch of the present scheduler, or the last one if there is none.
@@ -58,16 +57,10 @@
 	return v.scheduler.Epoch
 }
 
-// epochRecord is an epoch and the revision of the key that holds it.
-type epochRecord struct {
-	epoch    uint64
-	revision cyclamendyke.Revision
-}
-
 func (d *directory) view() view {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return view{d.loaded, d.scheduler, d.schedulerRevision, d.epoch, d.epochRevision, d.resignation}
+	return view{d.loaded, d.scheduler, d.schedulerRevision, d.epoch, d.epochRevision, d.leases}
 }
 
 // lastScheduler returns the scheduler of the latest epoch whose record was seen, also if it was removed since.
@@ -164,11 +157,8 @@
 		if d.decode(entry, &epoch) && epoch >= d.epoch {
 			d.epoch, d.epochRevision = epoch, entry.Revision
 		}
-	case resignationKey:
-		var epoch uint64
-		if d.decode(entry, &epoch) && entry.Revision > d.resignation.revision {
-			d.resignation = epochRecord{epoch, entry.Revision}
-		}
+	case leaseRoundKey, leaseSilentKey, leaseEpochKey:
+		d.applyLeases(entry)
 	default:
 		if name, ok := strings.CutPrefix(entry.Key, membersPrefix); ok {
 			d.applyMember(cyclamendyke.MemberName(name), entry)
--- a/node/election.go
+++ b/node/election.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // electionCheckInterval is how often a process checks for a scheduler when no change wakes it.
@@ -47,11 +48,12 @@
 
 // electionResult describes a won election.
 type electionResult struct {
-	epoch             uint64
-	revision          cyclamendyke.Revision // Revision of the epoch's key.
-	lease             cyclamendyke.LeaseID  // To which the scheduler's record is attached.
-	requestedAt       time.Duration         // When the winning commit was sent.
-	predecessorsEnded bool                  // No earlier scheduler acts any more.
+	epoch            uint64
+	revision         cyclamendyke.Revision // Revision of the epoch's key.
+	lease            cyclamendyke.LeaseID  // To which the scheduler's record is attached.
+	requestedAt      time.Duration         // When the winning commit was sent.
+	areLeasesBounded bool                  // All earlier schedulers have bounded their leases by what they store.
+	leases           leaseView             // What the store said of leases right before.
 }
 
 // elect tries to take the scheduler role if there is no scheduler, or if the scheduler's record has
@@ -114,9 +116,10 @@
 	return min(maxYieldDelay, yieldDelay+yieldStoreCalls*n.session.lastRenewalTook())
 }
 
-// claimRole writes this process's scheduler record and the next epoch in one commit.
-func (n *Node) claimRole(v view, lease cyclamendyke.LeaseID) (electionResult, error) {
-	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, PredecessorsEnded: v.predecessorsEnded(), KeepsReservations: true}
+// claimRole writes this process's scheduler record, the next epoch and its first round of leases in one commit, provided
+// that nothing was stored about leases that this process has not seen.
+func (n *Node) claimRole(v view, storeLease cyclamendyke.LeaseID) (electionResult, error) {
+	record := schedulerRecord{memberRecord: n.ownRecord(), Epoch: v.epoch + 1, KeepsReservations: true}
 	value, err := json.Marshal(record)
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
@@ -125,14 +128,27 @@
 	if err != nil {
 		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
 	}
-	n.lastClaim = roleClaim{epoch: record.Epoch, lease: lease, requestedAt: bootTime(), predecessorsEnded: record.PredecessorsEnded}
+	round, err := json.Marshal(lease.Round{Epoch: record.Epoch})
+	if err != nil {
+		return electionResult{}, NewError("elect", cyclamendyke.KindInvalid, err)
+	}
+	areBounded := v.epoch == 0 || v.leases.epoch == v.epoch
+	n.lastClaim = roleClaim{epoch: record.Epoch, lease: storeLease, requestedAt: bootTime(), areLeasesBounded: areBounded, leases: v.leases}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
 	n.wg.Go(func() { n.cancelOnceElected(ctx, cancel, record.Epoch) })
-	revision, current, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{Puts: []cyclamendyke.Put{
-		{Key: schedulerKey, Value: value, Lease: lease, Expected: v.schedulerRevision},
-		{Key: epochKey, Value: epoch, Expected: v.epochRevision},
-	}})
+	batch := cyclamendyke.Batch{
+		Puts: []cyclamendyke.Put{
+			{Key: schedulerKey, Value: value, Lease: storeLease, Expected: v.schedulerRevision},
+			{Key: epochKey, Value: epoch, Expected: v.epochRevision},
+			{Key: leaseRoundKey, Value: round, Expected: v.leases.roundRevision},
+		},
+		Guards: []cyclamendyke.Guard{{Key: leaseSilentKey, Expected: v.leases.silentRevision}},
+	}
+	if areBounded {
+		batch.Puts = append(batch.Puts, cyclamendyke.Put{Key: leaseEpochKey, Value: epoch, Always: true})
+	}
+	revision, current, err := n.cfg.Store.Commit(ctx, batch)
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindConflict {
 		n.dir.apply(current)
 	}
@@ -142,6 +158,7 @@
 	n.dir.apply([]cyclamendyke.Entry{
 		{Key: schedulerKey, Value: value, Revision: revision},
 		{Key: epochKey, Value: epoch, Revision: revision},
+		{Key: leaseRoundKey, Value: round, Revision: revision},
 	})
 	n.cfg.Log.Info("elected", "epoch", record.Epoch, "revision", revision)
 	election := n.lastClaim.result(revision)
--- a/node/handover.go
+++ b/node/handover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"cyclamendyke"
@@ -43,42 +42,22 @@
 	}
 	state.strongerSince, state.notBefore = 0, now+minHandoverInterval
 	t.end("handing over to a stronger member")
-	n.stepDown(t)
+	n.stepDown()
 }
 
-// stepDown releases the role of an ended term and, if no earlier scheduler acts any more, records the
-// resignation, so that the next scheduler need not wait out any grace period.
-func (n *Node) stepDown(t *term) {
-	value, err := json.Marshal(t.epoch)
-	if err != nil {
-		n.cfg.Log.Error("cannot encode resignation", "epoch", t.epoch, "err", err)
-		return
-	}
+// stepDown releases the role of an ended term.
+func (n *Node) stepDown() {
 	v := n.dir.view()
-	var batch cyclamendyke.Batch
-	if t.predecessorsEnded.Load() {
-		batch.Puts = []cyclamendyke.Put{{Key: resignationKey, Value: value, Expected: v.resignation.revision}}
-	}
-	isScheduler := v.scheduler != nil && v.scheduler.Name == n.cfg.Settings.Node
-	if isScheduler {
-		batch.Deletes = []cyclamendyke.Guard{{Key: schedulerKey, Expected: v.schedulerRevision}}
-	}
-	if batch.Entries() == 0 {
+	if v.scheduler == nil || v.scheduler.Name != n.cfg.Settings.Node {
 		return
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, storeTimeout)
 	defer cancel()
-	revision, _, err := n.cfg.Store.Commit(ctx, batch)
+	deletion := cyclamendyke.Guard{Key: schedulerKey, Expected: v.schedulerRevision}
+	revision, _, err := n.cfg.Store.Commit(ctx, cyclamendyke.Batch{Deletes: []cyclamendyke.Guard{deletion}})
 	if err != nil {
-		n.cfg.Log.Warn("cannot write resignation", "epoch", t.epoch, "err", err)
+		n.cfg.Log.Warn("cannot release the role", "err", err)
 		return
 	}
-	var changes []cyclamendyke.Entry
-	if len(batch.Puts) > 0 {
-		changes = append(changes, cyclamendyke.Entry{Key: resignationKey, Value: value, Revision: revision})
-	}
-	if isScheduler {
-		changes = append(changes, cyclamendyke.Entry{Key: schedulerKey, Deleted: true, Revision: revision})
-	}
-	n.dir.apply(changes)
+	n.dir.apply([]cyclamendyke.Entry{{Key: schedulerKey, Deleted: true, Revision: revision}})
 }
--- a/node/keys.go
+++ b/node/keys.go
@@ -11,8 +11,10 @@
 const (
 	systemPrefix       = "system/" // Watched by every member.
 	schedulerKey       = systemPrefix + "scheduler"
-	epochKey           = systemPrefix + "epoch"    // Not bound to a lease; never decreases.
-	resignationKey     = systemPrefix + "resigned" // The last epoch whose scheduler stepped down.
+	epochKey           = systemPrefix + "epoch"         // Not bound to a lease; never decreases.
+	leaseRoundKey      = systemPrefix + "leases/round"  // The last round in which a scheduler has confirmed that it grants leases.
+	leaseSilentKey     = systemPrefix + "leases/silent" // The targets on which none is granted.
+	leaseEpochKey      = systemPrefix + "leases/epoch"  // The epoch of the last scheduler that stores the above, if all before it did.
 	membersPrefix      = systemPrefix + "members/"
 	workPrefix         = "work/" // Followed by the workflow's identifier.
 	cancelSuffix       = "/cancel"
--- a/node/load.go
+++ b/node/load.go
@@ -94,6 +94,8 @@
 	t.sched.SetTargetsAsOf(snapshot.readAt)
 	t.addKnownTargets(snapshot.knownTargets)
 	t.loadRunList(snapshot.runList)
+	t.sched.SetStoredSilent(t.election.leases.silent)
+	t.limitEarlierLeases()
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
 	for _, change := range t.deferred {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,8 @@
 	UnstoredEnds prometheus.Gauge
 	// RunListBytes is the length of the list of runs that this scheduler stored last.
 	RunListBytes prometheus.Gauge
+	// SilentTargets is the number of targets on which the scheduler grants no lease because they do not answer.
+	SilentTargets prometheus.Gauge
 	// UnusableTargets is the number of entries among the descriptions of targets that name no usable target.
 	UnusableTargets prometheus.Gauge
 	// FinalLists counts the final lists of last schedulers that this process asked for, by outcome.
@@ -107,6 +109,10 @@
 		RunListBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_run_list_bytes", Help: "Length of the list of runs that this scheduler stored last.",
 		}),
+		SilentTargets: prometheus.NewGauge(prometheus.GaugeOpts{
+			Namespace: "cyclamendyke", Subsystem: "fleet", Name: "silent_targets",
+			Help: "Targets on which the scheduler grants no lease because they do not answer.",
+		}),
 		UnusableTargets: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_unusable_targets", Help: "Entries among the descriptions of targets that name no usable target.",
 		}),
@@ -135,7 +141,7 @@
 			Name: "cyclamendyke_fleet_advice_backlog", Help: "Steps that wait for a member to make their request for advice.",
 		}),
 	}
-	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.UnusableTargets,
+	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.SilentTargets, m.UnusableTargets,
 		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
 	m.ConfigVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "cyclamendyke_fleet_config_version", Help: "Version of the configuration in force.",
--- a/node/node.go
+++ b/node/node.go
@@ -104,7 +104,7 @@
 	}
 	if t := n.term.Load(); t != nil {
 		t.end("leaving")
-		n.stepDown(t)
+		n.stepDown()
 	}
 	n.session.release(n)
 }
--- a/node/roleclaim.go
+++ b/node/roleclaim.go
@@ -10,16 +10,17 @@
 // roleClaim is an attempt to take the scheduler role. Its answer may be lost although it took effect, which
 // the record in the store then shows.
 type roleClaim struct {
-	epoch             uint64
-	lease             cyclamendyke.LeaseID // To which the scheduler's record is attached.
-	requestedAt       time.Duration
-	predecessorsEnded bool // No earlier scheduler acts any more.
+	epoch            uint64
+	lease            cyclamendyke.LeaseID // To which the scheduler's record is attached.
+	requestedAt      time.Duration
+	areLeasesBounded bool      // All earlier schedulers have bounded their leases by what they store.
+	leases           leaseView // What the store says of leases, unless the claim fails.
 }
 
 // result returns the election that the claim won; revision is that of the epoch's key.
 func (c roleClaim) result(revision cyclamendyke.Revision) electionResult {
 	return electionResult{
-		epoch: c.epoch, revision: revision, lease: c.lease, requestedAt: c.requestedAt, predecessorsEnded: c.predecessorsEnded,
+		epoch: c.epoch, revision: revision, lease: c.lease, requestedAt: c.requestedAt, areLeasesBounded: c.areLeasesBounded, leases: c.leases,
 	}
 }
 
--- a/node/term.go
+++ b/node/term.go
@@ -3,24 +3,22 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cyclamendyke"
 	"cyclamendyke/core/dispatch"
+	"cyclamendyke/core/lease"
 	"cyclamendyke/io/member"
 )
 
 // The timing of a term.
 const (
 	// authorityGrace is how long after its lease expires a scheduler may go on running the workflows
-	// that it already has.
+	// that it already has, on targets that have a lease.
 	authorityGrace = 6500 * time.Millisecond
-	// graceMargin separates two terms: a scheduler ends its term this long before its grace period ends,
-	// and its successor assumes that the grace period lasts this much longer.
-	graceMargin  = 500 * time.Millisecond
-	tickInterval = 100 * time.Millisecond // Passes run at least this often.
-	inboxSize    = 4096
+	graceMargin    = 500 * time.Millisecond // A scheduler ends its term this long before its grace period ends.
+	tickInterval   = 100 * time.Millisecond // Passes run at least this often.
+	inboxSize      = 4096
 )
 
 // term is a period in which this process is the scheduler.
@@ -35,8 +33,6 @@
 	endOnce  sync.Once
 	final    *finalList
 
-	predecessorsEnded atomic.Bool // No earlier scheduler acts any more, and the store says so.
-
 	// Only the control goroutine uses the fields below.
 	sched              *dispatch.Scheduler
 	delegator          *delegator
@@ -49,6 +45,8 @@
 	deferred           []func()                         // Changes that wait until the state is loaded.
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
+	sightings          *lease.Sightings                 // Of what the store said of leases when this term began.
+	leaseRevisions     leaseRevisions
 	unusable           map[cyclamendyke.TargetID]bool   // Described targets whose descriptions cannot be used.
 	claiming           map[cyclamendyke.WorkflowID]bool // Workflows that are reserved for a later epoch, until the store says otherwise.
 	lastPassDuration   time.Duration
@@ -63,17 +61,16 @@
 		cancellations: map[cyclamendyke.WorkflowID]bool{}, claiming: map[cyclamendyke.WorkflowID]bool{},
 		unusable: map[cyclamendyke.TargetID]bool{},
 	}
+	t.sightings = election.leases.clone()
+	t.leaseRevisions = leaseRevisions{round: election.revision, silent: election.leases.silentRevision}
 	t.final = &finalList{epoch: t.epoch, ready: make(chan struct{})}
 	bounds := n.cfg.Settings.Bounds
-	grace := authorityGrace
-	if election.predecessorsEnded {
-		grace = 0
-	}
 	t.sched = dispatch.New(dispatch.Config{
 		Epoch:            election.epoch,
 		ElectedRevision:  election.revision,
 		Bounds:           bounds,
-		EarlierRunsEndBy: election.requestedAt + grace + dispatch.LongestLease(bounds) + graceMargin,
+		ClaimedAt:        election.requestedAt,
+		EarlierRunsEndBy: earlierLeasesEnd(bootTime(), bounds.MaxLease, election.areLeasesBounded),
 		LogDecision:      t.logDecision,
 		RecordViolation:  t.logViolation,
 	})
@@ -81,10 +78,9 @@
 	n.term.Store(t)
 	own := n.final.Swap(t.final)
 	n.cfg.Metrics.Terms.Inc()
-	t.predecessorsEnded.Store(election.predecessorsEnded)
 	t.wg.Go(t.loadAndFollow)
 	t.wg.Go(func() { t.askForFinalList(own) })
-	t.wg.Go(t.declarePredecessorsEnded)
+	t.wg.Go(t.askForSightings)
 	n.wg.Go(func() { // Last, since a term that ends at once waits for the others.
 		t.runControlLoop()
 		t.leaveFinalList()
@@ -115,6 +111,7 @@
 	defer tick.Stop()
 	defer t.node.cfg.Metrics.UnstoredEnds.Set(0)
 	defer t.node.cfg.Metrics.RunListBytes.Set(0)
+	defer t.node.cfg.Metrics.SilentTargets.Set(0)
 	defer t.node.cfg.Metrics.UnusableTargets.Set(0)
 	defer t.node.cfg.Metrics.AdviceBacklog.Set(0)
 	for {
@@ -182,6 +179,7 @@
 		t.end("a target reported a later epoch")
 		return
 	}
+	t.storeLeaseStatement()
 	t.commitRecords()
 }
 
