--- a/core/dispatch/crashedrun.go
+++ b/core/dispatch/crashedrun.go
@@ -85,5 +85,7 @@
 
 // earlierCrashedRun describes a run that an earlier epoch may have left on a target.
 func (step *stepRun) earlierCrashedRun(r earlierRun) crashedRun {
-	return crashedRun{step: step, index: step.crashIndex(r.task.Index), most: unknownAge, certain: r.worksUntil != 0}
+	return crashedRun{
+		step: step, index: step.crashIndex(r.task.Index), least: r.worked, most: max(unknownAge, r.worked), certain: r.worksUntil != 0,
+	}
 }
--- a/core/dispatch/crashtakeover_test.go
+++ b/core/dispatch/crashtakeover_test.go
@@ -109,3 +109,30 @@
 	step := sim.sched.findStep(cyclamendyke.TaskName{Workflow: "bad", Step: 1})
 	is.Equal(len(step.crashHistory(0).Crashes), 1)
 }
+
+// TestTasksThatHaveWorkedAreTriedApartAfterTakeover restarts a VM right before a takeover, under tasks that have worked there
+// for a while, so that they need not be tried apart.
+func TestTasksThatHaveWorkedAreTriedApartAfterTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 4)
+	sim.fleet.Teams = nil
+	sim.elect()
+	sim.submit(workflow("lasting", cyclamendyke.Step{Count: 4, Need: cores(1), Estimate: time.Second, LongRunning: true}))
+	sim.run(4 * time.Second)
+	sim.submit(longStep("beside")) // So that the list of runs is stored again.
+	sim.run(time.Second)
+	v := sim.vms["vm-0"]
+	for _, other := range sim.vms {
+		if len(other.runs) > len(v.runs) {
+			v = other
+		}
+	}
+	sim.crash(v)
+	sim.boot(v)
+	sim.elect()
+	sim.run(300 * time.Millisecond) // Less than it takes to try one task after the other apart.
+	for i := range 4 {
+		is.Equal(sim.history[cyclamendyke.TaskName{Workflow: "lasting", Index: i}].running, 1)
+	}
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -14,6 +14,7 @@
 	team       cyclamendyke.TeamName
 	need       cyclamendyke.Resources
 	worksUntil time.Duration // Until when it certainly works, unless an earlier epoch has stopped it since; zero if unknown.
+	worked     time.Duration // How long it is known to have worked.
 	ended      bool          // It had ended when that was stored.
 }
 
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -38,10 +38,11 @@
 }
 
 type runListRun struct {
-	Task       int   `json:"task"`
-	Target     int   `json:"target"`            // Index in runList.Targets.
-	WorkMillis int64 `json:"work-ms,omitempty"` // How long it certainly works on from then.
-	Ended      bool  `json:"ended,omitempty"`   // It has ended, but that is not stored yet.
+	Task         int   `json:"task"`
+	Target       int   `json:"target"`              // Index in runList.Targets.
+	WorkMillis   int64 `json:"work-ms,omitempty"`   // How long it certainly works on from then.
+	WorkedMillis int64 `json:"worked-ms,omitempty"` // How long it is known to have worked.
+	Ended        bool  `json:"ended,omitempty"`     // It has ended, but that is not stored yet.
 }
 
 // The timing of storing the list of runs.
@@ -123,7 +124,7 @@
 	for _, step := range l.Steps {
 		for _, r := range step.Runs {
 			name := cyclamendyke.TaskName{Workflow: step.Workflow, Occurrence: step.Occurrence, Step: step.Step, Index: r.Task}
-			earlier := earlierRun{task: name, team: step.Team, need: step.Need, ended: r.Ended}
+			earlier := earlierRun{task: name, team: step.Team, need: step.Need, ended: r.Ended, worked: time.Duration(r.WorkedMillis) * time.Millisecond}
 			if r.WorkMillis > 0 {
 				earlier.worksUntil = writtenAt + time.Duration(r.WorkMillis)*time.Millisecond
 			}
@@ -164,6 +165,7 @@
 	out := earlierRun{task: r.taskName(), team: r.step.job.spec.Team, need: r.step.spec.Reserved()}
 	if r.state == runRunning {
 		out.worksUntil = r.worksUntil()
+		out.worked = max(0, r.target.answeredAt-r.confirmedAt)
 	}
 	return out
 }
@@ -184,6 +186,7 @@
 	left := min(max(0, r.worksUntil-b.now), maxWorkLeft)
 	step.Runs = append(step.Runs, runListRun{
 		Task: r.task.Index, Target: len(b.list.Targets) - 1, WorkMillis: left.Milliseconds(), Ended: r.ended,
+		WorkedMillis: min(r.worked, maxWorkLeft).Milliseconds(),
 	})
 }
 
