Acknowledge no ends to a target that does not answer, since it may have restarted

Cause: each renewal repeats the number of the last end that is stored. A target that has restarted unnoticed counts its ends anew, takes the number for its own, and forgets an end that nobody has seen.

Change: a request after a failed one acknowledges nothing; the answer to it shows the restart.

The test fails before (1 instead of 0). A restart between two requests that both are answered is still possible, as long as a target restarts in a few milliseconds.

--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -44,7 +44,7 @@
 }
 
 func (s *Scheduler) renewal(t *target, wait time.Duration) cyclamendyke.Renewal {
-	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndStored, Wait: wait}
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.nextAck(), Wait: wait}
 	// The lease of a target that does not answer must be able to expire.
 	if t.listed && !t.renewFailed {
 		renewal.Until = s.grantLease(t)
@@ -68,7 +68,7 @@
 		return
 	}
 	t.listingRequested = true
-	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.lastEndStored}
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.nextAck()}
 	s.emit(RenewCommand{Target: t.info, Renewal: renewal, Immediate: true})
 }
 
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -348,3 +348,18 @@
 	sim.run(5 * time.Second)
 	is.Equal(notified, 1)
 }
+
+// TestRequestToSilentTargetAcknowledgesEnds loses a VM whose ends are acknowledged. It may have restarted, and have other ends
+// under the same numbers.
+func TestRequestToSilentTargetAcknowledgesEnds(t *testing.T) {
+	is := is.New(t)
+	sim := runOneTask(t)
+	sim.run(time.Second)
+	lost := sim.sched.targets["vm-0"]
+	is.Equal(sim.sched.renewal(lost, 0).AckedSequence, int64(1))
+	sim.crash(sim.vms["vm-0"])
+	sim.run(3 * time.Second)
+	is.True(lost.renewFailed)
+	is.Equal(sim.sched.renewal(lost, 0).AckedSequence, int64(0))
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -113,6 +113,15 @@
 	version  int64
 }
 
+// nextAck returns the sequence number of ends to acknowledge in the next request, or zero. While the target does not answer, it
+// may have restarted: its next incarnation, which counts anew, would take it for ends that nobody has seen.
+func (t *target) nextAck() int64 {
+	if t.renewFailed {
+		return 0
+	}
+	return t.lastEndStored
+}
+
 // free returns the capacity that no run has reserved.
 func (t *target) free() cyclamendyke.Resources {
 	return t.info.Capacity.Sub(t.used)
