--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -36,17 +36,18 @@
 			s.forgetEarlierRuns(t)
 			continue
 		}
-		if !s.earlierRunsListed(t) {
+		mayRun := !t.earlierRunsComplete && !t.earlierLeaseOver
+		if mayRun || !s.earlierRunsListed(t) {
 			s.earlierRunsKnown = false
 			s.earlierRunsKnownAt = max(s.earlierRunsKnownAt, s.earlierRunsEndBy(t))
 		}
-		if t.earlierRunsComplete || t.earlierLeaseOver {
-			silentTargets++
-			s.addUnlistedTasks(t)
+		if mayRun {
+			s.unlistedRunsEnded = false
+			unlistedCapacity = unlistedCapacity.Add(t.largestCapacity)
 			continue
 		}
-		s.earlierRunsKnown, s.unlistedRunsEnded = false, false
-		unlistedCapacity = unlistedCapacity.Add(t.largestCapacity)
+		silentTargets++
+		s.addUnlistedTasks(t)
 	}
 	s.updateMaxUnlistedUse(unlistedCapacity)
 	if !s.earlierRunsKnown || knownBefore {
