--- a/node/leasesightings.go
+++ b/node/leasesightings.go
@@ -60,16 +60,16 @@
 
 // The limits of asking members for their sightings.
 const (
-	sightingsTimeout   = 700 * time.Millisecond
-	maxSightingsAsked  = 12
-	sightingsMaxRounds = 2 // Members that have just begun may not be known at first.
+	sightingsTimeout  = 700 * time.Millisecond
+	maxSightingsAsked = 12 // Members.
+	sightingsAttempts = 2  // Members that have just begun may not be known at the first one.
 )
 
 // askForSightings asks other members when they have seen what the store says of leases: one that has been there for
 // longer than this process knows of an earlier end.
 func (t *term) askForSightings() {
 	asked := map[cyclamendyke.MemberName]bool{t.node.cfg.Settings.Node: true}
-	for range sightingsMaxRounds {
+	for range sightingsAttempts {
 		for _, m := range t.node.dir.allMembers() {
 			if !asked[m.Name] && len(asked) <= maxSightingsAsked {
 				asked[m.Name] = true
