--- a/core/lease/ledger.go
+++ b/core/lease/ledger.go
@@ -117,7 +117,7 @@
 
 // GrantEnd returns the latest end of a lease that may be granted on a target, or false if none may be.
 func (l *Ledger) GrantEnd(id cyclamendyke.TargetID) (time.Duration, bool) {
-	return l.grantUntil, l.entries[id] == nil
+	return l.grantUntil, len(l.entries) == 0 || l.entries[id] == nil
 }
 
 // Due reports whether a statement should be stored now.
