review: case 7 also within an epoch, while the store is slow

Cause: reconcile takes a list of 500 ends for complete as well, so that runs whose ends are beyond count as missing. Change: the rig plays the same job under a store that takes 240 ms an answer.

--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -226,13 +226,10 @@
 
 // playEnds kills the daemon that leads while a job of many small tasks runs, and starts it again later.
 func playEnds(g *rig, trouble bool) {
-	g.deploy(endsMinions, manyCores)
-	jobs := g.traffic(300*time.Millisecond, time.Now().Add(3*time.Second))
-	if j := g.submit(submission{Spec: "work 2000", Steps: []step{{Count: endsCount, CPU: endsCPU, Mem: 64, Estimate: 2000}}}); j != nil {
-		jobs = append(jobs, j)
-	}
-	time.Sleep(1500 * time.Millisecond)
-	if trouble {
+	g.playManyTasks(func() {
+		if !trouble {
+			return
+		}
 		leader := g.leader()
 		if leader == nil {
 			g.fail(exitNotRun, "nobody leads")
@@ -241,7 +238,42 @@
 		leader.kill()
 		time.Sleep(3500 * time.Millisecond)
 		g.startNode(leader)
+	})
+}
+
+// The slow store of case slow-ends: its answers take 60 times their 4 ms.
+const (
+	slowAnswer = 240 * time.Millisecond
+	slowFor    = 4500 * time.Millisecond
+)
+
+// playSlowEnds makes the store slow while the same job runs.
+func playSlowEnds(g *rig, trouble bool) {
+	g.playManyTasks(func() {
+		if !trouble {
+			return
+		}
+		g.note("the store is slow")
+		for _, d := range g.nodes {
+			d.store.delay.Store(int64(slowAnswer))
+		}
+		time.Sleep(slowFor)
+		for _, d := range g.nodes {
+			d.store.delay.Store(0)
+		}
+		g.note("the store is as before")
+	})
+}
+
+// playManyTasks hands in a job of many small tasks among small jobs, and calls disrupt while they run.
+func (g *rig) playManyTasks(disrupt func()) {
+	g.deploy(endsMinions, manyCores)
+	jobs := g.traffic(300*time.Millisecond, time.Now().Add(3*time.Second))
+	if j := g.submit(submission{Spec: "work 2000", Steps: []step{{Count: endsCount, CPU: endsCPU, Mem: 64, Estimate: 2000}}}); j != nil {
+		jobs = append(jobs, j)
 	}
+	time.Sleep(1500 * time.Millisecond)
+	disrupt()
 	jobs = append(jobs, g.traffic(300*time.Millisecond, time.Now().Add(8*time.Second))...)
 	g.checkFinished(jobs, 1000)
 }
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -49,12 +49,13 @@
 const maxDuration = 112 * time.Second
 
 var cases = map[string]func(g *rig, trouble bool){
-	"layers": playLayers,
-	"timed":  playTimed,
-	"flap":   playFlap,
-	"reborn": playReborn,
-	"ends":   playEnds,
-	"wide":   playWide,
+	"layers":    playLayers,
+	"timed":     playTimed,
+	"flap":      playFlap,
+	"reborn":    playReborn,
+	"ends":      playEnds,
+	"slow-ends": playSlowEnds,
+	"wide":      playWide,
 }
 
 // The sizes of minions.
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -2,11 +2,8 @@
 
 import (
 	"encoding/json"
-	"io"
-	"math/rand"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"sort"
 	"strconv"
 	"strings"
@@ -76,31 +73,13 @@
 
 // storeFault is how the store treats one entry VM.
 type storeFault struct {
-	mode atomic.Int32
+	delay atomic.Int64 // Of each answer, as a time.Duration.
 }
 
-// The modes of a storeFault.
-const (
-	storeServes int32 = iota
-	storeSilent       // It does not answer, and does nothing.
-	storeBusy         // It answers 503.
-	storeLoses        // It does what it is asked, and some of the answers are lost.
-)
-
 func (f *storeFault) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		switch mode := f.mode.Load(); {
-		case mode == storeSilent:
-			_, _ = io.Copy(io.Discard, r.Body)
-			<-r.Context().Done()
-		case mode == storeBusy:
-			reply(w, 503, map[string]any{})
-		case mode == storeLoses && rand.Float64() < 0.3:
-			next.ServeHTTP(httptest.NewRecorder(), r)
-			<-r.Context().Done()
-		default:
-			next.ServeHTTP(w, r)
-		}
+		time.Sleep(time.Duration(f.delay.Load()))
+		next.ServeHTTP(w, r)
 	})
 }
 
