Compute the paths through a workflow once, in linear time

Cause: criticalPathFrom walked every path through the job, for each step, on the control goroutine.

Change: core/stepgraph computes chains, successors and counts of predecessors once a workflow; occurrences share it, and a step that ends counts down its successors.

--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -145,18 +145,16 @@
 	s.dropClaims(step)
 	s.dropTickets(step)
 	step.learnSpeeds()
+	step.enterPhase(s.now, phaseNone)
 	occ, j := step.occ, step.job
-	occ.stepsDone++
-	if occ.stepsDone < len(occ.steps) {
-		s.releaseSteps(occ)
-		return
-	}
-	for _, other := range j.occurrences {
-		if other.stepsDone < len(other.steps) {
-			return
+	for _, next := range occ.stepDone(step) {
+		if occ.isDue {
+			s.releaseStep(next)
 		}
 	}
-	s.finish(j, cyclamendyke.WorkflowCompleted)
+	if j.completed == len(j.occurrences) {
+		s.finish(j, cyclamendyke.WorkflowCompleted)
+	}
 }
 
 // taskFailed counts a failure, and fails the workflow after the last attempt.
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/stepgraph"
 )
 
 // job is a workflow with its progress.
@@ -11,7 +12,9 @@
 	spec                *cyclamendyke.Workflow
 	acceptedAt          time.Duration // When the workflow was accepted, on this process's clock.
 	inherited           bool          // An earlier epoch may have started some tasks.
+	graph               *stepgraph.Graph
 	occurrences         []*occurrence
+	completed           int // Number of occurrences whose steps are all done.
 	releasedOccurrences int // Number of occurrences released so far.
 	state               cyclamendyke.WorkflowState
 	started             bool                  // A task has started.
@@ -44,6 +47,7 @@
 	age := min(max(0, s.wall.Sub(spec.AcceptedAt)), maxAcceptedAge)
 	j := &job{
 		spec: spec, acceptedAt: s.now - age, inherited: s.mayBeStarted(spec, revision), state: cyclamendyke.WorkflowQueued,
+		graph: stepgraph.New(spec.Steps),
 	}
 	j.overShare = !s.team(spec.Team).takeShareToken(j.acceptedAt)
 	s.jobs[spec.ID] = j
--- a/core/dispatch/phases.go
+++ b/core/dispatch/phases.go
@@ -69,15 +69,6 @@
 	}
 }
 
-// leavePhases ends the phases of the occurrence's steps that are done.
-func (o *occurrence) leavePhases(now time.Duration) {
-	for _, step := range o.steps {
-		if step.tasksDone == len(step.tasks) {
-			step.enterPhase(now, phaseNone)
-		}
-	}
-}
-
 // logPhases logs on what a workflow that has become final spent its time, if it is late.
 func (s *Scheduler) logPhases(j *job) {
 	queue := j.queue(s)
@@ -85,7 +76,7 @@
 		return
 	}
 	age := s.now - j.acceptedAt
-	if age <= s.targetDuration(queue, j.occurrences[0]) {
+	if age <= s.targetDuration(j, queue) {
 		return
 	}
 	for _, step := range j.occurrences[0].steps {
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -42,27 +41,6 @@
 	)
 }
 
-// criticalPathFrom returns the length of the longest chain of estimated work from a step on,
-// including the step.
-func criticalPathFrom(steps []cyclamendyke.Step, from int) time.Duration {
-	longest := time.Duration(0)
-	for i := from + 1; i < len(steps); i++ {
-		if slices.Contains(steps[i].After, from) {
-			longest = max(longest, criticalPathFrom(steps, i))
-		}
-	}
-	return steps[from].Estimate + longest
-}
-
-// criticalPath returns the length of the longest chain of estimated work in a workflow.
-func criticalPath(steps []cyclamendyke.Step) time.Duration {
-	longest := time.Duration(0)
-	for i := range steps {
-		longest = max(longest, criticalPathFrom(steps, i))
-	}
-	return longest
-}
-
 // rank computes the step's rankKey.
 func (s *Scheduler) rank(step *stepRun) {
 	j := step.job
@@ -80,13 +58,13 @@
 		step.haste = -1
 		return
 	}
-	targetDuration := s.targetDuration(queue, step.occ)
-	step.haste = haste(begin+targetDuration-s.now, step.criticalPath)
+	targetDuration, left := s.targetDuration(j, queue), j.graph.PathFrom(step.index)
+	step.haste = haste(begin+targetDuration-s.now, left)
 	step.rankKey = rankKey{
-		useless:   s.now+step.criticalPath > begin+uselessFactor*targetDuration,
+		useless:   s.now+left > begin+uselessFactor*targetDuration,
 		overShare: j.overShare,
 		priority:  queue.Priority,
-		late:      s.now+step.criticalPath > begin+targetDuration,
+		late:      s.now+left > begin+targetDuration,
 		deadline:  begin + targetDuration,
 	}
 }
@@ -105,9 +83,9 @@
 	return max(-1, min(1, (relaxedRatio-ratio)/hasteRange))
 }
 
-// targetDuration returns how long an occurrence that ends by itself may take to be on time.
-func (s *Scheduler) targetDuration(queue *cyclamendyke.Queue, occ *occurrence) time.Duration {
-	duration := queue.BaseTarget + time.Duration(queue.CriticalPathFactor*float64(occ.criticalPath))
+// targetDuration returns how long an occurrence of a workflow that ends by itself may take to be on time.
+func (s *Scheduler) targetDuration(j *job, queue *cyclamendyke.Queue) time.Duration {
+	duration := queue.BaseTarget + time.Duration(queue.CriticalPathFactor*float64(j.graph.CriticalPath()))
 	if queue.Advice != nil {
 		duration += queue.Advice.Base + time.Duration(len(s.targets))*queue.Advice.PerTarget
 	}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -260,6 +260,6 @@
 		}
 	}
 	if step.tasksDone == len(step.tasks) {
-		step.occ.stepsDone++
+		step.occ.stepDone(step)
 	}
 }
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -15,10 +15,9 @@
 	spec           *cyclamendyke.Step
 	tasks          []task
 	tasksDone      int
-	criticalPath   time.Duration // Length of the longest chain of estimated work from this step on.
-	released       bool          // Its occurrence is due and its preceding steps are done.
-	active         bool          // Released, with tasks that are not done.
-	inActiveList   bool          // Present in activeSteps.steps.
+	released       bool // Its occurrence is due and its preceding steps are done.
+	active         bool // Released, with tasks that are not done.
+	inActiveList   bool // Present in activeSteps.steps.
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
 	gangCrashes    crash.History
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -108,8 +107,8 @@
 	if step.remaining(s.now) > adviceLead(queue) {
 		return
 	}
-	for _, next := range step.occ.steps {
-		if !next.released && slices.Contains(next.spec.After, step.index) {
+	for _, index := range step.job.graph.Successors(step.index) {
+		if next := step.occ.steps[index]; !next.released {
 			s.wantInitialAdvice(next, queue, len(next.tasks))
 		}
 	}
