Conclude nothing from what a cut listing leaves out

Cause: a target lists at most 500 ends that are not acknowledged, and that counted as all of them: as an epoch's complete first listing, and as proof that a run is missing. Ruled out: the list of runs (it named the tasks), the store's pages (they are read to the end).

Change: platform says whether the ends are cut. Until a listing that is not cut has come, what an earlier epoch may have left stays unknown (takeover, stored record, final list, silence); within an epoch a cut listing proves no run missing, stopped, absent or stalled.

--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -36,7 +36,7 @@
 			s.forgetEarlierRuns(t)
 			continue
 		}
-		mayRun := !t.earlierRunsComplete && !t.earlierLeaseOver
+		mayRun := t.hasUnlistedIncarnation() && !t.earlierRunsComplete && !t.earlierLeaseOver
 		if mayRun || !s.earlierRunsListed(t) {
 			s.earlierRunsKnown = false
 			s.earlierRunsKnownAt = max(s.earlierRunsKnownAt, s.earlierRunsEndBy(t))
@@ -67,15 +67,19 @@
 	s.orphansLeft = s.orphansLeft || len(t.earlierRuns) > 0
 }
 
-// earlierRunsListed reports whether all tasks are listed that may be done on a target without an answer.
+// earlierRunsListed reports whether all tasks are listed that may be done on a target without an answer, or with one in which ends
+// are missing.
 func (s *Scheduler) earlierRunsListed(t *target) bool {
-	return t.earlierRunsComplete || !t.wasUsed || t.presumedGone() || s.hasLapsingRun(t)
+	if t.earlierRunsComplete || !t.wasUsed {
+		return true
+	}
+	return t.hasUnlistedIncarnation() && (t.presumedGone() || s.hasLapsingRun(t))
 }
 
-// addUnlistedTasks adds the tasks that wait for a target to answer.
+// addUnlistedTasks adds the tasks that wait for a target to answer, or to list all its ends.
 func (s *Scheduler) addUnlistedTasks(t *target) {
 	for _, r := range t.earlierRuns {
-		if !t.earlierLeaseOver || s.mayBeDone(r) {
+		if t.hasUnlistedIncarnation() && !t.earlierLeaseOver || s.mayBeDone(r) {
 			s.unlistedTasks[r.task] = true
 		}
 	}
--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -54,7 +54,7 @@
 	}
 	isOver := t.earlierLeaseOver || s.now >= s.earlierLeaseEnd(t)
 	return &finalTarget{
-		Complete:        t.listed || t.expired || t.earlierRunsComplete || isOver,
+		Complete:        t.allListed() || t.expired || t.earlierRunsComplete || !t.listed && isOver,
 		Draining:        t.info.Draining || t.wasDraining,
 		LeaseLeftMillis: (leaseEnd - s.now).Milliseconds(),
 	}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -92,10 +92,22 @@
 }
 
 // mayHaveUnlistedRuns reports whether runs of an earlier epoch, or ends that still count, may be left on a
-// target of which an incarnation has not answered this one. While a successor is possible, it may have renewed the lease.
+// target without being known. While a successor is possible, it may have renewed the lease of one that does not answer.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
-	isSilent := t.announced != nil || !t.listed && !t.expired
-	return isSilent && (s.successorPossible || s.now < s.earlierRunsEndBy(t))
+	if t.hasUnlistedIncarnation() {
+		return s.successorPossible || s.now < s.earlierRunsEndBy(t)
+	}
+	return !t.expired && !t.allEndsListed
+}
+
+// hasUnlistedIncarnation reports whether an incarnation of the target has not answered this epoch.
+func (t *target) hasUnlistedIncarnation() bool {
+	return t.announced != nil || !t.listed && !t.expired
+}
+
+// allListed reports whether all runs on the target and all ends that it holds are known.
+func (t *target) allListed() bool {
+	return t.listed && t.allEndsListed
 }
 
 // HasKnownTargetChanges reports whether there are changes of known targets that can be stored now.
@@ -154,7 +166,7 @@
 	if t == nil {
 		return nil
 	}
-	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.listed || t.earlierRunsComplete)}
+	known := &KnownTarget{Target: t.info, Closed: t.unschedulable() && (t.allListed() || t.earlierRunsComplete)}
 	known.Draining = t.info.Draining || t.wasDraining
 	known.Target.Draining, known.Target.Remaining = false, 0
 	if known.Closed {
@@ -217,7 +229,7 @@
 	for _, end := range t.unstoredEnds {
 		out = append(out, end.task.String())
 	}
-	if !t.listed {
+	if !t.allListed() {
 		for _, r := range t.earlierRuns {
 			out = append(out, r.task.String())
 		}
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -25,11 +25,12 @@
 	}
 }
 
-// reconcile compares the runs that a target reports with the runs known there.
-func (s *Scheduler) reconcile(t *target, sent time.Duration, running []cyclamendyke.RunReport) {
-	reported := make(map[runKey]bool, len(running))
+// reconcile compares the runs that a target reports with the runs known there. Where the ends are cut, one that is not reported
+// may have ended, in whichever way, so that nothing is concluded from that.
+func (s *Scheduler) reconcile(t *target, sent time.Duration, listing *cyclamendyke.Listing) {
+	reported := make(map[runKey]bool, len(listing.Running))
 	clear(t.orphans)
-	for _, report := range running {
+	for _, report := range listing.Running {
 		key := runKey{report.Task, report.Run}
 		reported[key] = true
 		if r := t.runs[key]; r != nil {
@@ -39,7 +40,7 @@
 		s.adopt(t, report)
 	}
 	for key, r := range t.runs {
-		if !reported[key] {
+		if !reported[key] && !listing.MoreEnds {
 			s.handleMissing(r, sent)
 		}
 	}
@@ -47,6 +48,17 @@
 	s.checkRoom(t)
 }
 
+// noteAllEndsListed notes that a listing which is not cut has come. From then on every end that is not known yet is one of a run
+// that is.
+func (s *Scheduler) noteAllEndsListed(t *target, listing *cyclamendyke.Listing) {
+	t.endsAreCut = listing.MoreEnds
+	if t.allEndsListed || listing.MoreEnds {
+		return
+	}
+	t.allEndsListed = true
+	s.runListStale = s.runListStale || len(t.earlierRuns) > 0
+}
+
 // checkRoom notes when the runs on a target need more than it has room for, since its capacity has shrunk or it runs what
 // was taken to have ended.
 func (s *Scheduler) checkRoom(t *target) {
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -116,11 +116,12 @@
 		s.setMayLeaveAt(t, listing.Remaining)
 	}
 	for _, r := range missing {
-		s.endOrDoubt(r, sent)
+		s.endOrDoubt(r, sent, listing.MoreEnds)
 	}
 	s.applyEnds(t, listing.Ended)
 	if listing.Clock >= t.clock { // Otherwise a later listing has overtaken it.
-		s.reconcile(t, sent, listing.Running)
+		s.reconcile(t, sent, &listing)
+		s.noteAllEndsListed(t, &listing)
 	}
 	if hasRestarted {
 		s.expectLateOrders(t)
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -91,6 +91,7 @@
 	storedRuns      []byte                                                  // The list of runs.
 	asksLast        bool                                                    // A new epoch asks the last scheduler for its final list.
 	askDelay        time.Duration                                           // How long the last scheduler goes on at most, and how long its answer takes.
+	listedEnds      int                                                     // Ends at which a VM cuts its listing; zero if it never does.
 	goingOn         map[*Scheduler]bool                                     // Last schedulers that go on without the store until they are asked.
 	batches         int                                                     // Batches written to the store.
 	paces           map[cyclamendyke.WorkflowID]int                         // The last pace ordered for each workflow's tasks.
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -339,5 +339,8 @@
 		listing.Running = append(listing.Running, cyclamendyke.RunReport{Task: name, Run: r.number, Percent: percent, Load: sim.servingLatency})
 	}
 	listing.Ended = append(listing.Ended, v.ends...)
+	if sim.listedEnds > 0 && len(v.ends) >= sim.listedEnds {
+		listing.Ended, listing.MoreEnds = listing.Ended[:sim.listedEnds], true
+	}
 	return listing
 }
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -89,7 +89,7 @@
 // minStallTime.
 func (s *Scheduler) stalled(r *run) bool {
 	spec := r.step.spec
-	if spec.LongRunning || spec.Filler || r.target.renewFailed || r.confirmedAt == 0 {
+	if spec.LongRunning || spec.Filler || r.target.renewFailed || r.target.endsAreCut || r.confirmedAt == 0 {
 		return false
 	}
 	limit := max(minStallTime, time.Duration(stallFactor*float64(spec.Estimate)))
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -93,6 +93,8 @@
 
 // reportedEnds says which of the ends that a target reports are handled and stored.
 type reportedEnds struct {
+	allEndsListed  bool  // A listing that was not cut has come, so that those of all runs of earlier epochs are known.
+	endsAreCut     bool  // Its newest listing was cut.
 	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
 	lastEndStored  int64 // Highest sequence number of an end whose effect is stored.
 	unstoredEnds   []unstoredEnd
@@ -160,7 +162,8 @@
 // count when the target is back. Such a target gets returnTime to come back.
 func (s *Scheduler) runsEndBy(t *target) time.Duration {
 	leaseEnd := s.leaseEnd(t)
-	if !t.listed || len(t.runs) == 0 || t.presumedGone() {
+	holdsEnds := len(t.runs) > 0 || !t.allEndsListed && s.mayHoldDoneTasks(t)
+	if !t.listed || !holdsEnds || t.presumedGone() {
 		return leaseEnd
 	}
 	for _, r := range t.runs {
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -103,10 +103,10 @@
 }
 
 // endOrDoubt ends a run that the first listing of a target's new incarnation, requested at sent, does not name. It
-// stays in doubt if an order to start it may yet arrive there, or may have arrived since.
-func (s *Scheduler) endOrDoubt(r *run, sent time.Duration) {
+// stays in doubt if an order to start it may yet arrive there, or may have arrived since, or if the listing's ends are cut.
+func (s *Scheduler) endOrDoubt(r *run, sent time.Duration, endsAreCut bool) {
 	switch {
-	case r.provenAbsent(sent):
+	case !endsAreCut && r.provenAbsent(sent):
 		s.runEnded(r, cyclamendyke.EndTargetEnded, r.checkpoint, 0)
 	case r.state == runStopping:
 		r.stopAcceptedAt = 0 // The incarnation that has accepted it is gone.
--- a/target.go
+++ b/target.go
@@ -64,6 +64,7 @@
 	StartedMillis int64         `json:"born-ms"`
 	Running       []RunReport   `json:"running,omitempty"`
 	Ended         []EndReport   `json:"ended,omitempty"`
+	MoreEnds      bool          `json:"more-ends,omitempty"` // Ended is cut at its length: later ends may be missing from it.
 	Draining      bool          `json:"draining,omitempty"`
 	Remaining     time.Duration `json:"remaining-ns,omitempty"`
 }
