Have the tests of final lists set what a whole listing sets

TestFinalListIsIgnored failed since, unseen, as only the end of the output was read: it makes a target listed by setting a field, and a target's runs are all known now only once a listing that is not cut has come. The test sets both, and TestFinalListAfterCutListingIsComplete checks the difference.

--- a/core/dispatch/finallist_test.go
+++ b/core/dispatch/finallist_test.go
@@ -152,7 +152,7 @@
 		target := info
 		target.StartedMillis = started
 		s.UpdateTarget(target)
-		s.targets["a"].listed = true
+		s.targets["a"].listed, s.targets["a"].allEndsListed = true, true
 		value, err := s.FinalList(true)
 		if err != nil {
 			t.Fatal(err)
@@ -182,6 +182,19 @@
 	}
 }
 
+// TestFinalListAfterCutListingIsComplete takes the final list of a target of which only the first page of the ends has come.
+func TestFinalListAfterCutListingIsComplete(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Epoch: 2, EarlierRunsEndBy: time.Minute})
+	s.UpdateTarget(cyclamendyke.Target{ID: "a", Address: "a", StartedMillis: 5})
+	s.targets["a"].listed = true
+	is.True(!s.describeFinal(s.targets["a"]).Complete)
+	s.Advance(2*time.Minute, time.Time{})
+	is.True(!s.describeFinal(s.targets["a"]).Complete)
+	s.targets["a"].allEndsListed = true
+	is.True(s.describeFinal(s.targets["a"]).Complete)
+}
+
 // TestFinalListBeforeLoadingTellsHowLongToWait ends a term before it has loaded anything.
 func TestFinalListBeforeLoadingTellsHowLongToWait(t *testing.T) {
 	is := is.New(t)
