Give an occurrence memory when it is due, and a step when it is released

Cause: Submit built every occurrence with all its steps and tasks. Ruled out: the entries in the store (four of less than a kilobyte). The same cause stood in the tasks of wide steps, and in records, which passed 1 MiB and were then refused with all others of their batch.

--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -79,10 +79,14 @@
 // adviceStep returns the step that a request was about, or nil if it is no longer known.
 func (s *Scheduler) adviceStep(name cyclamendyke.StepName) *stepRun {
 	j := s.jobs[name.Workflow]
-	if j == nil || name.Occurrence >= len(j.occurrences) {
+	if j == nil {
 		return nil
 	}
-	return j.occurrences[name.Occurrence].steps[name.Step]
+	occ := j.find(name.Occurrence)
+	if occ == nil {
+		return nil
+	}
+	return occ.steps[name.Step]
 }
 
 // applyVerdicts keeps the verdicts of an answer whose tickets can be used until expiresAt.
@@ -120,20 +124,14 @@
 
 // runningTasks counts the tasks that are not done and have a run in any state.
 func (step *stepRun) runningTasks() int {
-	count := 0
-	for i := range step.tasks {
-		if !step.tasks[i].done && len(step.tasks[i].runs) > 0 {
-			count++
-		}
-	}
-	return count
+	return step.spec.Count - step.done.Count() - step.waiting.Count()
 }
 
 // remaining estimates how long it takes until the last running task of the step ends.
 func (step *stepRun) remaining(now time.Duration) time.Duration {
 	longest := time.Duration(0)
-	for i := range step.tasks {
-		for _, r := range step.tasks[i].runs {
+	for _, task := range step.tasks.All() {
+		for _, r := range task.runs {
 			longest = max(longest, r.remaining(now))
 		}
 	}
--- a/core/dispatch/advicerequests.go
+++ b/core/dispatch/advicerequests.go
@@ -29,7 +29,7 @@
 	}
 	a.wantedAt = s.now
 	if w.queue.Priority == 0 && !w.step.spec.LongRunning {
-		w.waiting = max(w.waiting, len(w.step.tasks)-w.step.tasksDone-w.step.runningTasks()) // Its limit may be free by the time of the answer.
+		w.waiting = max(w.waiting, w.step.waiting.Count()) // Its limit may be free by the time of the answer.
 	}
 	s.adviceWants = append(s.adviceWants, w)
 }
--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -93,10 +93,8 @@
 			zones[t.info.Zone] = true
 		}
 	}
-	for i := range step.tasks {
-		for _, r := range step.tasks[i].runs {
-			zones[r.target.info.Zone] = true
-		}
+	for zone := range step.zoneRuns {
+		zones[zone] = true
 	}
 	return zones
 }
@@ -159,7 +157,7 @@
 		}
 	}
 	if filler {
-		score += float64(t.runCount(step)) / float64(max(1, len(step.tasks))) // Spreads fillers over the idle targets.
+		score += float64(t.runCount(step)) / float64(max(1, step.spec.Count)) // Spreads fillers over the idle targets.
 	}
 	return score
 }
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -106,7 +106,7 @@
 // other targets crashed in the same moment, or how long it had worked.
 func (s *Scheduler) countRestartedCrash(on runListTarget, r earlierRun) {
 	t := s.targets[on.ID]
-	step := s.findStep(r.task)
+	step := s.findUnfinished(r.task)
 	if t == nil || t.wasDraining || on.StartedMillis == 0 || step == nil || r.ended {
 		return
 	}
--- a/core/dispatch/crashedrun.go
+++ b/core/dispatch/crashedrun.go
@@ -17,14 +17,14 @@
 
 // fresh reports whether the run is among the first to be suspected.
 func (r *crashedRun) fresh() bool {
-	return !r.certain || r.least < crash.FreshTime || r.step.crashHistory(max(0, r.index)).Suspected()
+	return !r.certain || r.least < crash.FreshTime || r.step.isSuspected(max(0, r.index))
 }
 
 func (r *crashedRun) isDone() bool {
 	if r.index == gangTask {
-		return r.step.tasksDone == len(r.step.tasks)
+		return r.step.isDone()
 	}
-	return r.step.tasks[r.index].done
+	return r.step.done.Has(r.index)
 }
 
 // name returns the name of the task, or of the gang's step.
@@ -56,7 +56,7 @@
 		return out
 	}
 	for _, earlier := range t.earlierRuns {
-		if step := s.findStep(earlier.task); step != nil && !earlier.ended {
+		if step := s.findUnfinished(earlier.task); step != nil && !earlier.ended {
 			add(step.earlierCrashedRun(earlier))
 		}
 	}
--- a/core/dispatch/draining.go
+++ b/core/dispatch/draining.go
@@ -46,12 +46,15 @@
 	if !r.step.spec.Checkpoints || !s.mayLeaveSoon(t) || s.now+r.remaining(s.now) < t.mayLeaveAt {
 		return
 	}
-	for i := range r.step.tasks {
-		if i != r.taskIndex && !r.step.spec.Gang {
-			continue
+	if !r.step.spec.Gang {
+		for _, other := range r.step.runsOf(r.taskIndex) {
+			s.stop(other, "target is draining")
 		}
-		for _, member := range r.step.tasks[i].runs {
-			s.stop(member, "target is draining")
+		return
+	}
+	for _, member := range r.step.tasks.All() {
+		for _, other := range member.runs {
+			s.stop(other, "target is draining")
 		}
 	}
 }
--- a/core/dispatch/dump_test.go
+++ b/core/dispatch/dump_test.go
@@ -13,11 +13,14 @@
 		if j.state.IsFinal() {
 			continue
 		}
-		for _, occ := range j.occurrences {
+		for _, occ := range j.open {
 			for _, step := range occ.steps {
-				fmt.Fprintf(&out, "%s.%d.%d released %v done %d of %d, unplaced %q\n", id, occ.number, step.index, step.released, step.tasksDone, len(step.tasks), step.unplacedReason)
-				for i := range step.tasks {
-					for _, r := range step.tasks[i].runs {
+				if step == nil {
+					continue
+				}
+				fmt.Fprintf(&out, "%s.%d.%d released %v done %d of %d, unplaced %q\n", id, occ.number, step.index, step.released, step.done.Count(), step.spec.Count, step.unplacedReason)
+				for i, task := range step.tasks.All() {
+					for _, r := range task.runs {
 						fmt.Fprintf(&out, "  task %d run %d on %s state %d stop accepted %v renewal failed %v\n", i, r.number, r.target.info.ID, r.state, r.stopAcceptedAt, r.target.renewFailed)
 					}
 				}
--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -123,21 +123,26 @@
 	case t.earlierRunsComplete:
 		return true
 	}
-	step := s.findStep(r.task)
-	return step == nil || !step.job.inherited || step.tasks[r.task.Index].done || len(step.tasks[r.task.Index].runs) > 0
+	state, isKnown := s.lookUp(r.task)
+	return !isKnown || !state.job.inherited || state.isDone || state.hasRuns
 }
 
 // unstartedDemand returns the resources of the tasks that are not done and have no known run.
 func (j *job) unstartedDemand() cyclamendyke.Resources {
 	var sum cyclamendyke.Resources
-	for _, occ := range j.occurrences {
-		for _, step := range occ.steps {
-			for i := range step.tasks {
-				if !step.tasks[i].done && len(step.tasks[i].runs) == 0 {
-					sum = sum.Add(step.spec.Reserved())
-				}
+	for step := range j.openSteps() {
+		sum = sum.Add(step.spec.Reserved().Scale(int64(step.waiting.Count())))
+	}
+	unopened := int64(j.unopened())
+	for i := range j.spec.Steps {
+		step := &j.spec.Steps[i]
+		count := unopened
+		for _, occ := range j.open {
+			if occ.steps[i] == nil && !occ.done.Has(i) {
+				count++
 			}
 		}
+		sum = sum.Add(step.Reserved().Scale(int64(step.Count) * count))
 	}
 	return sum
 }
@@ -145,8 +150,8 @@
 // namedRun returns a run of a task that the record of a closed target names.
 func (s *Scheduler) namedRun(name cyclamendyke.TaskName) earlierRun {
 	r := earlierRun{task: name}
-	if step := s.findStep(name); step != nil {
-		r.team, r.need = step.job.spec.Team, step.spec.Reserved()
+	if state, isKnown := s.lookUp(name); isKnown {
+		r.team, r.need = state.job.spec.Team, state.spec.Reserved()
 	}
 	return r
 }
@@ -154,17 +159,17 @@
 // mayBeDone reports whether an earlier run may have ended as done, so that its task must not run again
 // before its target is back or is given up.
 func (s *Scheduler) mayBeDone(r earlierRun) bool {
-	step := s.findStep(r.task)
-	return step != nil && !step.job.state.IsFinal() && !step.spec.LongRunning && !step.spec.Speculative && !step.tasks[r.task.Index].done
+	state, isKnown := s.lookUp(r.task)
+	return isKnown && !state.job.state.IsFinal() && !state.spec.LongRunning && !state.spec.Speculative && !state.isDone
 }
 
 // lapsesOnTarget reports whether an earlier run certainly works until its target's lease ends.
 func (s *Scheduler) lapsesOnTarget(t *target, r earlierRun) bool {
-	step := s.findStep(r.task)
-	if r.worksUntil == 0 || step == nil {
+	state, isKnown := s.lookUp(r.task)
+	if r.worksUntil == 0 || !isKnown {
 		return false
 	}
-	return (step.spec.LongRunning || r.worksUntil > s.earlierLeaseEnd(t)) && !step.tasks[r.task.Index].done && !step.job.state.IsFinal()
+	return (state.spec.LongRunning || r.worksUntil > s.earlierLeaseEnd(t)) && !state.isDone && !state.job.state.IsFinal()
 }
 
 // mayHoldDoneTasks reports whether an end that only a target knows may still count.
--- a/core/dispatch/endedjob.go
+++ b/core/dispatch/endedjob.go
@@ -21,6 +21,7 @@
 		if j.runCount > 0 || j.inherited && !s.earlierRunsKnown {
 			return false
 		}
+		s.closeAll(j)
 		delete(s.jobs, j.spec.ID)
 		s.endedJobs[j.spec.ID] = endedJob{state: j.state, team: j.spec.Team, at: j.finalAt}
 		return true
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -21,8 +21,7 @@
 		r.target.urgentRuns++
 	}
 	r.step.job.runCount++
-	task := &r.step.tasks[r.taskIndex]
-	task.runs = append(task.runs, r)
+	r.step.addRun(r)
 }
 
 // release undoes reserve.
@@ -42,13 +41,14 @@
 		r.target.urgentRuns--
 	}
 	r.step.job.runCount--
-	task := &r.step.tasks[r.taskIndex]
-	task.runs = slices.DeleteFunc(task.runs, func(other *run) bool { return other == r })
+	r.step.removeRun(r)
+	s.closeStep(r.step)
+	s.closeIfOver(r.step.occ)
 }
 
 // applyEnd applies a target's report of the end of one run.
 func (s *Scheduler) applyEnd(t *target, end cyclamendyke.EndReport) {
-	step := s.findStep(end.Task)
+	step := s.findUnfinished(end.Task)
 	if step == nil {
 		return
 	}
@@ -82,12 +82,11 @@
 	if sequence == 0 && r.confirmedAt == 0 && step.spec.Gang {
 		s.stopGangOf(r, "a gang member did not start")
 	}
-	task := &step.tasks[r.taskIndex]
-	if task.done || j.state.IsFinal() {
+	if step.done.Has(r.taskIndex) || j.state.IsFinal() {
 		return
 	}
 	if savedCheckpoint != "" {
-		task.checkpoint = savedCheckpoint
+		step.tasks.At(r.taskIndex).checkpoint = savedCheckpoint
 		if step.spec.Gang {
 			step.shareCheckpoint(savedCheckpoint)
 		}
@@ -100,15 +99,15 @@
 	case kind == cyclamendyke.EndFailed:
 		s.taskFailed(r)
 	}
-	if !task.done && !j.state.IsFinal() && step.released {
+	if !step.done.Has(r.taskIndex) && !j.state.IsFinal() && step.released {
 		s.active.add(step)
 	}
 }
 
 // shareCheckpoint gives all members of a gang the same checkpoint.
 func (step *stepRun) shareCheckpoint(savedCheckpoint string) {
-	for i := range step.tasks {
-		step.tasks[i].checkpoint = savedCheckpoint
+	for i := range step.spec.Count {
+		step.tasks.At(i).checkpoint = savedCheckpoint
 	}
 }
 
@@ -117,25 +116,24 @@
 	r.target.failures = 0
 	first, last := r.taskIndex, r.taskIndex
 	if r.step.spec.Gang {
-		first, last = 0, len(r.step.tasks)-1
+		first, last = 0, r.step.spec.Count-1
 	}
 	for i := first; i <= last; i++ {
-		task := &r.step.tasks[i]
-		if task.done {
+		if !r.step.taskDone(i) {
 			continue
 		}
-		task.done = true
-		task.checkpoint = ""
-		task.failedRuns = nil
-		r.step.tasksDone++
+		if task := r.step.tasks.Peek(i); task != nil {
+			task.checkpoint, task.failedRuns = "", nil
+		}
 		if !r.step.spec.Gang {
-			for _, other := range slices.Clone(task.runs) {
+			for _, other := range slices.Clone(r.step.runsOf(i)) {
 				s.stop(other, "another run of the task is done")
 			}
 		}
+		r.step.forgetDone(i)
 	}
 	s.markDirty(r.step.job)
-	if r.step.tasksDone == len(r.step.tasks) {
+	if r.step.isDone() {
 		s.stepDone(r.step)
 	}
 }
@@ -147,12 +145,10 @@
 	step.learnSpeeds()
 	step.enterPhase(s.now, phaseNone)
 	occ, j := step.occ, step.job
-	for _, next := range occ.stepDone(step) {
-		if occ.isDue {
-			s.releaseStep(next)
-		}
-	}
-	if j.completed == len(j.occurrences) {
+	occ.stepDone(step.index)
+	s.closeStep(step)
+	s.occurrenceChanged(occ)
+	if j.isComplete() {
 		s.finish(j, cyclamendyke.WorkflowCompleted)
 	}
 }
@@ -160,7 +156,7 @@
 // taskFailed counts a failure, and fails the workflow after the last attempt.
 func (s *Scheduler) taskFailed(r *run) {
 	s.countTargetFailure(r)
-	task := &r.step.tasks[r.taskIndex]
+	task := r.step.tasks.At(r.taskIndex)
 	task.avoidTarget = r.target.info.ID
 	if r.step.spec.LongRunning {
 		return
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -9,28 +9,27 @@
 
 // job is a workflow with its progress.
 type job struct {
-	spec                *cyclamendyke.Workflow
-	acceptedAt          time.Duration // When the workflow was accepted, on this process's clock.
-	inherited           bool          // An earlier epoch may have started some tasks.
-	graph               *stepgraph.Graph
-	occurrences         []*occurrence
-	completed           int // Number of occurrences whose steps are all done.
-	releasedOccurrences int // Number of occurrences released so far.
-	state               cyclamendyke.WorkflowState
-	started             bool                  // A task has started.
-	overShare           bool                  // The team exceeded its share when it submitted this workflow.
-	finalAt             time.Duration         // When the state became final.
-	version             int64                 // Version of the progress; increases with each change.
-	storedVersion       int64                 // Last version that is stored.
-	hasCrashes          bool                  // There are or were crashes under its tasks.
-	crashVersion        int64                 // Version that has all crashes under its tasks.
-	dirty               bool                  // In the scheduler's list of jobs to be stored.
-	storing             bool                  // A record of it is being stored; the next one waits.
-	revision            cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
-	onStored            []func()              // Called once the current version is stored.
-	onFinal             []*finalWaiter        // Notified once a final state is stored.
-	runCount            int                   // Number of its runs, in any state.
-	phaseTimes          phaseTimes            // Time that its steps have spent in each phase.
+	spec        *cyclamendyke.Workflow
+	acceptedAt  time.Duration // When the workflow was accepted, on this process's clock.
+	submittedAt time.Duration // When this epoch heard of it.
+	inherited   bool          // An earlier epoch may have started some tasks.
+	graph       *stepgraph.Graph
+	occurrences
+	state         cyclamendyke.WorkflowState
+	started       bool                  // A task has started.
+	overShare     bool                  // The team exceeded its share when it submitted this workflow.
+	finalAt       time.Duration         // When the state became final.
+	version       int64                 // Version of the progress; increases with each change.
+	storedVersion int64                 // Last version that is stored.
+	hasCrashes    bool                  // There are or were crashes under its tasks.
+	crashVersion  int64                 // Version that has all crashes under its tasks.
+	dirty         bool                  // In the scheduler's list of jobs to be stored.
+	storing       bool                  // A record of it is being stored; the next one waits.
+	revision      cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
+	onStored      []func()              // Called once the current version is stored.
+	onFinal       []*finalWaiter        // Notified once a final state is stored.
+	runCount      int                   // Number of its runs, in any state.
+	phaseTimes    phaseTimes            // Time that its steps have spent in each phase.
 }
 
 func (j *job) queue(s *Scheduler) *cyclamendyke.Queue {
@@ -46,14 +45,11 @@
 	s.learnQueue(spec)
 	age := min(max(0, s.wall.Sub(spec.AcceptedAt)), maxAcceptedAge)
 	j := &job{
-		spec: spec, acceptedAt: s.now - age, inherited: s.mayBeStarted(spec, revision), state: cyclamendyke.WorkflowQueued,
+		spec: spec, acceptedAt: s.now - age, submittedAt: s.now, inherited: s.mayBeStarted(spec, revision), state: cyclamendyke.WorkflowQueued,
 		graph: stepgraph.New(spec.Steps),
 	}
 	j.overShare = !s.team(spec.Team).takeShareToken(j.acceptedAt)
 	s.jobs[spec.ID] = j
-	for k := range spec.Occurrences() {
-		j.occurrences = append(j.occurrences, newOccurrence(j, k))
-	}
 	s.enterFirstPhase(j)
 	s.unreleased[j] = struct{}{}
 	s.expectUrgent(j)
@@ -111,14 +107,12 @@
 	s.markDirty(j)
 	s.cfg.LogDecision(Decision{Event: EventFinal, Workflow: j.spec.ID, Reason: string(state), Age: s.now - j.acceptedAt})
 	s.logPhases(j)
-	for _, occ := range j.occurrences {
-		for _, step := range occ.steps {
-			s.active.remove(step)
-			s.dropTickets(step)
-			for i := range step.tasks {
-				for _, r := range step.tasks[i].runs {
-					s.stop(r, string(state))
-				}
+	for step := range j.openSteps() {
+		s.active.remove(step)
+		s.dropTickets(step)
+		for _, task := range step.tasks.All() {
+			for _, r := range task.runs {
+				s.stop(r, string(state))
 			}
 		}
 	}
--- a/core/dispatch/lagging.go
+++ b/core/dispatch/lagging.go
@@ -74,8 +74,8 @@
 	if !step.urgent(s) || step.spec.Gang || step.spec.LongRunning || step.spec.Speculative {
 		return
 	}
-	for i := range step.tasks {
-		for _, r := range step.tasks[i].runs {
+	for _, task := range step.tasks.All() {
+		for _, r := range task.runs {
 			if r.state != runRunning || r.target.renewFailed || !s.slow(r) {
 				continue
 			}
@@ -84,7 +84,7 @@
 			}
 			if s.lags(r.target) && s.moveSaves(r) {
 				s.stop(r, "its target lags")
-				step.tasks[i].avoidTarget = r.target.info.ID
+				task.avoidTarget = r.target.info.ID
 			}
 		}
 	}
--- a/core/dispatch/listedcrashes.go
+++ b/core/dispatch/listedcrashes.go
@@ -19,10 +19,8 @@
 		if j.storedVersion >= j.crashVersion {
 			continue
 		}
-		for _, occ := range j.occurrences {
-			for _, step := range occ.steps {
-				out = append(out, step.listCrashes()...)
-			}
+		for step := range j.openSteps() {
+			out = append(out, step.listCrashes()...)
 		}
 	}
 	return out
@@ -36,8 +34,8 @@
 		}
 	}
 	add(gangTask, step.gangCrashes.Crashes)
-	for i := range step.tasks {
-		add(i, step.tasks[i].crashes.Crashes)
+	for i, task := range step.tasks.All() {
+		add(i, task.crashes.Crashes)
 	}
 	return out
 }
@@ -46,7 +44,7 @@
 // are to blame.
 func (s *Scheduler) addListedCrashes(lists []listedCrashes) {
 	for _, list := range lists {
-		step := s.findStep(cyclamendyke.TaskName{
+		step := s.findUnfinished(cyclamendyke.TaskName{
 			Workflow: list.Workflow, Occurrence: list.Occurrence, Step: list.Step, Index: max(0, list.Task),
 		})
 		if step == nil || step.job.state.IsFinal() || step.crashIndex(max(0, list.Task)) != list.Task {
@@ -65,13 +63,23 @@
 
 // giveUpIfBlamed fails a workflow if a task of the step is to blame for crashes that an earlier epoch counted.
 func (s *Scheduler) giveUpIfBlamed(step *stepRun) {
-	for i := range step.tasks {
-		if !step.job.state.IsFinal() && !step.tasks[i].done && step.crashHistory(i).Blamed() {
-			s.cfg.LogDecision(Decision{
-				Event: EventBlamed, Workflow: step.job.spec.ID, Task: step.taskName(i).String(), Reason: "by an earlier epoch",
-				Count: len(step.crashHistory(i).Crashes),
-			})
-			s.finish(step.job, cyclamendyke.WorkflowFailed)
-		}
+	if step.spec.Gang {
+		s.giveUp(step, 0, &step.gangCrashes)
+		return
+	}
+	for i, task := range step.tasks.All() {
+		s.giveUp(step, i, &task.crashes)
+	}
+}
+
+// giveUp fails a workflow if its task, or its gang, is to blame for the crashes in a history.
+func (s *Scheduler) giveUp(step *stepRun, index int, history *crash.History) {
+	if step.job.state.IsFinal() || step.done.Has(index) || !history.Blamed() {
+		return
 	}
+	s.cfg.LogDecision(Decision{
+		Event: EventBlamed, Workflow: step.job.spec.ID, Task: step.taskName(index).String(), Reason: "by an earlier epoch",
+		Count: len(history.Crashes),
+	})
+	s.finish(step.job, cyclamendyke.WorkflowFailed)
 }
--- a/core/dispatch/listing.go
+++ b/core/dispatch/listing.go
@@ -127,13 +127,12 @@
 		s.emit(StopCommand{Target: t.info, Task: report.Task, Run: report.Run})
 		return
 	}
-	task := &step.tasks[report.Task.Index]
 	r := &run{
 		step: step, taskIndex: report.Task.Index, number: report.Run, target: t, state: runRunning,
 		startedAt: s.now, confirmedAt: s.now, checkpoint: report.Checkpoint, adopted: true, pace: fullPace,
 	}
 	r.progress.begin(report.Percent, s.now)
-	needed := !task.done && !step.job.state.IsFinal() && (len(task.runs) == 0 || step.spec.Speculative)
+	needed := !step.done.Has(r.taskIndex) && !step.job.state.IsFinal() && (len(step.runsOf(r.taskIndex)) == 0 || step.spec.Speculative)
 	s.reserve(r)
 	step.job.started = true
 	reason := ""
@@ -158,16 +157,3 @@
 	}
 	return false
 }
-
-// findStep returns the step of a task, or nil if the task belongs to no workflow.
-func (s *Scheduler) findStep(name cyclamendyke.TaskName) *stepRun {
-	j := s.jobs[name.Workflow]
-	if j == nil || name.Occurrence >= len(j.occurrences) {
-		return nil
-	}
-	steps := j.occurrences[name.Occurrence].steps
-	if name.Step >= len(steps) || name.Index >= len(steps[name.Step].tasks) {
-		return nil
-	}
-	return steps[name.Step]
-}
--- a/core/dispatch/occurrence.go
+++ b/core/dispatch/occurrence.go
@@ -2,54 +2,88 @@
 
 import (
 	"time"
+
+	"cyclamendyke/core/indexset"
 )
 
-// occurrence is one repetition of a workflow's steps.
+// occurrence is one repetition of a workflow's steps, from when it is due until it is done and its runs have ended. Its steps
+// take memory from their release until they are done and their runs have ended.
 type occurrence struct {
-	number    int
-	steps     []*stepRun
-	waitsFor  []int32 // By step: its dependencies that are not done.
-	isDue     bool    // Its steps are released once their dependencies are done.
-	stepsDone int
+	job      *job
+	number   int
+	steps    []*stepRun    // Nil for those that are not open.
+	done     indexset.Bits // Steps of which all tasks are done.
+	waitsFor []int32       // By step: its dependencies that are not done.
+	ready    []int32       // Steps that can be released once there is room for them.
+	isDue    bool          // Its steps are released once their dependencies are done.
+	dueAt    time.Duration
+	runs     int // Number of runs of its tasks.
 }
 
 func newOccurrence(j *job, number int) *occurrence {
-	occ := &occurrence{number: number, waitsFor: j.graph.Predecessors()}
-	for i := range j.spec.Steps {
-		spec := &j.spec.Steps[i]
-		occ.steps = append(occ.steps, &stepRun{job: j, occ: occ, index: i, spec: spec, tasks: make([]task, spec.Count)})
+	occ := &occurrence{
+		job: j, number: number, steps: make([]*stepRun, len(j.spec.Steps)), waitsFor: j.graph.Predecessors(),
+		done: indexset.NewBits(len(j.spec.Steps)),
+	}
+	if j.over.Has(number) {
+		occ.done = indexset.FullBits(len(j.spec.Steps))
 	}
 	return occ
 }
 
-// releaseDue releases the occurrences that are due.
-func (s *Scheduler) releaseDue() {
-	for j := range s.unreleased {
-		for !j.state.IsFinal() && j.releasedOccurrences < len(j.occurrences) && s.due(j, j.releasedOccurrences) {
-			s.releaseSteps(j.occurrences[j.releasedOccurrences])
-			j.releasedOccurrences++
-		}
-		if j.releasedOccurrences == len(j.occurrences) || j.state.IsFinal() {
-			delete(s.unreleased, j)
-		}
+// isDone reports whether all steps of the occurrence are done.
+func (o *occurrence) isDone() bool {
+	return o.done.IsFull()
+}
+
+// openStep returns a step of an occurrence, and opens it if it is not open. One that is done is opened as such.
+func (s *Scheduler) openStep(occ *occurrence, index int) *stepRun {
+	if step := occ.steps[index]; step != nil {
+		return step
 	}
+	step := newStepRun(occ, index)
+	if occ.done.Has(index) {
+		step.completeAll()
+	}
+	occ.steps[index] = step
+	s.addOpenBytes(occ.job, stepBytes(step.spec))
+	return step
 }
 
-func (s *Scheduler) due(j *job, number int) bool {
-	if j.spec.Repeat == 0 || j.spec.First.IsZero() {
-		return true
+// closeStep frees the memory of a step that is done and has no runs.
+func (s *Scheduler) closeStep(step *stepRun) {
+	occ := step.occ
+	if occ.steps[step.index] != step || !occ.done.Has(step.index) || step.runs > 0 {
+		return
 	}
-	return !s.wall.Before(j.spec.First.Add(time.Duration(number) * j.spec.Interval))
+	occ.steps[step.index] = nil
+	s.addOpenBytes(occ.job, -stepBytes(step.spec))
 }
 
 // releaseSteps releases the steps of an occurrence that has become due, as far as their dependencies are done.
 func (s *Scheduler) releaseSteps(occ *occurrence) {
-	occ.isDue = true
-	for _, step := range occ.steps {
-		if occ.waitsFor[step.index] == 0 {
-			s.releaseStep(step)
+	occ.isDue, occ.dueAt = true, s.now
+	for i, count := range occ.waitsFor {
+		if count == 0 && !occ.done.Has(i) {
+			occ.ready = append(occ.ready, int32(i))
 		}
 	}
+	s.releaseReady(occ)
+}
+
+// releaseReady releases the steps that wait for nothing but room, and remembers the occurrence if some are left.
+func (s *Scheduler) releaseReady(occ *occurrence) {
+	for len(occ.ready) > 0 && !occ.job.state.IsFinal() {
+		index := int(occ.ready[0])
+		if occ.steps[index] == nil && !s.mayOpen(occ.job, stepBytes(&occ.job.spec.Steps[index])) {
+			s.unreleasedSteps[occ] = struct{}{}
+			return
+		}
+		occ.ready = occ.ready[1:]
+		s.releaseStep(s.openStep(occ, index))
+	}
+	delete(s.unreleasedSteps, occ)
+	occ.ready = nil
 }
 
 // releaseStep has a step take part in the passes until all its tasks are done.
@@ -59,31 +93,22 @@
 	}
 	step.released = true
 	step.releasedAt = s.now
-	if step.tasksDone == len(step.tasks) {
-		step.enterPhase(s.now, phaseNone)
-		return
+	if step.job.spec.Repeat == 0 && len(step.spec.After) == 0 {
+		step.phase, step.phaseSince = phasePass, step.job.submittedAt // It has waited for this since the submission.
 	}
 	step.enterPhase(s.now, phasePass)
 	s.active.add(step)
 }
 
-// stepDone counts a step as done, and returns the steps whose last dependency it was.
-func (o *occurrence) stepDone(step *stepRun) []*stepRun {
-	o.stepsDone++
-	if o.isDone() {
-		step.job.completed++
+// stepDone counts a step as done, and notes which steps it was the last dependency of.
+func (o *occurrence) stepDone(index int) {
+	if !o.done.Add(index) {
+		return
 	}
-	var ready []*stepRun
-	for _, next := range step.job.graph.Successors(step.index) {
+	for _, next := range o.job.graph.Successors(index) {
 		o.waitsFor[next]--
-		if o.waitsFor[next] == 0 {
-			ready = append(ready, o.steps[next])
+		if o.waitsFor[next] == 0 && o.isDue {
+			o.ready = append(o.ready, next)
 		}
 	}
-	return ready
-}
-
-// isDone reports whether all steps of the occurrence are done.
-func (o *occurrence) isDone() bool {
-	return o.stepsDone == len(o.steps)
 }
--- a/core/dispatch/phases.go
+++ b/core/dispatch/phases.go
@@ -62,10 +62,8 @@
 		before = phaseEarlier
 	}
 	j.phaseTimes[before] = s.now - j.acceptedAt
-	for _, step := range j.occurrences[0].steps {
-		if len(step.spec.After) == 0 {
-			step.enterPhase(s.now, phasePass)
-		}
+	if j.spec.Repeat == 0 {
+		s.open(j, 0)
 	}
 }
 
@@ -79,7 +77,7 @@
 	if age <= s.targetDuration(j, queue) {
 		return
 	}
-	for _, step := range j.occurrences[0].steps {
+	for step := range j.openSteps() {
 		step.enterPhase(s.now, phaseNone)
 	}
 	s.cfg.LogDecision(Decision{
@@ -89,8 +87,8 @@
 
 // runPhase returns the phase of a step without waiting tasks.
 func (step *stepRun) runPhase() phase {
-	for i := range step.tasks {
-		for _, r := range step.tasks[i].runs {
+	for _, task := range step.tasks.All() {
+		for _, r := range task.runs {
 			if r.state == runStarting || r.state == runStartUnknown {
 				return phaseStart
 			}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -97,11 +97,7 @@
 // one of its tasks is among them.
 func (s *Scheduler) startableTasks(step *stepRun) []int {
 	var out []int
-	for i := range step.tasks {
-		t := &step.tasks[i]
-		if t.done || len(t.runs) > 0 {
-			continue
-		}
+	for i := range step.waiting.All() {
 		if !step.crashesStored(i) {
 			if step.spec.Gang {
 				return nil
@@ -146,7 +142,7 @@
 	targets := s.candidates(step, queue)
 	asked := plan{}
 	for n, index := range waiting {
-		best := s.bestTarget(step, targets, step.tasks[index].avoidTarget, asked)
+		best := s.bestTarget(step, targets, step.avoidedTarget(index), asked)
 		if best == nil {
 			s.logUnplaced(step, "no target with room and a ticket")
 			return len(waiting) - n
@@ -180,12 +176,12 @@
 // placeGang starts all members of a gang or none, a suspected one apart from other work, and returns how many
 // found no room.
 func (s *Scheduler) placeGang(step *stepRun, queue *cyclamendyke.Queue, suspected bool) int {
-	for i := range step.tasks {
-		if len(step.tasks[i].runs) > 0 {
+	for _, member := range step.tasks.All() {
+		if len(member.runs) > 0 {
 			return 0 // Members of an earlier run are still running or stopping.
 		}
 	}
-	count := len(step.tasks)
+	count := step.spec.Count
 	if suspected {
 		members := make([]int, count)
 		for i := range members {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -49,7 +49,7 @@
 				Event: EventPreempted, Workflow: r.step.job.spec.ID, Task: r.taskName().String(), Target: option.target.info.ID,
 				Run: r.number, Reason: "for " + step.name().String(),
 			})
-			r.step.tasks[r.taskIndex].preemptions++
+			r.step.tasks.At(r.taskIndex).preemptions++
 			s.stop(r, "preempted")
 		}
 		s.claim(step, option.target, s.now, ttl)
@@ -101,7 +101,7 @@
 		return false
 	}
 	spec := r.step.spec
-	if spec.LongRunning || spec.Gang && len(r.step.tasks) > 1 || spec.Filler || r.step.tasks[r.taskIndex].preemptions >= maxPreemptions {
+	if spec.LongRunning || spec.Gang && spec.Count > 1 || spec.Filler || r.step.tasks.At(r.taskIndex).preemptions >= maxPreemptions {
 		return false
 	}
 	return spec.Checkpoints || s.now-r.startedAt < time.Duration(maxLostFraction*float64(r.step.runTimeOn(r.target)))
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -51,7 +51,7 @@
 	}
 	begin := j.acceptedAt
 	if j.spec.Repeat > 0 {
-		begin = max(begin, step.occ.steps[0].releasedAt)
+		begin = max(begin, step.occ.dueAt)
 	}
 	if step.spec.LongRunning {
 		step.rankKey = rankKey{overShare: j.overShare, priority: queue.Priority, deadline: step.releasedAt + queue.BaseTarget}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -7,14 +7,30 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/crash"
+	"cyclamendyke/core/indexset"
 )
 
 // jobRecord is the progress of an unfinished workflow as it is stored.
 type jobRecord struct {
 	State cyclamendyke.WorkflowState `json:"state,omitempty"` // Set only by earlier versions, which stored final states here too.
 	Steps []stepRecord               `json:"steps,omitempty"`
+	Over  indexset.Ranges            `json:"over,omitzero"`        // Occurrences of which all steps are done, if they are too many for Steps.
+	Open  []openRecord               `json:"steps-done,omitempty"` // By occurrence that is not over: its steps that are done, if these are too many for Steps.
 }
 
+// openRecord names the steps of an occurrence that are done.
+type openRecord struct {
+	Occurrence int    `json:"k,omitempty"`
+	Done       []byte `json:"done"` // As of indexset.Bits.
+}
+
+// The forms of long lists in records. Short ones are stored as earlier versions did, who may take over.
+const (
+	maxListedSteps = 500       // Longest list of steps that are done.
+	maxListedTasks = 1000      // Longest list of a step's tasks that are done.
+	maxRecordBytes = 900 << 10 // A longer record is not stored, since the store would refuse it and all others of its batch.
+)
+
 // FinalRecord is what is stored of a workflow in a final state.
 type FinalRecord struct {
 	State   cyclamendyke.WorkflowState `json:"state"`
@@ -37,7 +53,8 @@
 	Step        int                    `json:"s,omitempty"`
 	AllDone     bool                   `json:"all,omitempty"`
 	Done        []int                  `json:"done,omitempty"`
-	FailedRuns  map[int][]int64        `json:"fails,omitempty"` // By task; those of a gang are under gangTask.
+	DoneBits    []byte                 `json:"done-bits,omitempty"` // As of indexset.Bits; replaces Done if that is long.
+	FailedRuns  map[int][]int64        `json:"fails,omitempty"`     // By task; those of a gang are under gangTask.
 	Checkpoints map[int]checkpoint     `json:"saved,omitempty"`
 	Crashes     map[int][]crash.Record `json:"crashes,omitempty"` // By task; those of a gang are under gangTask.
 }
@@ -147,31 +164,64 @@
 
 func (j *job) record() jobRecord {
 	var out jobRecord
-	for _, occ := range j.occurrences {
-		for _, step := range occ.steps {
-			if progress, ok := step.record(); ok {
-				out.Steps = append(out.Steps, progress)
-			}
+	j.recordOver(&out)
+	for _, occ := range j.open {
+		if j.over.Has(occ.number) {
+			continue
 		}
+		occ.record(&out)
 	}
 	return out
 }
 
+// record records the progress of an occurrence that is not over.
+func (o *occurrence) record(out *jobRecord) {
+	if o.done.Count() > maxListedSteps {
+		out.Open = append(out.Open, openRecord{Occurrence: o.number, Done: o.done.Bytes()})
+	} else {
+		for index := range o.done.All() {
+			out.Steps = append(out.Steps, stepRecord{Occurrence: o.number, Step: index, AllDone: true})
+		}
+	}
+	for _, step := range o.steps {
+		if step == nil || o.done.Has(step.index) {
+			continue
+		}
+		if progress, ok := step.record(); ok {
+			out.Steps = append(out.Steps, progress)
+		}
+	}
+}
+
+// recordOver records the occurrences that are over.
+func (j *job) recordOver(out *jobRecord) {
+	if j.over.Count()*len(j.spec.Steps) > maxListedSteps {
+		out.Over = j.over
+		return
+	}
+	for _, over := range j.over.All() {
+		for number := over[0]; number <= over[1]; number++ {
+			for step := range j.spec.Steps {
+				out.Steps = append(out.Steps, stepRecord{Occurrence: number, Step: step, AllDone: true})
+			}
+		}
+	}
+}
+
 // record returns the step's progress, and whether there is any.
 func (step *stepRun) record() (stepRecord, bool) {
 	out := stepRecord{Occurrence: step.occ.number, Step: step.index}
-	if step.tasksDone == len(step.tasks) {
-		out.AllDone = true
-		return out, true
-	}
 	if len(step.failedRuns) > 0 {
 		out.setFailedRuns(gangTask, step.failedRuns)
 	}
 	out.setCrashes(gangTask, step.gangCrashes.Crashes)
-	for i := range step.tasks {
-		t := &step.tasks[i]
-		if t.done {
-			out.Done = append(out.Done, i)
+	if step.done.Count() > maxListedTasks {
+		out.DoneBits = step.done.Bytes()
+	} else {
+		out.Done = slices.Collect(step.done.All())
+	}
+	for i, t := range step.tasks.All() {
+		if step.done.Has(i) {
 			continue
 		}
 		if len(t.failedRuns) > 0 {
@@ -185,7 +235,7 @@
 			out.Checkpoints[i] = t.checkpoint
 		}
 	}
-	return out, len(out.Done)+len(out.FailedRuns)+len(out.Checkpoints)+len(out.Crashes) > 0
+	return out, step.done.Count()+len(out.FailedRuns)+len(out.Checkpoints)+len(out.Crashes) > 0
 }
 
 func (r *stepRecord) setCrashes(index int, crashes []crash.Record) {
@@ -226,40 +276,93 @@
 		s.markDirty(j) // So that it is stored as a FinalRecord.
 		return nil
 	}
-	for _, r := range stored.Steps {
-		j.hasCrashes = j.hasCrashes || len(r.Crashes) > 0
-		if r.Occurrence < len(j.occurrences) && r.Step < len(j.spec.Steps) {
-			j.started = true
-			step := j.occurrences[r.Occurrence].steps[r.Step]
-			step.load(r)
-			s.giveUpIfBlamed(step)
+	s.loadProgress(j, &stored)
+	return nil
+}
+
+// loadProgress applies the stored progress of a workflow that has not ended.
+func (s *Scheduler) loadProgress(j *job, stored *jobRecord) {
+	j.started = j.started || !stored.Over.IsZero()
+	for _, over := range stored.Over.All() {
+		for number := over[0]; number <= min(over[1], j.spec.Occurrences()-1); number++ {
+			j.over.Add(number)
 		}
 	}
-	return nil
+	for _, open := range stored.Open {
+		done := indexset.NewBits(len(j.spec.Steps))
+		done.AddBytes(open.Done)
+		for step := range done.All() {
+			s.loadStep(j, stepRecord{Occurrence: open.Occurrence, Step: step, AllDone: true})
+		}
+	}
+	for _, r := range stored.Steps {
+		s.loadStep(j, r)
+	}
+	if j.isComplete() && !j.state.IsFinal() {
+		s.finish(j, cyclamendyke.WorkflowCompleted)
+	}
 }
 
-func (step *stepRun) load(r stepRecord) {
+// loadStep applies the stored progress of a step, unless the workflow has no such step or its occurrence is over.
+func (s *Scheduler) loadStep(j *job, r stepRecord) {
+	j.hasCrashes = j.hasCrashes || len(r.Crashes) > 0
+	if !j.hasTask(cyclamendyke.TaskName{Occurrence: r.Occurrence, Step: r.Step}) || j.over.Has(r.Occurrence) {
+		return
+	}
+	j.started = true
+	occ := j.find(r.Occurrence)
+	if occ == nil {
+		occ = s.open(j, r.Occurrence)
+	}
+	if occ.done.Has(r.Step) {
+		return
+	}
 	if r.AllDone {
-		for i := range step.tasks {
-			step.tasks[i].done = true
-		}
+		occ.stepDone(r.Step)
+		s.occurrenceChanged(occ)
+		return
+	}
+	step := s.openStep(occ, r.Step)
+	step.load(r)
+	if step.isDone() {
+		occ.stepDone(r.Step)
+		s.closeStep(step)
+		s.occurrenceChanged(occ)
+		return
 	}
+	s.giveUpIfBlamed(step)
+}
+
+// load applies the stored progress of the step's tasks.
+func (step *stepRun) load(r stepRecord) {
+	done := indexset.NewBits(step.spec.Count)
+	done.AddBytes(r.DoneBits)
 	for _, i := range r.Done {
-		step.tasks[i].done = true
+		done.Add(i)
+	}
+	for i := range done.All() {
+		step.taskDone(i)
 	}
 	step.failedRuns = r.FailedRuns[gangTask]
 	step.gangCrashes.Crashes = r.Crashes[gangTask]
-	step.tasksDone = 0
-	for i := range step.tasks {
-		t := &step.tasks[i]
-		t.failedRuns = r.FailedRuns[i]
-		t.crashes.Crashes = r.Crashes[i]
-		t.checkpoint = r.Checkpoints[i]
-		if t.done {
-			step.tasksDone++
+	for i, runs := range r.FailedRuns {
+		if step.isOpenTask(i) {
+			step.tasks.At(i).failedRuns = runs
+		}
+	}
+	for i, crashes := range r.Crashes {
+		if step.isOpenTask(i) {
+			step.tasks.At(i).crashes.Crashes = crashes
 		}
 	}
-	if step.tasksDone == len(step.tasks) {
-		step.occ.stepDone(step)
+	for i, saved := range r.Checkpoints {
+		if step.isOpenTask(i) {
+			step.tasks.At(i).checkpoint = saved
+		}
 	}
 }
+
+// isOpenTask reports whether the step has a task that is not done.
+func (step *stepRun) isOpenTask(index int) bool {
+	return index >= 0 && index < step.spec.Count && !step.done.Has(index)
+}
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -23,6 +23,7 @@
 	taskIndex      int
 	number         int64
 	target         *target
+	zone           cyclamendyke.ZoneName // Of its target when it was counted in its step's zoneRuns.
 	state          runState
 	startedAt      time.Duration // When it was ordered or adopted, or when its start became uncertain.
 	starts         startOrders   // The requests to start it; empty if it was adopted.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -38,7 +38,9 @@
 	targets            map[cyclamendyke.TargetID]*target
 	unknownTargets     map[cyclamendyke.TargetID]cyclamendyke.Target // Described targets of services that the configuration does not name.
 	active             activeSteps
-	unreleased         map[*job]struct{}                     // Workflows with occurrences that are not due yet.
+	unreleased         map[*job]struct{}                     // Workflows with occurrences that are not released yet.
+	unreleasedSteps    map[*occurrence]struct{}              // Occurrences with steps that are ready and not released for want of room.
+	openBytes          int                                   // Estimated memory of all open occurrences.
 	planner            *advice.Planner                       // Plans the members' requests for advice.
 	adviceWants        []adviceWant                          // Of the present pass.
 	foundParts         map[cyclamendyke.QueueName]*float64   // Part of the expected room that steps find.
@@ -110,6 +112,7 @@
 		targets:            map[cyclamendyke.TargetID]*target{},
 		unknownTargets:     map[cyclamendyke.TargetID]cyclamendyke.Target{},
 		unreleased:         map[*job]struct{}{},
+		unreleasedSteps:    map[*occurrence]struct{}{},
 		planner:            advice.NewPlanner(),
 		adviceUses:         map[cyclamendyke.QueueName]*AdviceUse{},
 		foundParts:         map[cyclamendyke.QueueName]*float64{},
--- a/core/dispatch/speculative.go
+++ b/core/dispatch/speculative.go
@@ -25,9 +25,8 @@
 	if !step.spec.Speculative || step.spec.Gang || step.spec.LongRunning {
 		return
 	}
-	for i := range step.tasks {
-		task := &step.tasks[i]
-		if task.done || task.crashes.Suspected() || len(task.runs) != 1 || !s.slow(task.runs[0]) {
+	for i, task := range step.tasks.All() {
+		if step.done.Has(i) || task.crashes.Suspected() || len(task.runs) != 1 || !s.slow(task.runs[0]) {
 			continue
 		}
 		slow := task.runs[0]
@@ -84,8 +83,8 @@
 		return step.runTimeOn(t)
 	}
 	var times []float64
-	for i := range step.tasks {
-		for _, r := range step.tasks[i].runs {
+	for _, task := range step.tasks.All() {
+		for _, r := range task.runs {
 			if perPercent, known := r.progress.perPercent(); known {
 				times = append(times, 100*float64(perPercent)*math.Exp(-r.target.speed.slowness))
 			}
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -13,7 +13,7 @@
 		s.cfg.RecordViolation(invariant.EvacuatedZone, string(t.info.ID)+" in zone "+string(t.info.Zone))
 		return
 	}
-	task := &step.tasks[index]
+	task := step.tasks.At(index)
 	r := &run{
 		step: step, taskIndex: index, number: number, target: t, state: runStarting,
 		startedAt: s.now, checkpoint: task.checkpoint, resumed: task.checkpoint != "", pace: fullPace,
--- a/core/dispatch/startrepeat.go
+++ b/core/dispatch/startrepeat.go
@@ -75,8 +75,8 @@
 
 // stopGangOf stops the other members of a gang of which one did not start, since they would wait for it in vain.
 func (s *Scheduler) stopGangOf(r *run, reason string) {
-	for i := range r.step.tasks {
-		for _, other := range r.step.tasks[i].runs {
+	for _, member := range r.step.tasks.All() {
+		for _, other := range member.runs {
 			if other.number == r.number {
 				s.stop(other, reason)
 			}
--- a/core/dispatch/startrepeat_test.go
+++ b/core/dispatch/startrepeat_test.go
@@ -59,8 +59,8 @@
 	for sim.sched.lastRunNumber == int64(sim.sched.cfg.Epoch)*runsPerEpoch {
 		sim.run(100 * time.Microsecond)
 	}
-	step := sim.sched.jobs["gang"].occurrences[0].steps[0]
-	lost := step.tasks[0].runs[0]
+	step := sim.sched.jobs["gang"].open[0].steps[0]
+	lost := step.runsOf(0)[0]
 	sim.sched.runEnded(lost, cyclamendyke.EndStopped, "", 0)
-	is.Equal(step.tasks[1].runs[0].state, runStopping)
+	is.Equal(step.runsOf(1)[0].state, runStopping)
 }
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cyclamendyke"
 	"cyclamendyke/core/crash"
+	"cyclamendyke/core/indexset"
+	"cyclamendyke/core/paged"
 )
 
 // stepRun is one step of one occurrence.
@@ -13,11 +16,14 @@
 	occ            *occurrence
 	index          int
 	spec           *cyclamendyke.Step
-	tasks          []task
-	tasksDone      int
-	released       bool // Its occurrence is due and its preceding steps are done.
-	active         bool // Released, with tasks that are not done.
-	inActiveList   bool // Present in activeSteps.steps.
+	tasks          paged.List[task]              // Of what tasks have beside being done; of most there is nothing.
+	done           indexset.Bits                 // Tasks that are done.
+	waiting        indexset.Bits                 // Tasks that are not done and have no run.
+	runs           int                           // Number of runs of its tasks.
+	zoneRuns       map[cyclamendyke.ZoneName]int // Number of runs of its tasks in each availability zone.
+	released       bool                          // Its occurrence is due and its preceding steps are done.
+	active         bool                          // Released, with tasks that are not done.
+	inActiveList   bool                          // Present in activeSteps.steps.
 	releasedAt     time.Duration
 	failedRuns     []int64 // Numbers of a gang's failed runs.
 	gangCrashes    crash.History
@@ -36,9 +42,8 @@
 	measuredWork   float64       // Sum of their work.
 }
 
-// task is one task of a step.
+// task is what is known of one task of a step beside whether it is done.
 type task struct {
-	done        bool
 	runs        []*run
 	failedRuns  []int64       // Numbers of failed runs; stopped runs do not count.
 	crashes     crash.History // Of a gang's members, only stepRun.gangCrashes is used.
@@ -47,6 +52,80 @@
 	avoidTarget cyclamendyke.TargetID // Target on which it last failed or made no progress.
 }
 
+func newStepRun(occ *occurrence, index int) *stepRun {
+	spec := &occ.job.spec.Steps[index]
+	return &stepRun{
+		job: occ.job, occ: occ, index: index, spec: spec, tasks: paged.NewList[task](spec.Count),
+		done: indexset.NewBits(spec.Count), waiting: indexset.FullBits(spec.Count), zoneRuns: map[cyclamendyke.ZoneName]int{},
+	}
+}
+
+// isDone reports whether all tasks of the step are done.
+func (step *stepRun) isDone() bool {
+	return step.done.IsFull()
+}
+
+// completeAll notes that all tasks are done.
+func (step *stepRun) completeAll() {
+	step.done, step.waiting = indexset.FullBits(step.spec.Count), indexset.NewBits(step.spec.Count)
+}
+
+// avoidedTarget returns the target that a task had better avoid, or an empty name.
+func (step *stepRun) avoidedTarget(index int) cyclamendyke.TargetID {
+	if t := step.tasks.Peek(index); t != nil {
+		return t.avoidTarget
+	}
+	return ""
+}
+
+// taskDone notes that a task is done, and reports whether it was not.
+func (step *stepRun) taskDone(index int) bool {
+	step.waiting.Remove(index)
+	return step.done.Add(index)
+}
+
+// runsOf returns the runs of a task.
+func (step *stepRun) runsOf(index int) []*run {
+	if t := step.tasks.Peek(index); t != nil {
+		return t.runs
+	}
+	return nil
+}
+
+// addRun adds a run of a task that was started or found.
+func (step *stepRun) addRun(r *run) {
+	t := step.tasks.At(r.taskIndex)
+	t.runs = append(t.runs, r)
+	step.waiting.Remove(r.taskIndex)
+	r.zone = r.target.info.Zone
+	step.zoneRuns[r.zone]++
+	step.runs++
+	step.occ.runs++
+}
+
+// removeRun removes a run that has ended or was refused.
+func (step *stepRun) removeRun(r *run) {
+	t := step.tasks.At(r.taskIndex)
+	t.runs = slices.DeleteFunc(t.runs, func(other *run) bool { return other == r })
+	if len(t.runs) == 0 && !step.done.Has(r.taskIndex) {
+		step.waiting.Add(r.taskIndex)
+	}
+	if step.zoneRuns[r.zone]--; step.zoneRuns[r.zone] == 0 {
+		delete(step.zoneRuns, r.zone)
+	}
+	step.runs--
+	step.occ.runs--
+	step.forgetDone(r.taskIndex)
+}
+
+// forgetDone frees the memory of a task that is done, once that of its neighbours is not needed either.
+func (step *stepRun) forgetDone(index int) {
+	if !step.done.Has(index) {
+		return
+	}
+	step.tasks.Free(index, func(i int, t *task) bool { return !step.done.Has(i) || len(t.runs) > 0 })
+}
+
 // urgent reports whether the step's queue has priority 0.
 func (step *stepRun) urgent(s *Scheduler) bool {
 	queue := step.job.queue(s)
--- a/core/dispatch/stop.go
+++ b/core/dispatch/stop.go
@@ -79,7 +79,7 @@
 	case runRunning:
 		if s.stalled(r) {
 			s.stop(r, "no progress")
-			r.step.tasks[r.taskIndex].avoidTarget = r.target.info.ID
+			r.step.tasks.At(r.taskIndex).avoidTarget = r.target.info.ID
 			s.countTargetFailure(r)
 		}
 	}
--- a/core/dispatch/tickets.go
+++ b/core/dispatch/tickets.go
@@ -59,7 +59,7 @@
 // fitsIn returns how many of the step's tasks fit in free, by cores and memory.
 func (step *stepRun) fitsIn(free cyclamendyke.Resources) float64 {
 	need := step.spec.Reserved()
-	fits := float64(len(step.tasks))
+	fits := float64(step.spec.Count)
 	if step.spec.MaxPerTarget > 0 {
 		fits = float64(step.spec.MaxPerTarget)
 	}
@@ -97,7 +97,7 @@
 // prefetchAdvice requests advice for the steps after the given one, if all its remaining tasks are
 // running and will end soon.
 func (s *Scheduler) prefetchAdvice(step *stepRun) {
-	if step.tasksDone+step.runningTasks() < len(step.tasks) {
+	if step.waiting.Count() > 0 {
 		return
 	}
 	queue := step.job.queue(s)
@@ -108,8 +108,11 @@
 		return
 	}
 	for _, index := range step.job.graph.Successors(step.index) {
-		if next := step.occ.steps[index]; !next.released {
-			s.wantInitialAdvice(next, queue, len(next.tasks))
+		if step.occ.steps[index] == nil && !s.mayOpen(step.job, stepBytes(&step.job.spec.Steps[index])) {
+			return
+		}
+		if next := s.openStep(step.occ, int(index)); !next.released && !next.isDone() {
+			s.wantInitialAdvice(next, queue, next.spec.Count)
 		}
 	}
 }
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -26,7 +26,7 @@
 // splitSuspected returns a step's waiting tasks that may run beside others, and those to be tried apart.
 func (step *stepRun) splitSuspected(waiting []int) (trusted, suspected []int) {
 	for _, index := range waiting {
-		if step.crashHistory(index).Suspected() {
+		if step.isSuspected(index) {
 			suspected = append(suspected, index)
 		} else {
 			trusted = append(trusted, index)
@@ -143,7 +143,7 @@
 
 // adoptTrial keeps a target on which an earlier epoch has started a suspected task.
 func (t *target) adoptTrial(r *run) {
-	if t.trial == nil && r.step.crashHistory(r.taskIndex).Suspected() {
+	if t.trial == nil && r.step.isSuspected(r.taskIndex) {
 		t.trial = &trial{step: r.step, index: r.step.crashIndex(r.taskIndex), began: true}
 	}
 }
--- a/core/dispatch/unexplainedcrash.go
+++ b/core/dispatch/unexplainedcrash.go
@@ -81,12 +81,10 @@
 // were any.
 func (j *job) explainCrashes(blamed *crash.History) bool {
 	found := false
-	for _, occ := range j.occurrences {
-		for _, step := range occ.steps {
-			found = step.gangCrashes.Explain(blamed) || found
-			for i := range step.tasks {
-				found = step.tasks[i].crashes.Explain(blamed) || found
-			}
+	for step := range j.openSteps() {
+		found = step.gangCrashes.Explain(blamed) || found
+		for _, task := range step.tasks.All() {
+			found = task.crashes.Explain(blamed) || found
 		}
 	}
 	return found
