Bound a pass, and renew leases and send orders beside it

Cause: a pass placed all that had room, at tasks times tasks (zones in use) and tasks times runs (scores) each; renewals waited for its end; orders carried a lease computed at its beginning. Ruled out: the store (its lease was renewed by another goroutine) and the targets (they answered).

Change: counts in place of walks; a pass looks at 256 tasks of a step, orders 512 starts and ends after 150 ms, and the next ones go on where it ended; renewals go out before each pass and between passes; an order is not sent once its lease is nearly over; 64 starts without an outcome and 2,000 runs a target. Steps that would preempt look for victims once a pass: 40,000 waiting steps of the highest priority made passes of seconds (BenchmarkLargeJobs).

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -59,7 +59,7 @@
 	var bestScore float64
 	zones := step.zonesInUse(planned)
 	for _, t := range targets {
-		if s.lags(t) || !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
+		if s.lags(t) || !step.spec.Gang && t.startsSent >= maxStartsSent || !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
 			continue
 		}
 		if t.info.ID == avoid {
@@ -99,8 +99,19 @@
 	return zones
 }
 
+// The limits of what one target may have, however small its tasks are, so that its listings stay short and its orders are answered
+// soon.
+const (
+	maxTargetRuns = 2000
+	maxStepRuns   = maxTargetRuns / 2 // Of one step.
+	maxStartsSent = 64                // Requests to start a run without an outcome; a gang starts all its members at once.
+)
+
 // fitsNow reports whether one more task of the step fits on a target in addition to planned others.
 func (s *Scheduler) fitsNow(step *stepRun, t *target, planned int) bool {
+	if len(t.runs)+planned >= maxTargetRuns || t.runCount(step)+planned >= maxStepRuns {
+		return false
+	}
 	if limit := step.spec.MaxPerTarget; limit > 0 && t.runCount(step)+planned >= limit {
 		return false
 	}
@@ -110,13 +121,7 @@
 
 // runCount counts the runs of a step on a target.
 func (t *target) runCount(step *stepRun) int {
-	count := 0
-	for _, r := range t.runs {
-		if r.step == step {
-			count++
-		}
-	}
-	return count
+	return t.stepRuns[step]
 }
 
 // atMaxPerTarget reports whether a target has as many tasks of a step as the step allows.
@@ -150,13 +155,11 @@
 		score += gangRackWeight
 	}
 	score += speedWeight * step.haste * s.slowness(t)
-	serving, filler := step.spec.LatencyTarget > 0, step.spec.Filler
-	for _, r := range t.runs {
-		if serving && r.step.spec.Filler || filler && r.step.spec.LatencyTarget > 0 {
-			score += interferenceWeight
-		}
+	if step.spec.LatencyTarget > 0 {
+		score += interferenceWeight * float64(t.fillerRuns)
 	}
-	if filler {
+	if step.spec.Filler {
+		score += interferenceWeight * float64(t.servingRuns)
 		score += float64(t.runCount(step)) / float64(max(1, step.spec.Count)) // Spreads fillers over the idle targets.
 	}
 	return score
--- a/core/dispatch/commands.go
+++ b/core/dispatch/commands.go
@@ -18,8 +18,9 @@
 
 // StartCommand starts a run.
 type StartCommand struct {
-	Target cyclamendyke.Target
-	Order  cyclamendyke.StartOrder
+	Target    cyclamendyke.Target
+	Order     cyclamendyke.StartOrder
+	LeaseLeft time.Duration // How long the lease in the order lasts from now on.
 }
 
 // StopCommand stops a run or prevents its start.
--- a/core/dispatch/ends.go
+++ b/core/dispatch/ends.go
@@ -16,10 +16,8 @@
 	r.target.used = r.target.used.Add(need)
 	team := s.team(r.step.job.spec.Team)
 	team.used = team.used.Add(need)
-	if r.step.urgent(s) {
-		r.urgent = true
-		r.target.urgentRuns++
-	}
+	r.urgent = r.urgent || r.step.urgent(s)
+	r.target.countRun(r, 1)
 	r.step.job.runCount++
 	r.step.addRun(r)
 }
@@ -37,9 +35,7 @@
 	r.target.used = r.target.used.Sub(need)
 	team := s.team(r.step.job.spec.Team)
 	team.used = team.used.Sub(need)
-	if r.urgent {
-		r.target.urgentRuns--
-	}
+	r.target.countRun(r, -1)
 	r.step.job.runCount--
 	r.step.removeRun(r)
 	s.closeStep(r.step)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,11 @@
 package dispatch
 
-import "cyclamendyke"
+import (
+	"slices"
+	"time"
+
+	"cyclamendyke"
+)
 
 // placementPass is what one pass over the waiting steps has found so far.
 type placementPass struct {
@@ -8,14 +13,42 @@
 	noProjectedRoom noFitCache // Needs that fit on none with the room expected soon.
 	noRoomNow       noFitCache // Needs for which a step waits for room.
 	waitClaims      int        // Steps that have tried to claim room for which they wait.
+	victims         map[victimKey]bool
+}
+
+// victimKey names the runs that steps of a priority may preempt in a service.
+type victimKey struct {
+	service  cyclamendyke.ServiceName
+	priority int
 }
 
-// placeAll starts the tasks that can start, in order of rank.
+// The limits of one pass. What it does not reach is left to the next ones.
+const (
+	maxPassTime   = 150 * time.Millisecond
+	maxPassStarts = 512 // Requests to start a run.
+	maxWaiting    = 256 // Tasks of one step that it looks at, and as many suspected ones; a gang is placed whole.
+	stepsPerCheck = 16  // Steps between two looks at the clock.
+)
+
+// placeAll starts the tasks that can start, in order of rank. If that takes too long for one pass, each following one begins with
+// the highest ranks again, and uses the second half of its limits to go on where the last one ended.
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
 	s.projectFree()
-	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}}
-	for _, step := range s.active.sorted(s.rank) {
+	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{}}
+	steps := s.active.sorted(s.rank)
+	resumed := slices.Index(steps, s.resumeAt)
+	s.resumeAt = nil
+	s.passStarts = 0
+	for i := 0; i < len(steps); i++ {
+		if resumed > i && s.passUsed(i) >= 0.5 {
+			i, resumed = resumed, -1
+		}
+		if s.passUsed(i) >= 1 {
+			s.resumeAt = steps[i]
+			return
+		}
+		step := steps[i]
 		queue := step.job.queue(s)
 		if queue == nil || s.service(queue.Service) == nil {
 			continue
@@ -26,6 +59,14 @@
 	}
 }
 
+// passUsed returns how much of its limits the present pass has used, after a number of steps; one and more is all.
+func (s *Scheduler) passUsed(steps int) float64 {
+	if s.cfg.PassTime != nil && steps%stepsPerCheck == 0 {
+		s.passTimeUsed = float64(s.cfg.PassTime()) / float64(maxPassTime)
+	}
+	return max(s.passTimeUsed, float64(s.passStarts)/maxPassStarts)
+}
+
 // placeable returns the tasks of a step that wait for nothing but a target.
 func (s *Scheduler) placeable(step *stepRun, queue *cyclamendyke.Queue) []int {
 	waiting := s.startableTasks(step)
@@ -74,7 +115,7 @@
 		pass.noRoom.add(queue.Service, step.spec.Reserved())
 	}
 	if len(suspected) == 0 {
-		s.makeRoom(step, queue, unplaced, &pass.waitClaims) // Nothing is stopped or kept for a task that may crash its target.
+		s.makeRoom(step, queue, unplaced, pass) // Nothing is stopped or kept for a task that may crash its target.
 	}
 	s.wantMissingTickets(step, queue, unplaced, pass.noProjectedRoom)
 }
@@ -92,12 +133,16 @@
 	return nil
 }
 
-// startableTasks returns the indexes of the tasks that are not done and have no run. It leaves out
-// tasks in unlistedTasks and those with crashes that the next epoch would not know of, and a whole gang if
-// one of its tasks is among them.
+// startableTasks returns the indexes of tasks that are not done and have no run: all of a gang, and the first maxWaiting of other
+// steps, suspected ones apart. It leaves out tasks in unlistedTasks and those with crashes that the next epoch would not know of, and
+// a whole gang if one of its tasks is among them.
 func (s *Scheduler) startableTasks(step *stepRun) []int {
 	var out []int
+	suspected := 0
 	for i := range step.waiting.All() {
+		if !step.spec.Gang && len(out)-suspected >= maxWaiting {
+			break
+		}
 		if !step.crashesStored(i) {
 			if step.spec.Gang {
 				return nil
@@ -110,6 +155,12 @@
 			}
 			continue
 		}
+		if !step.spec.Gang && step.isSuspected(i) {
+			if suspected >= maxWaiting {
+				continue
+			}
+			suspected++
+		}
 		out = append(out, i)
 	}
 	return out
@@ -143,6 +194,10 @@
 	asked := plan{}
 	for n, index := range waiting {
 		best := s.bestTarget(step, targets, step.avoidedTarget(index), asked)
+		if best == nil && s.awaitsOutcomes(step, targets) {
+			s.logUnplaced(step, "targets with room have many starts to answer")
+			return 0
+		}
 		if best == nil {
 			s.logUnplaced(step, "no target with room and a ticket")
 			return len(waiting) - n
@@ -156,6 +211,13 @@
 	return 0
 }
 
+// awaitsOutcomes reports whether a target has room for a task of the step, and only too many requests without an outcome.
+func (s *Scheduler) awaitsOutcomes(step *stepRun, targets []*target) bool {
+	return slices.ContainsFunc(targets, func(t *target) bool {
+		return t.startsSent >= maxStartsSent && !s.lags(t) && s.fitsNow(step, t, 0) && s.leavesHeadroom(step, t, nil)
+	})
+}
+
 // logUnplaced logs why a step's tasks wait, whenever the reason changes.
 func (s *Scheduler) logUnplaced(step *stepRun, reason string) {
 	if step.phase == phaseEvacuated {
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -22,6 +22,30 @@
 	cost    float64 // Core-seconds of work that are lost.
 }
 
+// hasVictims reports whether there is a less urgent run in the queue's service, so that not each of thousands of waiting steps
+// looks for one.
+func (s *Scheduler) hasVictims(queue *cyclamendyke.Queue, pass *placementPass) bool {
+	key := victimKey{queue.Service, queue.Priority}
+	found, isKnown := pass.victims[key]
+	if isKnown {
+		return found
+	}
+	for _, t := range s.targets {
+		if found {
+			break
+		}
+		if t.info.Service != queue.Service {
+			continue
+		}
+		for step := range t.stepRuns {
+			own := step.job.queue(s)
+			found = found || own != nil && own.Priority > queue.Priority
+		}
+	}
+	pass.victims[key] = found
+	return found
+}
+
 // preempt stops less urgent runs where that costs least, so that count more tasks of the step fit, and
 // claims their room; for a gang it stops none unless all members fit. It returns how many tasks got
 // room.
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -15,6 +15,14 @@
 	maxAnswerAge    = renewWait + 700*time.Millisecond // A target whose last answer is older gets no new runs.
 )
 
+// Renew returns the renewals that are due. They have a schedule of their own beside the passes, which may be long.
+func (s *Scheduler) Renew() []Command {
+	s.renewAll()
+	commands := s.commands
+	s.commands = nil
+	return commands
+}
+
 // renewAll emits the renewals that are due.
 func (s *Scheduler) renewAll() {
 	for _, t := range s.targets {
@@ -32,12 +40,7 @@
 	if !t.listed || t.renewFailed {
 		return 0 // An immediate answer shows the soonest that the target is back.
 	}
-	serving, filler := false, false
-	for _, r := range t.runs {
-		serving = serving || r.step.spec.LatencyTarget > 0
-		filler = filler || r.step.spec.Filler
-	}
-	if serving && filler {
+	if t.servingRuns > 0 && t.fillerRuns > 0 {
 		return servingWait
 	}
 	return renewWait
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -17,8 +17,7 @@
 
 // makeRoom preempts runs for an urgent step, unless there may be room that it has not asked about; for a
 // gang or a wide task that has waited for some time, it claims the room that frees up as runs end.
-// waitClaims counts the steps of this pass that have tried to claim such room.
-func (s *Scheduler) makeRoom(step *stepRun, queue *cyclamendyke.Queue, unplaced int, waitClaims *int) {
+func (s *Scheduler) makeRoom(step *stepRun, queue *cyclamendyke.Queue, unplaced int, pass *placementPass) {
 	count := 1
 	if step.spec.Gang {
 		count = unplaced
@@ -31,15 +30,15 @@
 			s.dropClaims(step)
 		}
 		missing := unplaced - len(step.claims)
-		if missing > 0 && (step.spec.Gang || !s.mayFindRoom(step, queue, missing)) && s.preempt(step, queue, missing) > 0 {
+		if missing > 0 && s.hasVictims(queue, pass) && (step.spec.Gang || !s.mayFindRoom(step, queue, missing)) && s.preempt(step, queue, missing) > 0 {
 			return
 		}
 	}
 	if queue.Priority == 0 && !step.spec.Gang {
 		return
 	}
-	if *waitClaims < maxWaitClaims && s.now-step.releasedAt > waitClaimDelay && (step.spec.Gang || s.wide(step, queue)) {
-		*waitClaims++
+	if pass.waitClaims < maxWaitClaims && s.now-step.releasedAt > waitClaimDelay && (step.spec.Gang || s.wide(step, queue)) {
+		pass.waitClaims++
 		s.claimEarliest(step, queue, count)
 	}
 }
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -21,6 +21,7 @@
 	// that has not answered this epoch, unless it is known to be sooner. Tasks that may be done there wait longer.
 	EarlierRunsEndBy time.Duration
 	LogDecision      func(Decision)
+	PassTime         func() time.Duration // How long the present pass has taken so far; nil if passes are not bounded by time.
 
 	RecordViolation func(name invariant.Name, detail string) // Called for each violated invariant.
 }
@@ -65,6 +66,9 @@
 	lagsIgnored        map[cyclamendyke.ServiceName]bool      // So many targets seem to lag that the estimates are wrong; computed in each pass.
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	claims             []*claim
+	resumeAt           *stepRun // The first step that the last pass did not reach; nil if it has reached all.
+	passStarts         int      // Requests to start a run in the present pass.
+	passTimeUsed       float64  // Part of the time of the present pass that is used, as of the last look at the clock.
 	roomIndex          roomIndex
 	allowedParts       map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
 	usableByService    map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -58,6 +58,7 @@
 	violations     []string
 	passes         int
 	passDue        bool          // A pass is scheduled.
+	noPasses       bool          // No pass is made.
 	passTime       time.Duration // Real time spent in all passes.
 
 	logDecision     func(Decision) // Called for each decision of schedulers elected from now on; may be nil.
@@ -290,7 +291,7 @@
 }
 
 func (sim *simulation) pass(sched *Scheduler) {
-	if !sim.acts(sched) {
+	if !sim.acts(sched) || sim.noPasses {
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -57,6 +57,9 @@
 
 // Started handles the answer to a start; kind is empty if the target accepted it.
 func (s *Scheduler) Started(info cyclamendyke.Target, order cyclamendyke.StartOrder, kind cyclamendyke.Kind) {
+	if t := s.targets[info.ID]; t != nil {
+		t.startsSent = max(0, t.startsSent-1)
+	}
 	t := s.answeringTarget(info.ID, kind)
 	if t == nil {
 		return
--- a/core/dispatch/startrepeat.go
+++ b/core/dispatch/startrepeat.go
@@ -42,7 +42,10 @@
 func (s *Scheduler) sendStart(r *run) {
 	r.starts.sentAt = s.now
 	r.starts.inFlight++
-	s.emit(StartCommand{Target: r.starts.target, Order: r.starts.order})
+	r.target.startsSent++
+	s.passStarts++
+	leaseLeft := r.starts.order.Until - r.target.clockNow(s.now)
+	s.emit(StartCommand{Target: r.starts.target, Order: r.starts.order, LeaseLeft: max(1, leaseLeft)})
 }
 
 // repeatStart sends a run's start order again, if it may, and reports whether it did.
@@ -52,6 +55,7 @@
 	}
 	s.startRepeatTokens--
 	r.starts.repeats++
+	r.starts.order.Until = max(r.starts.order.Until, s.grantLease(r.target))
 	s.sendStart(r)
 	return true
 }
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -39,6 +39,10 @@
 	reconciled    bool                   // Its present incarnation's runs were compared with a listing.
 	isOverfull    bool                   // They need more than it has room for.
 	urgentRuns    int                    // Runs of queues with priority 0.
+	servingRuns   int                    // Runs of steps with a latency target.
+	fillerRuns    int                    // Runs of fillers.
+	stepRuns      map[*stepRun]int       // Number of runs of each step.
+	startsSent    int                    // Requests to start a run without an outcome.
 	projectedFree cyclamendyke.Resources // Free now or soon, less what earlier steps of this pass have taken.
 	asked         []askedRoom            // Room that requests for advice in flight count on.
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
@@ -124,6 +128,22 @@
 	return t.lastEndStored
 }
 
+// countRun adds a run to the target's counts, or takes it off them if count is -1.
+func (t *target) countRun(r *run, count int) {
+	if r.urgent {
+		t.urgentRuns += count
+	}
+	if r.step.spec.LatencyTarget > 0 {
+		t.servingRuns += count
+	}
+	if r.step.spec.Filler {
+		t.fillerRuns += count
+	}
+	if t.stepRuns[r.step] += count; t.stepRuns[r.step] == 0 {
+		delete(t.stepRuns, r.step)
+	}
+}
+
 // free returns the capacity that no run has reserved.
 func (t *target) free() cyclamendyke.Resources {
 	return t.info.Capacity.Sub(t.used)
@@ -207,7 +227,7 @@
 }
 
 func (s *Scheduler) addTarget(info cyclamendyke.Target) *target {
-	t := &target{closed: true, addedAt: s.now, runs: map[runKey]*run{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
+	t := &target{closed: true, addedAt: s.now, runs: map[runKey]*run{}, stepRuns: map[*stepRun]int{}, orphans: map[runKey]bool{}, fillerPace: fullPace, fenceInDoubt: s.successorPossible}
 	s.targets[info.ID] = t
 	s.lastListedAt = cmp.Or(s.lastListedAt, s.now)
 	s.targetChanged(info.ID)
--- a/io/member/orders.go
+++ b/io/member/orders.go
@@ -1,6 +1,10 @@
 package member
 
-import "cyclamendyke"
+import (
+	"time"
+
+	"cyclamendyke"
+)
 
 // Order is an order that a member sends to a target for the scheduler; one of Start, Stop and Renewal is
 // set.
@@ -10,8 +14,10 @@
 	Address string                   `json:"address"`        // The target's address.
 	Zone    cyclamendyke.ZoneName    `json:"zone,omitempty"` // The target's zone, with a start.
 	Start   *cyclamendyke.StartOrder `json:"start,omitempty"`
-	Stop    *StopOrder               `json:"stop,omitempty"`
-	Renewal *cyclamendyke.Renewal    `json:"renewal,omitempty"`
+	// LeaseLeft is how long the lease in a start lasts once the order has arrived; zero if an earlier version has sent it.
+	LeaseLeft time.Duration         `json:"lease-left-ns,omitempty"`
+	Stop      *StopOrder            `json:"stop,omitempty"`
+	Renewal   *cyclamendyke.Renewal `json:"renewal,omitempty"`
 }
 
 // StopOrder asks a target to end a run or to prevent its start.
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -155,7 +155,7 @@
 	var target cyclamendyke.Target
 	switch c := command.(type) {
 	case dispatch.StartCommand:
-		target, order.Start, order.Zone = c.Target, &c.Order, c.Target.Zone
+		target, order.Start, order.Zone, order.LeaseLeft = c.Target, &c.Order, c.Target.Zone, c.LeaseLeft
 		timeout += startTimeout
 	case dispatch.StopCommand:
 		target, order.Stop = c.Target, &member.StopOrder{Task: c.Task, Run: c.Run, Fence: d.term.epoch}
@@ -175,7 +175,7 @@
 	now := bootTime()
 	d.pending[order.Number] = delegatedOrder{to.Name, to.Address, command, now, now + timeout}
 	if d.outbox[to.Name] == nil {
-		d.outbox[to.Name] = &orderBatch{address: to.Address, decidedAt: now}
+		d.outbox[to.Name] = &orderBatch{address: to.Address, decidedAt: d.term.passBegan}
 	}
 	d.outbox[to.Name].orders = append(d.outbox[to.Name].orders, order)
 	return true
--- a/node/orderexecutor.go
+++ b/node/orderexecutor.go
@@ -53,7 +53,7 @@
 	targets := e.node.cfg.Targets
 	switch {
 	case order.Start != nil:
-		if outcome.Kind = e.node.startObstacle(order.Zone, arrivedAt); outcome.Kind != "" {
+		if outcome.Kind = e.node.startObstacle(order.Zone, arrivedAt, order.LeaseLeft); outcome.Kind != "" {
 			return outcome
 		}
 		ctx, cancel := context.WithTimeout(e.node.ctx, startTimeout)
--- a/node/orders.go
+++ b/node/orders.go
@@ -19,7 +19,7 @@
 	case dispatch.RenewCommand:
 		t.wg.Go(func() { t.renew(c) })
 	case dispatch.StartCommand:
-		decidedAt := bootTime()
+		decidedAt := t.passBegan
 		t.wg.Go(func() { t.start(c, decidedAt) })
 	case dispatch.StopCommand:
 		t.wg.Go(func() {
@@ -53,7 +53,7 @@
 }
 
 func (t *term) start(c dispatch.StartCommand, decidedAt time.Duration) {
-	obstacle := t.node.startObstacle(c.Target.Zone, decidedAt)
+	obstacle := t.node.startObstacle(c.Target.Zone, decidedAt, c.LeaseLeft)
 	if !t.maySendOrders() {
 		obstacle = cyclamendyke.KindUnavailable
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -18,7 +18,9 @@
 	authorityGrace = 6500 * time.Millisecond
 	graceMargin    = 500 * time.Millisecond // A scheduler ends its term this long before its grace period ends.
 	tickInterval   = 100 * time.Millisecond // Passes run at least this often.
-	inboxSize      = 4096
+	// renewalInterval is the time between two looks at which leases are to be renewed while the next pass is not due.
+	renewalInterval = 100 * time.Millisecond
+	inboxSize       = 4096
 )
 
 // term is a period in which this process is the scheduler.
@@ -49,6 +51,7 @@
 	leaseRevisions     leaseRevisions
 	unusable           map[cyclamendyke.TargetID]bool   // Described targets whose descriptions cannot be used.
 	claiming           map[cyclamendyke.WorkflowID]bool // Workflows that are reserved for a later epoch, until the store says otherwise.
+	passBegan          time.Duration                    // When the last pass began, or when renewals were last sent.
 	lastPassDuration   time.Duration
 	confirmedTargets   time.Duration // As of when the descriptions of targets are complete once the inbox is applied.
 }
@@ -72,6 +75,7 @@
 		ClaimedAt:        election.requestedAt,
 		EarlierRunsEndBy: earlierLeasesEnd(bootTime(), bounds.MaxLease, election.areLeasesBounded),
 		LogDecision:      t.logDecision,
+		PassTime:         func() time.Duration { return bootTime() - t.passBegan },
 		RecordViolation:  t.logViolation,
 	})
 	t.delegator = newDelegator(t)
@@ -140,14 +144,18 @@
 	change()
 }
 
-// applyUntilNextPass applies further changes until the next pass is due.
+// applyUntilNextPass applies further changes, and renews leases, until the next pass is due.
 func (t *term) applyUntilNextPass() {
 	timer := time.NewTimer(pauseAfterPass(t.lastPassDuration))
 	defer timer.Stop()
+	renewals := time.NewTicker(renewalInterval)
+	defer renewals.Stop()
 	for {
 		select {
 		case change := <-t.inbox:
 			t.apply(change)
+		case <-renewals.C:
+			t.renewLeases()
 		case <-timer.C:
 			return
 		case <-t.ctx.Done():
@@ -162,25 +170,44 @@
 	if !t.checkAuthority() || t.ctx.Err() != nil {
 		return
 	}
-	t.sched.Advance(bootTime(), time.Now())
+	t.passBegan = bootTime()
+	t.sched.Advance(t.passBegan, time.Now())
 	t.submitHeld()
 	t.sched.SetSuccessorPossible(!t.leaseValid())
 	t.sched.SetAdvisers(t.advisers())
 	t.updateEvacuated()
 	t.confirmTargets()
 	t.delegator.refresh(bootTime())
-	for _, command := range t.sched.Run() {
+	t.carryOut(t.sched.Renew()) // They do not wait for the pass.
+	t.carryOut(t.sched.Run())
+	if t.sched.Superseded() {
+		t.end("a target reported a later epoch")
+		return
+	}
+	t.storeLeaseStatement()
+	t.commitRecords()
+}
+
+// carryOut delegates commands or executes them.
+func (t *term) carryOut(commands []dispatch.Command) {
+	for _, command := range commands {
 		if !t.delegator.delegate(command) {
 			t.execute(command)
 		}
 	}
 	t.delegator.flush()
-	if t.sched.Superseded() {
-		t.end("a target reported a later epoch")
+}
+
+// renewLeases sends the renewals that are due between two passes, if this process may still act as the scheduler.
+func (t *term) renewLeases() {
+	if !t.loaded || !t.checkAuthority() || t.ctx.Err() != nil {
 		return
 	}
+	t.passBegan = bootTime()
+	t.sched.Advance(t.passBegan, time.Now())
+	t.sched.SetSuccessorPossible(!t.leaseValid())
+	t.carryOut(t.sched.Renew())
 	t.storeLeaseStatement()
-	t.commitRecords()
 }
 
 // checkAuthority reports whether this process may still act as the scheduler, and ends the term if
--- a/node/termevacuation.go
+++ b/node/termevacuation.go
@@ -34,17 +34,25 @@
 	return bootTime()-t.node.evacuationsReadAt() > limit-startTimeout
 }
 
+// arrivalMargin is how long a lease must last beyond the time at which an order with it is sent.
+const arrivalMargin = 200 * time.Millisecond
+
 // startObstacle returns why a start that was decided, or arrived here, at a given time must not be sent any
 // more, or an empty kind. It is called right before sending, since the process may have been suspended and the
-// zone may have been evacuated in between; a process that has just started may not know of it yet.
-func (n *Node) startObstacle(zone cyclamendyke.ZoneName, since time.Duration) cyclamendyke.Kind {
+// zone may have been evacuated in between; a process that has just started may not know of it yet. The lease in the order lasted for
+// leaseLeft at that time, if that is not zero.
+func (n *Node) startObstacle(zone cyclamendyke.ZoneName, since, leaseLeft time.Duration) cyclamendyke.Kind {
+	longest := startTimeout
+	if leaseLeft != 0 {
+		longest = min(longest, leaseLeft-arrivalMargin)
+	}
 	kind, reason := cyclamendyke.Kind(""), ""
 	switch {
 	case n.evacuations.has(zone):
 		kind, reason = cyclamendyke.KindEvacuated, "evacuated"
 	case n.evacuationsReadAt() == 0:
 		kind, reason = cyclamendyke.KindUnavailable, "unknown"
-	case bootTime()-since > startTimeout:
+	case bootTime()-since > longest:
 		kind, reason = cyclamendyke.KindUnavailable, "late"
 	default:
 		return ""
@@ -59,10 +67,11 @@
 	var held []member.Outcome
 	for _, order := range batch.orders {
 		if order.Start != nil {
-			if kind := t.node.startObstacle(order.Zone, batch.decidedAt); kind != "" {
+			if kind := t.node.startObstacle(order.Zone, batch.decidedAt, order.LeaseLeft); kind != "" {
 				held = append(held, member.Outcome{Number: order.Number, Kind: kind})
 				continue
 			}
+			order.LeaseLeft = max(1, order.LeaseLeft-(bootTime()-batch.decidedAt))
 		}
 		remaining = append(remaining, order)
 	}
