Bound the memory of all accepted work, and leave too long records out

Cause: nothing bounded the sum of accepted jobs, nor a record.

Change: the scheduler states what its unfinished work takes; members accept from a share of the rest (core/backlog) and refuse the other before it is stored, with a Retry-After from the rate at which work ends, unless the job is stored already or may be. A record over 900 KiB is stored without checkpoints, or left out and logged.

--- a/core/dispatch/decision.go
+++ b/core/dispatch/decision.go
@@ -31,6 +31,7 @@
 	EventBlamed        Event = "task blamed"     // It crashes targets, so that its workflow fails.
 	EventCapacities    Event = "capacities"      // Whether the capacities of targets are known.
 	EventOverfull      Event = "target overfull" // More runs on it than it has room for.
+	EventRecordTooLong Event = "record too long" // The progress of a workflow is not stored, since the store would refuse it.
 	EventTargetAvoided Event = "target avoided"
 	EventUnplaced      Event = "unplaced"
 	EventLate          Event = "late"       // A workflow became final after its target time.
--- a/core/dispatch/endedjob.go
+++ b/core/dispatch/endedjob.go
@@ -22,6 +22,7 @@
 			return false
 		}
 		s.closeAll(j)
+		s.heldBytes -= j.footprint
 		delete(s.jobs, j.spec.ID)
 		s.endedJobs[j.spec.ID] = endedJob{state: j.state, team: j.spec.Team, at: j.finalAt}
 		return true
--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/backlog"
 	"cyclamendyke/core/stepgraph"
 )
 
@@ -28,6 +29,8 @@
 	revision      cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onStored      []func()              // Called once the current version is stored.
 	onFinal       []*finalWaiter        // Notified once a final state is stored.
+	isTooLong     bool                  // Its record was too long to be stored.
+	footprint     int64                 // Its part of Scheduler.heldBytes.
 	runCount      int                   // Number of its runs, in any state.
 	phaseTimes    phaseTimes            // Time that its steps have spent in each phase.
 }
@@ -50,6 +53,8 @@
 	}
 	j.overShare = !s.team(spec.Team).takeShareToken(j.acceptedAt)
 	s.jobs[spec.ID] = j
+	j.footprint = backlog.Footprint(spec)
+	s.heldBytes += j.footprint
 	s.enterFirstPhase(j)
 	s.unreleased[j] = struct{}{}
 	s.expectUrgent(j)
@@ -144,6 +149,11 @@
 	return j != nil && !j.state.IsFinal()
 }
 
+// HeldBytes estimates the memory that the workflows take which have not ended.
+func (s *Scheduler) HeldBytes() int64 {
+	return s.heldBytes
+}
+
 // Pending counts the queue's workflows that are not final and of which no task has started.
 func (s *Scheduler) Pending(queue cyclamendyke.QueueName) int {
 	count := 0
--- a/core/dispatch/manyoccurrences_test.go
+++ b/core/dispatch/manyoccurrences_test.go
@@ -120,3 +120,35 @@
 		})
 	}
 }
+
+// TestRecordThatIsTooLongBlocksOthers gives a workflow so many checkpoints, or failed runs, that its record would be refused with its batch.
+func TestRecordThatIsTooLongBlocksOthers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(task *task)
+		want   int // Records that are taken.
+	}{
+		{"checkpoints", func(task *task) { task.checkpoint = "0123456789abcdef0123456789abcdef" }, 2},
+		{"failed runs", func(task *task) { task.failedRuns = []int64{1_000_000_000_000_000, 1_000_000_000_000_001} }, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Epoch: 1, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second}})
+			for _, id := range []string{"long", "short"} {
+				s.Submit(workflow(id, cyclamendyke.Step{Count: 60_000, Need: cores(1)}), 1)
+				s.markDirty(s.jobs[cyclamendyke.WorkflowID(id)])
+			}
+			step := s.openStep(s.jobs["long"].open[0], 0)
+			for i := range step.spec.Count {
+				test.change(step.tasks.At(i))
+			}
+			taken := 0
+			is.NoErr(s.TakeRecords(func(r Record) bool {
+				taken++
+				is.True(len(r.Value) <= maxRecordBytes)
+				return true
+			}))
+			is.Equal(taken, test.want)
+		})
+	}
+}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -106,6 +106,10 @@
 			if err != nil {
 				return NewError("record", cyclamendyke.KindInvalid, err)
 			}
+			if len(record.Value) > maxRecordBytes {
+				s.logTooLong(j, len(record.Value))
+				continue
+			}
 			if isFull = !take(record); !isFull {
 				j.dirty, j.storing = false, true
 			}
@@ -118,15 +122,35 @@
 // encode returns the record of a job's present state.
 func (s *Scheduler) encode(j *job) (Record, error) {
 	record := Record{ID: j.spec.ID, Final: j.state.IsFinal(), Expected: j.revision, version: j.version}
-	var content any = j.record()
 	if record.Final {
-		content = FinalRecord{State: j.state, Team: j.spec.Team, EndedAt: s.wall.Add(j.finalAt - s.now)}
+		value, err := json.Marshal(FinalRecord{State: j.state, Team: j.spec.Team, EndedAt: s.wall.Add(j.finalAt - s.now)})
+		record.Value = value
+		return record, err
 	}
+	content := j.record()
 	value, err := json.Marshal(content)
+	if len(value) > maxRecordBytes {
+		content.dropCheckpoints() // Work is lost then, but nothing that is done.
+		value, err = json.Marshal(content)
+	}
 	record.Value = value
 	return record, err
 }
 
+func (r *jobRecord) dropCheckpoints() {
+	for i := range r.Steps {
+		r.Steps[i].Checkpoints = nil
+	}
+}
+
+// logTooLong logs once that the record of a workflow is too long to be stored. Others are stored.
+func (s *Scheduler) logTooLong(j *job, bytes int) {
+	if !j.isTooLong {
+		j.isTooLong = true
+		s.cfg.LogDecision(Decision{Event: EventRecordTooLong, Workflow: j.spec.ID, Count: bytes})
+	}
+}
+
 // RecordsStored marks records as stored at a revision and calls the callbacks that waited for them.
 func (s *Scheduler) RecordsStored(records []Record, revision cyclamendyke.Revision) {
 	for _, r := range records {
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -41,6 +41,7 @@
 	active             activeSteps
 	unreleased         map[*job]struct{}                     // Workflows with occurrences that are not released yet.
 	unreleasedSteps    map[*occurrence]struct{}              // Occurrences with steps that are ready and not released for want of room.
+	heldBytes          int64                                 // Estimated memory of all workflows beside their open occurrences.
 	openBytes          int                                   // Estimated memory of all open occurrences.
 	planner            *advice.Planner                       // Plans the members' requests for advice.
 	adviceWants        []adviceWant                          // Of the present pass.
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -28,6 +28,7 @@
 	zone            cyclamendyke.ZoneName // Of the nodes that are started.
 	evacuationDelay time.Duration         // In their settings.
 	maxConfigAge    time.Duration         // In their settings.
+	memoryBytes     int64                 // In their settings.
 	submitted       int                   // Workflows that complete has submitted.
 }
 
@@ -102,7 +103,7 @@
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay, MaxConfigAge: c.maxConfigAge}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, MemoryBytes: c.memoryBytes, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay, MaxConfigAge: c.maxConfigAge}},
 		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(c.log), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
--- a/node/directory.go
+++ b/node/directory.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"cyclamendyke"
+	"cyclamendyke/core/backlog"
 	"cyclamendyke/core/storepath"
 )
 
@@ -35,6 +36,7 @@
 	epoch             uint64
 	epochRevision     cyclamendyke.Revision // Revision of the key that holds the epoch.
 	leases            leaseView
+	budget            *backlog.Budget
 	changed           chan struct{} // Wakes the election loop.
 	storeFailing      atomic.Bool   // The last call to the store failed.
 }
@@ -157,6 +159,11 @@
 		if d.decode(entry, &epoch) && epoch >= d.epoch {
 			d.epoch, d.epochRevision = epoch, entry.Revision
 		}
+	case heldKey:
+		var held int64
+		if d.decode(entry, &held) {
+			d.budget.See(held, bootTime())
+		}
 	case leaseRoundKey, leaseSilentKey, leaseEpochKey:
 		d.applyLeases(entry)
 	default:
--- a/node/intake.go
+++ b/node/intake.go
@@ -58,6 +58,9 @@
 	}
 	workflow.ID, workflow.Team, workflow.Queue = request.id, request.team, request.queue.Name
 	workflow.AcceptedAt, workflow.QueueSettings = time.Now(), request.queue.Settings()
+	if reply, err := n.refuseBeyondMemory(ctx, workflow); err != nil {
+		return reply, err
+	}
 	return n.storeWorkflow(ctx, workflow)
 }
 
--- a/node/keys.go
+++ b/node/keys.go
@@ -15,6 +15,7 @@
 	leaseRoundKey      = systemPrefix + "leases/round"  // The last round in which a scheduler has confirmed that it grants leases.
 	leaseSilentKey     = systemPrefix + "leases/silent" // The targets on which none is granted.
 	leaseEpochKey      = systemPrefix + "leases/epoch"  // The epoch of the last scheduler that stores the above, if all before it did.
+	heldKey            = systemPrefix + "held"          // The memory that the scheduler's unfinished work takes, in bytes.
 	membersPrefix      = systemPrefix + "members/"
 	workPrefix         = "work/" // Followed by the workflow's identifier.
 	cancelSuffix       = "/cancel"
--- a/node/leasestatements.go
+++ b/node/leasestatements.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/backlog"
 	"cyclamendyke/core/lease"
 )
 
@@ -58,6 +59,10 @@
 	if statement.SilentChanged && err == nil {
 		err = put(leaseSilentKey, statement.Silent, t.leaseRevisions.silent, false)
 	}
+	if held := t.sched.HeldBytes(); backlog.IsWorthStating(held, t.statedHeld, backlog.Limit(t.node.cfg.Settings.MemoryBytes)) && err == nil {
+		t.statedHeld = held
+		err = put(heldKey, held, 0, true)
+	}
 	if !t.election.areLeasesBounded && err == nil {
 		err = put(leaseEpochKey, t.epoch, 0, true)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"cyclamendyke"
+	"cyclamendyke/core/backlog"
 	"cyclamendyke/io/member"
 )
 
@@ -70,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{cfg: cfg, nonce: rand.Uint64(), peers: member.NewClient(), ctx: ctx, cancel: cancel, storePaths: newStorePaths(cfg)}
 	n.cfg.Store = trackedStore{store: cfg.Store, paths: n.storePaths}
-	n.dir.log = cfg.Log
+	n.dir.log, n.dir.budget = cfg.Log, backlog.NewBudget(backlog.Limit(cfg.Settings.MemoryBytes))
 	n.evacuations.codec, n.evacuations.log, n.evacuations.metrics = cfg.Codec, cfg.Log, cfg.Metrics
 	n.dir.changed = make(chan struct{}, 1)
 	return n
--- a/node/term.go
+++ b/node/term.go
@@ -49,6 +49,7 @@
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	sightings          *lease.Sightings                 // Of what the store said of leases when this term began.
 	leaseRevisions     leaseRevisions
+	statedHeld         int64                            // What was last stored of the memory that the work takes.
 	unusable           map[cyclamendyke.TargetID]bool   // Described targets whose descriptions cannot be used.
 	claiming           map[cyclamendyke.WorkflowID]bool // Workflows that are reserved for a later epoch, until the store says otherwise.
 	passBegan          time.Duration                    // When the last pass began, or when renewals were last sent.
@@ -62,7 +63,7 @@
 	t := &term{
 		node: n, epoch: election.epoch, election: election, ctx: ctx, cancel: cancel, inbox: make(chan func(), inboxSize),
 		cancellations: map[cyclamendyke.WorkflowID]bool{}, claiming: map[cyclamendyke.WorkflowID]bool{},
-		unusable: map[cyclamendyke.TargetID]bool{},
+		unusable: map[cyclamendyke.TargetID]bool{}, statedHeld: n.dir.budget.Held(),
 	}
 	t.sightings = election.leases.clone()
 	t.leaseRevisions = leaseRevisions{round: election.revision, silent: election.leases.silentRevision}
--- a/node/termlog.go
+++ b/node/termlog.go
@@ -33,7 +33,7 @@
 	t.node.cfg.Metrics.Decisions.WithLabelValues(string(d.Event)).Inc()
 	fields = append(fields, "epoch", t.epoch)
 	switch d.Event {
-	case dispatch.EventEvacuation, dispatch.EventSettled, dispatch.EventCapacities, dispatch.EventTargetCrashed, dispatch.EventOverfull, dispatch.EventBlamed:
+	case dispatch.EventEvacuation, dispatch.EventSettled, dispatch.EventCapacities, dispatch.EventTargetCrashed, dispatch.EventOverfull, dispatch.EventBlamed, dispatch.EventRecordTooLong:
 		t.node.cfg.Log.Info(string(d.Event), fields...) // Rare, and not to be left out when the log is limited.
 	default:
 		t.node.cfg.RequestLog.Info(string(d.Event), fields...)
