Acknowledge nothing while a start may have reached another life of a target

Cause: an acknowledgement carries a number of the life that listed the ends, and names the target only by its identifier, which the next life shares; that forgets its own ends up to the number. Ruled out: the restart itself, which is noticed by the next listing, and the start, which the new life had accepted.

Change: only a start can give a life ends, so that nothing is acknowledged while a start is without an outcome, after one without an answer, and after one whose answer shows another clock, until a listing shows the life. A target whose acknowledgement waits gets no more starts for the moment.

--- a/core/dispatch/choose.go
+++ b/core/dispatch/choose.go
@@ -59,7 +59,7 @@
 	var bestScore float64
 	zones := step.zonesInUse(planned)
 	for _, t := range targets {
-		if s.lags(t) || !step.spec.Gang && t.startsSent >= maxStartsSent || !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
+		if s.lags(t) || !step.spec.Gang && s.awaitsOutcomes(t) || !s.fitsNow(step, t, planned[t]) || !s.leavesHeadroom(step, t, planned) {
 			continue
 		}
 		if t.info.ID == avoid {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -194,7 +194,7 @@
 	asked := plan{}
 	for n, index := range waiting {
 		best := s.bestTarget(step, targets, step.avoidedTarget(index), asked)
-		if best == nil && s.awaitsOutcomes(step, targets) {
+		if best == nil && s.hasAwaiting(step, targets) {
 			s.logUnplaced(step, "targets with room have many starts to answer")
 			return 0
 		}
@@ -211,10 +211,15 @@
 	return 0
 }
 
-// awaitsOutcomes reports whether a target has room for a task of the step, and only too many requests without an outcome.
-func (s *Scheduler) awaitsOutcomes(step *stepRun, targets []*target) bool {
+// awaitsOutcomes reports whether nothing more is started on a target before requests that were sent have their outcome.
+func (s *Scheduler) awaitsOutcomes(t *target) bool {
+	return t.startsSent >= maxStartsSent || s.lacksAck(t)
+}
+
+// hasAwaiting reports whether a target has room for a task of the step, and only awaits outcomes.
+func (s *Scheduler) hasAwaiting(step *stepRun, targets []*target) bool {
 	return slices.ContainsFunc(targets, func(t *target) bool {
-		return t.startsSent >= maxStartsSent && !s.lags(t) && s.fitsNow(step, t, 0) && s.leavesHeadroom(step, t, nil)
+		return s.awaitsOutcomes(t) && !s.lags(t) && s.fitsNow(step, t, 0) && s.leavesHeadroom(step, t, nil)
 	})
 }
 
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -27,7 +27,7 @@
 func (s *Scheduler) renewAll() {
 	for _, t := range s.targets {
 		s.probeAnnounced(t)
-		if t.renewalInFlight || s.now < t.renewAt {
+		if t.renewalInFlight || s.now < t.renewAt || s.delaysRenewal(t) {
 			continue
 		}
 		t.renewalInFlight = true
@@ -47,7 +47,7 @@
 }
 
 func (s *Scheduler) renewal(t *target, wait time.Duration) cyclamendyke.Renewal {
-	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.nextAck(), Wait: wait}
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: s.nextAck(t), Wait: wait}
 	// The lease of a target that does not answer must be able to expire.
 	if t.listed && !t.renewFailed {
 		renewal.Until = s.grantLease(t)
@@ -71,7 +71,7 @@
 		return
 	}
 	t.listingRequested = true
-	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: t.nextAck()}
+	renewal := cyclamendyke.Renewal{Fence: s.cfg.Epoch, AckedSequence: s.nextAck(t)}
 	s.emit(RenewCommand{Target: t.info, Renewal: renewal, Immediate: true})
 }
 
@@ -106,6 +106,7 @@
 		s.endSilence(t)
 	}
 	t.answeredAt = s.now
+	t.lifeShown(sent)
 	t.listingSentAt = max(t.listingSentAt, sent)
 	if listing.Clock > t.clock {
 		t.clock, t.clockReadAt = listing.Clock, s.now
--- a/core/dispatch/restartedvm_test.go
+++ b/core/dispatch/restartedvm_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -251,3 +252,61 @@
 	is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestEndOfNewIncarnationIsForgotten guards against acknowledging to an incarnation that restarted unnoticed what the one before had
+// listed: the task whose end it forgets would run twice.
+func TestEndOfNewIncarnationIsForgotten(t *testing.T) {
+	for _, loseAnswer := range []bool{false, true} {
+		t.Run(fmt.Sprint("answer lost ", loseAnswer), func(t *testing.T) {
+			is := is.New(t)
+			sim := limitedFleet(t, 1, 1)
+			sim.fleet.Queues[0].Advice = nil
+			sim.elect()
+			sim.run(20 * time.Second) // Runs of earlier epochs are over.
+			sim.submit(workflow("before", cyclamendyke.Step{Count: 8, Need: cores(2), Estimate: 50 * time.Millisecond}))
+			sim.run(5 * time.Second)
+			sim.awaitPoll("vm-0")
+			sim.run(5 * simLatency) // The renewal waits at the VM.
+			sim.rebootUnnoticed(sim.vms["vm-0"])
+			if loseAnswer {
+				sim.faults.loseAnswer = 1
+			}
+			sim.submit(workflow("job", cyclamendyke.Step{Count: 1, Need: cores(2), Estimate: 30 * time.Millisecond}))
+			for len(sim.sched.targets["vm-0"].runs) == 0 {
+				sim.run(100 * time.Microsecond)
+			}
+			sim.run(60 * time.Millisecond) // It is done.
+			sim.faults.loseAnswer = 0
+			for range 20 {
+				sim.sched.requestListing(sim.sched.targets["vm-0"])
+				sim.run(simTick)
+			}
+			sim.run(20 * time.Second)
+			is.Equal(sim.status("job"), cyclamendyke.WorkflowCompleted)
+			is.Equal(sim.starts, 8+1)
+			is.Equal(len(sim.violations), 0)
+		})
+	}
+}
+
+// TestAcknowledgementWaitsForEverBehindStarts keeps a VM busy with short tasks, so that a start is on its way at nearly any time.
+func TestAcknowledgementWaitsForEverBehindStarts(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.fleet.Queues[0].Advice, sim.fleet.Teams = nil, nil
+	sim.elect()
+	sim.submit(workflow("short", cyclamendyke.Step{Count: 5000, Need: cyclamendyke.Resources{Cores: 250}, Estimate: 20 * time.Millisecond}))
+	sim.run(time.Second)
+	held, most := 0, 0
+	for range 300 {
+		sim.run(10 * time.Millisecond)
+		held = max(held, len(sim.vms["vm-0"].ends))
+		if target := sim.sched.targets["vm-0"]; target.ackHeldSince != 0 {
+			most = max(most, int((sim.now - target.ackHeldSince).Milliseconds()))
+		}
+	}
+	is.True(sim.starts > 1000)
+	is.True(held < 500)
+	is.True(most < 500)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -36,13 +36,16 @@
 		sim.checkEvacuation(c)
 		if sim.heldBack[c.Target.Zone] {
 			sim.after(simLatency, func() {
-				sim.answer(sched, func() { sched.Started(c.Target, c.Order, cyclamendyke.KindEvacuated) })
+				sim.answer(sched, func() { sched.Started(c.Target, c.Order, cyclamendyke.KindEvacuated, 0) })
 			})
 			return
 		}
-		sim.sendOrder(sched, c.Target, func(v *vm) error { return sim.start(v, c.Order) }, func(kind cyclamendyke.Kind) {
-			sched.Started(c.Target, c.Order, kind)
-		})
+		clock := time.Duration(0)
+		act := func(v *vm) error {
+			clock = v.clock(sim.now)
+			return sim.start(v, c.Order)
+		}
+		sim.sendOrder(sched, c.Target, act, func(kind cyclamendyke.Kind) { sched.Started(c.Target, c.Order, kind, clock) })
 	case StopCommand:
 		sim.sendOrder(sched, c.Target, func(v *vm) error { return sim.stop(v, c, sched.cfg.Epoch) }, func(kind cyclamendyke.Kind) {
 			sched.Stopped(c.Target, c.Task, c.Run, kind)
--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -55,8 +55,9 @@
 // refusalBackoff is how long nothing is placed on a target that refused a start.
 const refusalBackoff = 300 * time.Millisecond
 
-// Started handles the answer to a start; kind is empty if the target accepted it.
-func (s *Scheduler) Started(info cyclamendyke.Target, order cyclamendyke.StartOrder, kind cyclamendyke.Kind) {
+// Started handles the answer to a start; kind is empty if the target accepted it, with clock as the time on its clock, or zero if
+// that is not known.
+func (s *Scheduler) Started(info cyclamendyke.Target, order cyclamendyke.StartOrder, kind cyclamendyke.Kind, clock time.Duration) {
 	if t := s.targets[info.ID]; t != nil {
 		t.startsSent = max(0, t.startsSent-1)
 	}
@@ -65,6 +66,11 @@
 		return
 	}
 	r := t.runs[runKey{order.Task, order.Run}]
+	sent := s.now
+	if r != nil {
+		sent = r.starts.sentAt
+	}
+	isOtherLife := s.startOutcome(t, sent, kind == cyclamendyke.KindUnknown, kind == "", clock)
 	if r == nil {
 		return
 	}
@@ -76,8 +82,10 @@
 	if r.state != runStarting {
 		return
 	}
-	switch kind {
-	case "":
+	switch {
+	case isOtherLife:
+		s.startUnknown(r) // The listing that it asks for shows what the new incarnation has.
+	case kind == "":
 		if t.announced == nil {
 			t.answeredAt = s.now
 		}
@@ -87,7 +95,7 @@
 		s.runConfirmed(r)
 		r.step.job.started = true
 		s.paceNewRun(r)
-	case cyclamendyke.KindUnknown:
+	case kind == cyclamendyke.KindUnknown:
 		s.startUnanswered(r)
 	default:
 		if r.starts.repeats > 0 {
--- a/core/dispatch/startdoubt_test.go
+++ b/core/dispatch/startdoubt_test.go
@@ -43,10 +43,10 @@
 	repeated := sim.takeStart()
 	is.True(repeated != nil)
 	advance(time.Millisecond)
-	sched.Started(info, repeated.Order, cyclamendyke.KindUnavailable)
+	sched.Started(info, repeated.Order, cyclamendyke.KindUnavailable, 0)
 	asked := now + time.Millisecond
 	advance(100 * time.Millisecond)
-	sched.Started(info, first.Order, "")
+	sched.Started(info, first.Order, "", 0)
 	listing := cyclamendyke.Listing{Clock: now, StartedMillis: info.StartedMillis}
 	sched.Renewed(info, true, asked, listing)
 	is.Equal(len(sched.targets["vm-0"].runs), 1)
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -102,6 +102,10 @@
 	lastEndHandled int64 // Highest sequence number of an end that was applied or ignored.
 	lastEndStored  int64 // Highest sequence number of an end whose effect is stored.
 	unstoredEnds   []unstoredEnd
+
+	acked         int64         // Highest sequence number that was sent as acknowledged.
+	ackHeldSince  time.Duration // Since when an acknowledgement waits for the outcomes of starts; zero if none does.
+	lifeDoubtedAt time.Duration // When a start last ended without showing which incarnation has it; a listing that is asked for later shows it.
 }
 
 // runKey identifies a run on a target.
@@ -119,15 +123,6 @@
 	version  int64
 }
 
-// nextAck returns the sequence number of ends to acknowledge in the next request, or zero. While the target does not answer, it
-// may have restarted: its next incarnation, which counts anew, would take it for ends that nobody has seen.
-func (t *target) nextAck() int64 {
-	if t.renewFailed {
-		return 0
-	}
-	return t.lastEndStored
-}
-
 // countRun adds a run to the target's counts, or takes it off them if count is -1.
 func (t *target) countRun(r *run, count int) {
 	if r.urgent {
--- a/io/member/orders.go
+++ b/io/member/orders.go
@@ -39,6 +39,7 @@
 	Number  uint64                `json:"number"`
 	Kind    cyclamendyke.Kind     `json:"kind,omitempty"` // Empty if the target answered.
 	Listing *cyclamendyke.Listing `json:"listing,omitempty"`
+	Clock   time.Duration         `json:"clock-ns,omitempty"` // The target's clock when it accepted a start; zero if unknown.
 }
 
 // Outcomes holds the outcomes of an epoch's orders that a member has not reported yet.
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -240,7 +240,7 @@
 	delete(d.pending, outcome.Number)
 	switch c := order.command.(type) {
 	case dispatch.StartCommand:
-		d.term.sched.Started(c.Target, c.Order, outcome.Kind)
+		d.term.sched.Started(c.Target, c.Order, outcome.Kind, outcome.Clock)
 	case dispatch.StopCommand:
 		d.term.sched.Stopped(c.Target, c.Task, c.Run, outcome.Kind)
 	case dispatch.RenewCommand:
--- a/node/orderexecutor.go
+++ b/node/orderexecutor.go
@@ -58,7 +58,8 @@
 		}
 		ctx, cancel := context.WithTimeout(e.node.ctx, startTimeout)
 		defer cancel()
-		_, err := targets.Start(ctx, target, *order.Start)
+		clock, err := targets.Start(ctx, target, *order.Start)
+		outcome.Clock = clock
 		outcome.Kind = cyclamendyke.KindOf(err)
 		if err != nil {
 			e.node.cfg.RequestLog.Info("start failed", "task", order.Start.Task, "target", order.Target, "run", order.Start.Run, "epoch", e.epoch, "err", err)
--- a/node/orders.go
+++ b/node/orders.go
@@ -58,12 +58,12 @@
 		obstacle = cyclamendyke.KindUnavailable
 	}
 	if obstacle != "" {
-		t.post(func() { t.sched.Started(c.Target, c.Order, obstacle) })
+		t.post(func() { t.sched.Started(c.Target, c.Order, obstacle, 0) })
 		return
 	}
-	_, err := t.node.cfg.Targets.Start(t.ctx, c.Target, c.Order)
+	clock, err := t.node.cfg.Targets.Start(t.ctx, c.Target, c.Order)
 	kind := cyclamendyke.KindOf(err)
-	t.post(func() { t.sched.Started(c.Target, c.Order, kind) })
+	t.post(func() { t.sched.Started(c.Target, c.Order, kind, clock) })
 }
 
 // maySendOrders reports whether the term is active and its grace period has not ended. It is called
