Look at the earlier runs of a target once a pass in a takeover

Cause: for each run that an earlier epoch may have left on a target all of them were looked at, for what a team may use and for the list of runs: runs times runs in each pass until the target has answered.

No test of its own: it would assert on time.

--- a/core/dispatch/earlierruns.go
+++ b/core/dispatch/earlierruns.go
@@ -101,8 +101,9 @@
 		t.maxUnlistedUse = t.maxUnlistedUse.Min(unlistedCapacity)
 	}
 	for _, t := range s.targets {
+		mayBeLeft := len(t.earlierRuns) > 0 && s.mayHaveUnlistedRuns(t) // It looks at all of them.
 		for _, r := range t.earlierRuns {
-			if s.countsAsUnlisted(t, r) {
+			if s.countsAsUnlisted(t, r, mayBeLeft) {
 				team := s.team(r.team)
 				team.maxUnlistedUse = team.maxUnlistedUse.Add(r.need)
 			}
@@ -111,14 +112,14 @@
 }
 
 // countsAsUnlisted reports whether a stored run may still use resources that are counted neither as a
-// known run nor in an unstartedDemand.
-func (s *Scheduler) countsAsUnlisted(t *target, r earlierRun) bool {
+// known run nor in an unstartedDemand; mayBeLeft says whether any of the target may.
+func (s *Scheduler) countsAsUnlisted(t *target, r earlierRun, mayBeLeft bool) bool {
 	switch {
 	case r.ended:
 		return false
 	case t.listed:
 		return t.hasOrphan(r.task)
-	case !s.mayHaveUnlistedRuns(t) || t.earlierLeaseOver:
+	case !mayBeLeft || t.earlierLeaseOver:
 		return false
 	case t.earlierRunsComplete:
 		return true
--- a/core/dispatch/runlist.go
+++ b/core/dispatch/runlist.go
@@ -152,8 +152,9 @@
 		for _, end := range t.unstoredEnds {
 			b.add(earlierRun{task: end.task, team: end.job.spec.Team, ended: true})
 		}
+		mayBeLeft := len(t.earlierRuns) > 0 && s.mayHaveUnlistedRuns(t) // It looks at all of them.
 		for _, r := range t.earlierRuns {
-			if s.mayHaveUnlistedRuns(t) || t.hasOrphan(r.task) {
+			if mayBeLeft || t.hasOrphan(r.task) {
 				b.add(r)
 			}
 		}
