Compress the stored form of workflows of very many steps

What callers would see: a job of some 21,000 steps, whose body is within the limit, is refused as temporarily unavailable for ever: its stored form is longer than its body and passes the MiB that the store takes.

Cause: the form names defaults that a body omits. Change: forms above 512 KiB are compressed; shorter ones stay as earlier versions read them.

--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -19,7 +19,7 @@
 
 // testCluster is a store and a target for nodes that run in the test's process.
 type testCluster struct {
-	t      *testing.T
+	t      testing.TB
 	store  *kv.Service
 	target *fakeTarget
 
@@ -32,7 +32,7 @@
 	submitted       int                   // Workflows that complete has submitted.
 }
 
-func newTestCluster(t *testing.T) *testCluster {
+func newTestCluster(t testing.TB) *testCluster {
 	c := &testCluster{
 		t: t, store: kv.New(kv.Config{}), target: &fakeTarget{starts: map[cyclamendyke.TaskName]int{}},
 		servers: map[cyclamendyke.MemberName]*member.Server{}, log: io.Discard,
@@ -116,7 +116,7 @@
 }
 
 // eventually waits until a condition holds, and fails the test after about 10 seconds.
-func eventually(t *testing.T, what string, condition func() bool) {
+func eventually(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	for range 1000 {
 		if condition() {
@@ -127,7 +127,7 @@
 	t.Fatalf("timed out waiting for %s", what)
 }
 
-func submitUntilAccepted(t *testing.T, n *Node, id string) {
+func submitUntilAccepted(t testing.TB, n *Node, id string) {
 	t.Helper()
 	eventually(t, "acceptance of "+id, func() bool {
 		reply := Intake{n}.Submit(context.Background(), cyclamendyke.IntakeCall{Host: "h", Path: "/q/" + id, Timeout: time.Second}, readTestWorkflow)
--- a/node/intake.go
+++ b/node/intake.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"cyclamendyke"
@@ -69,7 +68,7 @@
 func (n *Node) storeAndNotify(ctx context.Context, workflow *cyclamendyke.Workflow) error {
 	stored := *workflow // Other attempts to store it may go on.
 	stored.AfterEpoch = n.reservedAfter()
-	value, err := json.Marshal(&stored)
+	value, err := encodeWorkflow(&stored)
 	if err != nil {
 		return NewError("store", cyclamendyke.KindInvalid, err)
 	}
@@ -110,7 +109,7 @@
 			continue
 		}
 		var stored cyclamendyke.Workflow
-		if err := json.Unmarshal(entry.Value, &stored); err != nil {
+		if err := decodeWorkflow(entry.Value, &stored); err != nil {
 			n.cfg.Log.Error("cannot decode workflow", "workflow", id, "revision", entry.Revision, "err", err)
 			return member.Submission{}, false
 		}
--- a/node/query.go
+++ b/node/query.go
@@ -68,7 +68,7 @@
 		return member.WorkflowStatus{}, err
 	}
 	var workflow cyclamendyke.Workflow
-	if err := json.Unmarshal(work.Value, &workflow); err != nil {
+	if err := decodeWorkflow(work.Value, &workflow); err != nil {
 		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindInvalid, err)
 	}
 	status := member.WorkflowStatus{State: cyclamendyke.WorkflowQueued, Team: workflow.Team}
--- a/node/reservedwork.go
+++ b/node/reservedwork.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 
 	"cyclamendyke"
@@ -73,7 +72,7 @@
 
 // storeClaimed replaces a stored workflow on the condition that no later epoch has begun.
 func (t *term) storeClaimed(workflow *cyclamendyke.Workflow, expected cyclamendyke.Revision) (cyclamendyke.Revision, []cyclamendyke.Entry, error) {
-	value, err := json.Marshal(workflow)
+	value, err := encodeWorkflow(workflow)
 	if err != nil {
 		return 0, nil, NewError("claim", cyclamendyke.KindInvalid, err)
 	}
--- a/node/submissions.go
+++ b/node/submissions.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"slices"
 
 	"cyclamendyke"
@@ -18,7 +17,7 @@
 			continue
 		}
 		var workflow cyclamendyke.Workflow
-		if err := json.Unmarshal(entry.Value, &workflow); err != nil {
+		if err := decodeWorkflow(entry.Value, &workflow); err != nil {
 			t.node.cfg.Log.Error("cannot decode workflow", "workflow", id, "revision", entry.Revision, "err", err)
 			continue
 		}
