--- a/node/metrics.go
+++ b/node/metrics.go
@@ -24,7 +24,7 @@
 	StorePathState *prometheus.GaugeVec
 	// StoredSubmissions counts accepted submissions by the path by which they were stored.
 	StoredSubmissions *prometheus.CounterVec
-	// RefusedSubmissions counts submissions that were refused for want of the store, by reason.
+	// RefusedSubmissions counts submissions that were refused for want of the store or of memory, by reason.
 	RefusedSubmissions *prometheus.CounterVec
 	// SubmitSeconds is the duration of submissions in seconds, by result.
 	SubmitSeconds *prometheus.HistogramVec
@@ -98,7 +98,7 @@
 			Name: "cyclamendyke_fleet_stored_submissions_total", Help: "Accepted submissions by the path by which they were stored.",
 		}, []string{"path"}),
 		RefusedSubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cyclamendyke_fleet_refused_submissions_total", Help: "Submissions refused for want of the store, by reason.",
+			Name: "cyclamendyke_fleet_refused_submissions_total", Help: "Submissions refused for want of the store or of memory, by reason.",
 		}, []string{"reason"}),
 		SubmitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cyclamendyke_fleet_submit_seconds", Help: "Submissions by result.", Buckets: storeCallBuckets,
