Let lasting tasks that are suspected share a trial

Cause: the wait grows with the number of suspects. Ruled out on 5 December: the leases, and the takeover beside it. Change: up to 16 of them, with no more than two crashes each, share a trial; a crash-free one clears all, after another crash each is tried alone. The list of runs may take 900 KiB.

--- a/core/backlog/budget_test.go
+++ b/core/backlog/budget_test.go
@@ -12,7 +12,7 @@
 func TestMembersAcceptMoreThanFits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const limit, members = 80 << 20, 8
-		var budgets []*Budget
+		budgets := make([]*Budget, 0, members)
 		for range members {
 			budgets = append(budgets, NewBudget(limit))
 		}
--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -43,6 +43,12 @@
 	return out
 }
 
+// MayBeTriedWithOthers reports whether the next run may be tried together with other suspects: another crash there would not be enough
+// to give the task up.
+func (h *History) MayBeTriedWithOthers() bool {
+	return len(h.Crashes) <= suspiciousCrashes
+}
+
 // TrialTime returns for how long a run must work to be trusted: longer than before any crash.
 func (h *History) TrialTime() time.Duration {
 	longest := time.Duration(0)
--- a/core/dispatch/advice.go
+++ b/core/dispatch/advice.go
@@ -122,11 +122,6 @@
 	return v.ticket, v.allowed && now < v.expiresAt
 }
 
-// runningTasks counts the tasks that are not done and have a run in any state.
-func (step *stepRun) runningTasks() int {
-	return step.spec.Count - step.done.Count() - step.waiting.Count()
-}
-
 // remaining estimates how long it takes until the last running task of the step ends.
 func (step *stepRun) remaining(now time.Duration) time.Duration {
 	longest := time.Duration(0)
--- a/core/dispatch/manyoccurrences_test.go
+++ b/core/dispatch/manyoccurrences_test.go
@@ -83,7 +83,7 @@
 func TestLongProgressFitsInRecord(t *testing.T) {
 	const count = 20_000
 	single := cyclamendyke.Step{Count: 1, Need: cores(1)}
-	var steps []cyclamendyke.Step
+	steps := make([]cyclamendyke.Step, 0, count)
 	for range count {
 		steps = append(steps, single)
 	}
--- a/core/dispatch/manysteps_test.go
+++ b/core/dispatch/manysteps_test.go
@@ -11,7 +11,7 @@
 
 // layeredSteps returns steps of one task in layers, each step after all of the layer before.
 func layeredSteps(layers, width int) []cyclamendyke.Step {
-	var steps []cyclamendyke.Step
+	steps := make([]cyclamendyke.Step, 0, layers*width)
 	for layer := range layers {
 		for range width {
 			step := cyclamendyke.Step{Count: 1, Need: cores(1), Estimate: 20 * time.Millisecond}
--- a/core/dispatch/occurrences.go
+++ b/core/dispatch/occurrences.go
@@ -81,7 +81,7 @@
 func (s *Scheduler) open(j *job, number int) *occurrence {
 	occ := newOccurrence(j, number)
 	at, _ := j.search(number)
-	j.occurrences.open = slices.Insert(j.occurrences.open, at, occ)
+	j.open = slices.Insert(j.open, at, occ)
 	s.addOpenBytes(j, occurrenceBytes(j))
 	return occ
 }
@@ -99,7 +99,7 @@
 func (s *Scheduler) closeIfOver(occ *occurrence) {
 	j := occ.job
 	at, isOpen := j.search(occ.number)
-	if !isOpen || j.occurrences.open[at] != occ || occ.runs > 0 || !j.over.Has(occ.number) {
+	if !isOpen || j.open[at] != occ || occ.runs > 0 || !j.over.Has(occ.number) {
 		return
 	}
 	for _, step := range occ.steps {
@@ -107,17 +107,17 @@
 			s.closeStep(step)
 		}
 	}
-	j.occurrences.open = slices.Delete(j.occurrences.open, at, at+1)
+	j.open = slices.Delete(j.open, at, at+1)
 	s.addOpenBytes(j, -occurrenceBytes(j))
 }
 
 // closeAll frees the memory of a workflow's occurrences, when the workflow is forgotten.
 func (s *Scheduler) closeAll(j *job) {
-	for _, occ := range j.occurrences.open {
+	for _, occ := range j.open {
 		delete(s.unreleasedSteps, occ)
 	}
 	s.addOpenBytes(j, -j.openBytes)
-	j.occurrences.open = nil
+	j.open = nil
 }
 
 func (s *Scheduler) addOpenBytes(j *job, bytes int) {
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"cyclamendyke"
@@ -9,11 +10,26 @@
 
 // trial keeps a target for a suspected task, or for members of a suspected gang: nothing else starts there from
 // some time before until the task has worked for its trial time, so that a crash tells whether it is the cause.
+//
+// Tasks that last may share a trial, so that not each of them has to wait for a target of its own. If no crash comes, all are trusted;
+// after one, none of them shares another trial.
 type trial struct {
+	tasks    []trialTask
+	isShared bool          // Others may join.
+	began    bool          // A task was started.
+	beganAt  time.Duration // When the first one was.
+	until    time.Duration // When the reservation lapses if no task has been started.
+}
+
+// trialTask is a task, or a gang, that is tried.
+type trialTask struct {
 	step  *stepRun
-	index int           // As of stepRun.crashIndex.
-	began bool          // The task was started.
-	until time.Duration // When the reservation lapses if the task has not been started.
+	index int // As of stepRun.crashIndex.
+}
+
+// has reports whether a trial is one of a task or gang.
+func (t *trial) has(task trialTask) bool {
+	return t != nil && slices.Contains(t.tasks, task)
 }
 
 // The rules for trials.
@@ -21,6 +37,8 @@
 	stableTargetWait = 2 * time.Second        // How long a suspected task waits for a machine that has not crashed lately.
 	trialReservation = 200 * time.Millisecond // Renewed in each pass in which the task waits for its target.
 	maxTrialShare    = 0.5                    // Part of a service's targets that are kept for trials at a time.
+	maxTrialTasks    = 16                     // Tasks that share a trial.
+	joinTime         = 100 * time.Millisecond // How long after its begin a task may join a trial.
 )
 
 // splitSuspected returns a step's waiting tasks that may run beside others, and those to be tried apart.
@@ -50,8 +68,13 @@
 // tryApart starts a task, or all members of a gang, on targets on which nothing has begun lately. It keeps the
 // targets until then, and reports whether there is room at all.
 func (s *Scheduler) tryApart(step *stepRun, queue *cyclamendyke.Queue, members []int) bool {
-	index := step.crashIndex(members[0])
-	chosen, others := s.chooseForTrial(step, queue, index, len(members))
+	task := trialTask{step, step.crashIndex(members[0])}
+	chosen, others := s.chooseForTrial(queue, task, len(members))
+	if chosen == nil || others.reached(len(distinct(chosen))) {
+		if joined := s.chooseShared(queue, task); joined != nil {
+			chosen, others = []*target{joined}, otherTrials{}
+		}
+	}
 	if chosen == nil {
 		s.logUnplaced(step, "no target with room and a ticket to be tried on")
 		return false
@@ -62,8 +85,8 @@
 	}
 	quiet := true
 	for _, t := range chosen {
-		t.trial = &trial{step: step, index: index, until: s.now + trialReservation}
-		quiet = quiet && s.isQuiet(t)
+		s.keepForTrial(t, task)
+		quiet = quiet && (s.isQuiet(t) || s.mayJoin(t.trial))
 	}
 	if !quiet {
 		s.logUnplaced(step, "to be tried apart from work that has just begun")
@@ -75,11 +98,39 @@
 	number := s.nextRunNumber()
 	for i, t := range chosen {
 		s.start(step, members[i], t, number)
-		t.trial.began = true
+		if !t.trial.began {
+			t.trial.began, t.trial.beganAt = true, s.now
+		}
 	}
 	return true
 }
 
+// keepForTrial keeps a target for a task or gang, which joins the trial for which the target is kept already.
+func (s *Scheduler) keepForTrial(t *target, task trialTask) {
+	if t.trial == nil {
+		t.trial = &trial{isShared: task.mayShare()}
+	}
+	if !t.trial.has(task) {
+		t.trial.tasks = append(t.trial.tasks, task)
+	}
+	t.trial.until = s.now + trialReservation
+}
+
+// mayShare reports whether a task may be tried together with others.
+func (task trialTask) mayShare() bool {
+	spec := task.step.spec
+	if !spec.LongRunning || spec.Gang {
+		return false
+	}
+	history := task.step.crashes(task.index)
+	return history.MayBeTriedWithOthers()
+}
+
+// mayJoin reports whether a task may join a trial that has begun.
+func (s *Scheduler) mayJoin(t *trial) bool {
+	return t.isShared && t.began && s.now-t.beganAt <= joinTime
+}
+
 // isQuiet reports whether nothing has begun on a target lately, or may have.
 func (s *Scheduler) isQuiet(t *target) bool {
 	if s.now-t.lastStartAt < crash.FreshTime {
@@ -102,20 +153,25 @@
 	}
 }
 
-// isTrialOver reports whether a target need not be kept any longer, and trusts the task if it has worked for its
-// trial time.
+// isTrialOver reports whether a target need not be kept any longer for any task.
 func (s *Scheduler) isTrialOver(t *target) bool {
 	if !t.trial.began {
 		return s.now >= t.trial.until
 	}
-	r := t.trialRun()
+	t.trial.tasks = slices.DeleteFunc(t.trial.tasks, func(task trialTask) bool { return s.isTried(t, task) })
+	return len(t.trial.tasks) == 0
+}
+
+// isTried reports whether a target need not be kept for a task any longer, and trusts the task if it has worked for its trial time.
+func (s *Scheduler) isTried(t *target, task trialTask) bool {
+	r := t.trialRun(task)
 	if r == nil {
-		return true
+		return !s.mayJoin(t.trial)
 	}
 	if r.confirmedAt == 0 || r.state != runRunning {
 		return false
 	}
-	history := t.trial.step.crashHistory(max(0, t.trial.index))
+	history := task.step.crashHistory(max(0, task.index))
 	passedAt := r.confirmedAt + history.TrialTime()
 	if t.answeredAt < passedAt {
 		if s.now >= passedAt && !t.renewFailed {
@@ -131,10 +187,10 @@
 	return true
 }
 
-// trialRun returns a run on the target for which it is kept, or nil.
-func (t *target) trialRun() *run {
+// trialRun returns a run on the target of a task for which it is kept, or nil.
+func (t *target) trialRun(task trialTask) *run {
 	for _, r := range t.runs {
-		if r.step == t.trial.step && r.step.crashIndex(r.taskIndex) == t.trial.index {
+		if r.step == task.step && r.step.crashIndex(r.taskIndex) == task.index {
 			return r
 		}
 	}
@@ -144,6 +200,6 @@
 // adoptTrial keeps a target on which an earlier epoch has started a suspected task.
 func (t *target) adoptTrial(r *run) {
 	if t.trial == nil && r.step.isSuspected(r.taskIndex) {
-		t.trial = &trial{step: r.step, index: r.step.crashIndex(r.taskIndex), began: true}
+		t.trial = &trial{tasks: []trialTask{{r.step, r.step.crashIndex(r.taskIndex)}}, began: true}
 	}
 }
--- a/core/dispatch/trialtargets.go
+++ b/core/dispatch/trialtargets.go
@@ -31,7 +31,8 @@
 
 // chooseForTrial returns targets for count tasks, one entry for each, or nil. It prefers targets that are kept
 // for this trial already, and for some time leaves out those whose machines have crashed lately, unless no other has room.
-func (s *Scheduler) chooseForTrial(step *stepRun, queue *cyclamendyke.Queue, index, count int) ([]*target, otherTrials) {
+func (s *Scheduler) chooseForTrial(queue *cyclamendyke.Queue, task trialTask, count int) ([]*target, otherTrials) {
+	step := task.step
 	var kept, free []*target
 	var others otherTrials
 	step.needsStable = s.now < step.stableUntil && s.hasStableTarget(step, queue)
@@ -40,7 +41,7 @@
 			continue
 		}
 		others.targets++
-		isKept := t.trial != nil && t.trial.step == step && t.trial.index == index
+		isKept := t.trial.has(task)
 		if t.trial != nil && !isKept {
 			others.kept++
 			continue
@@ -60,6 +61,28 @@
 	return s.fillTargets(step, append(kept, free...), count), others
 }
 
+// chooseShared returns a target that is kept for a trial which a task may join, or nil: the one with the fewest tasks to be tried.
+func (s *Scheduler) chooseShared(queue *cyclamendyke.Queue, task trialTask) *target {
+	if !task.mayShare() {
+		return nil
+	}
+	var best *target
+	for _, t := range s.targets {
+		if t.trial == nil || !t.trial.isShared || t.trial.began && !s.mayJoin(t.trial) || len(t.trial.tasks) >= maxTrialTasks {
+			continue
+		}
+		step := task.step
+		isUsable := t.info.Service == queue.Service && s.ready(t) && !s.evacuated(t) && s.eligible(step, queue, t) && step.hasTicket(queue, t, s.now)
+		if !isUsable || s.isUnstableFor(step, t) || !s.fitsNow(step, t, 0) || !s.leavesHeadroom(step, t, nil) {
+			continue
+		}
+		if best == nil || len(t.trial.tasks) < len(best.trial.tasks) || len(t.trial.tasks) == len(best.trial.tasks) && t.info.ID < best.info.ID {
+			best = t
+		}
+	}
+	return best
+}
+
 // hasStableTarget reports whether any target with room for a task of the step has a machine that has not crashed lately.
 func (s *Scheduler) hasStableTarget(step *stepRun, queue *cyclamendyke.Queue) bool {
 	for _, t := range s.targets {
--- a/core/stepgraph/graph_test.go
+++ b/core/stepgraph/graph_test.go
@@ -14,7 +14,7 @@
 func TestLayersTakeLinearTime(t *testing.T) {
 	is := is.New(t)
 	const layers, width = 2000, 6
-	var steps []cyclamendyke.Step
+	steps := make([]cyclamendyke.Step, 0, layers*width)
 	for layer := range layers {
 		for range width {
 			step := cyclamendyke.Step{Count: 1, Estimate: time.Second}
@@ -35,13 +35,12 @@
 // TestPathsMatchDefinition compares the paths of drawn workflows with the plain definition of the longest chain.
 func TestPathsMatchDefinition(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var steps []cyclamendyke.Step
-		for i := range rapid.IntRange(1, 9).Draw(t, "steps") {
-			step := cyclamendyke.Step{Estimate: time.Duration(rapid.IntRange(0, 9).Draw(t, "estimate"))}
+		steps := make([]cyclamendyke.Step, rapid.IntRange(1, 9).Draw(t, "steps"))
+		for i := range steps {
+			steps[i].Estimate = time.Duration(rapid.IntRange(0, 9).Draw(t, "estimate"))
 			if i > 0 {
-				step.After = rapid.SliceOfN(rapid.IntRange(0, i-1), 0, 4).Draw(t, "after")
+				steps[i].After = rapid.SliceOfN(rapid.IntRange(0, i-1), 0, 4).Draw(t, "after")
 			}
-			steps = append(steps, step)
 		}
 		g, longest, dependencies := New(steps), time.Duration(0), 0
 		for i := range steps {
--- a/node/records.go
+++ b/node/records.go
@@ -14,7 +14,7 @@
 const (
 	commitInterval      = 80 * time.Millisecond  // Minimum time between batches without final records.
 	finalCommitInterval = 8 * time.Millisecond   // Minimum time between batches with final records, for which callers wait.
-	maxRunListBytes     = 512 << 10              // A longer list of runs is not stored, since the store may not take it.
+	maxRunListBytes     = 900 << 10              // A longer list of runs is not stored, since the store would not take it.
 	maxCommitsInFlight  = 4                      // Batches of records written at a time.
 	commitRetryDelay    = 100 * time.Millisecond // After a commit that failed without a conflict.
 )
