Let each pass come further, however slow it is

Cause: the time of a pass counted what comes before placing, and the second half of a pass looked at its limits before its first step: on a slow VM no pass would have come further than the one before, or have placed anything at all. Change: the time counts from the first step; at least one step beyond the last pass's end is placed.

Measured: TestSlowPassesReachNoMoreThanTheFirstSteps fails before.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -14,6 +14,9 @@
 	noRoomNow       noFitCache // Needs for which a step waits for room.
 	waitClaims      int        // Steps that have tried to claim room for which they wait.
 	victims         map[victimKey]bool
+	began           time.Duration // On the clock of Config.PassTime.
+	timeUsed        float64       // Part of maxPassTime that was used at the last look at the clock.
+	steps           int           // Steps that were looked at.
 }
 
 // victimKey names the runs that steps of a priority may preempt in a service.
@@ -24,10 +27,10 @@
 
 // The limits of one pass. What it does not reach is left to the next ones.
 const (
-	maxPassTime   = 150 * time.Millisecond
-	maxPassStarts = 512 // Requests to start a run.
-	maxWaiting    = 256 // Tasks of one step that it looks at, and as many suspected ones; a gang is placed whole.
-	stepsPerCheck = 16  // Steps between two looks at the clock.
+	maxPassTime   = 150 * time.Millisecond // For placing; the rest of a pass costs what targets and runs there are.
+	maxPassStarts = 512                    // Requests to start a run.
+	maxWaiting    = 256                    // Tasks of one step that it looks at, and as many suspected ones; a gang is placed whole.
+	stepsPerCheck = 16                     // Steps between two looks at the clock.
 )
 
 // placeAll starts the tasks that can start, in order of rank. If that takes too long for one pass, each following one begins with
@@ -40,11 +43,15 @@
 	resumed := slices.Index(steps, s.resumeAt)
 	s.resumeAt = nil
 	s.passStarts = 0
+	if s.cfg.PassTime != nil {
+		pass.began = s.cfg.PassTime()
+	}
 	for i := 0; i < len(steps); i++ {
-		if resumed > i && s.passUsed(i) >= 0.5 {
-			i, resumed = resumed, -1
-		}
-		if s.passUsed(i) >= 1 {
+		used := s.passUsed(pass)
+		switch {
+		case resumed > i && used >= 0.5:
+			i, resumed = resumed, -1 // This step is placed in any case, so that each pass comes further.
+		case used >= 1:
 			s.resumeAt = steps[i]
 			return
 		}
@@ -59,12 +66,13 @@
 	}
 }
 
-// passUsed returns how much of its limits the present pass has used, after a number of steps; one and more is all.
-func (s *Scheduler) passUsed(steps int) float64 {
-	if s.cfg.PassTime != nil && steps%stepsPerCheck == 0 {
-		s.passTimeUsed = float64(s.cfg.PassTime()) / float64(maxPassTime)
+// passUsed returns how much of its limits the present pass has used before its next step; one and more is all.
+func (s *Scheduler) passUsed(pass *placementPass) float64 {
+	if s.cfg.PassTime != nil && pass.steps > 0 && pass.steps%stepsPerCheck == 0 {
+		pass.timeUsed = float64(s.cfg.PassTime()-pass.began) / float64(maxPassTime)
 	}
-	return max(s.passTimeUsed, float64(s.passStarts)/maxPassStarts)
+	pass.steps++
+	return max(pass.timeUsed, float64(s.passStarts)/maxPassStarts)
 }
 
 // placeable returns the tasks of a step that wait for nothing but a target.
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -69,7 +69,6 @@
 	claims             []*claim
 	resumeAt           *stepRun // The first step that the last pass did not reach; nil if it has reached all.
 	passStarts         int      // Requests to start a run in the present pass.
-	passTimeUsed       float64  // Part of the time of the present pass that is used, as of the last look at the clock.
 	roomIndex          roomIndex
 	allowedParts       map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
 	usableByService    map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
--- a/core/dispatch/widestep_test.go
+++ b/core/dispatch/widestep_test.go
@@ -98,6 +98,26 @@
 	is.Equal(len(sim.violations), 0)
 }
 
+// TestSlowPassesReachNoMoreThanTheFirstSteps has every look at the clock show that the time of a pass is over.
+func TestSlowPassesReachNoMoreThanTheFirstSteps(t *testing.T) {
+	is := is.New(t)
+	sim := wideFleet(t)
+	sim.elect()
+	now := time.Duration(0)
+	sim.sched.cfg.PassTime = func() time.Duration {
+		now += 2 * maxPassTime
+		return now
+	}
+	const count = 10 * stepsPerCheck
+	for i := range count {
+		sim.submit(workflow(fmt.Sprintf("w-%03d", i), cyclamendyke.Step{Count: 1, Need: cores(1), Label: "nowhere", Estimate: time.Second}))
+	}
+	sim.submit(workflow("x", cyclamendyke.Step{Count: 1, Need: cores(1), Estimate: 100 * time.Millisecond}))
+	sim.run(count * simTick)
+	is.Equal(sim.status("x"), cyclamendyke.WorkflowCompleted)
+	is.Equal(len(sim.violations), 0)
+}
+
 // TestLeasesAreRenewedOnlyInPasses makes no pass for some time.
 func TestLeasesAreRenewedOnlyInPasses(t *testing.T) {
 	is := is.New(t)
