Bound what a wide step learns from, and how often a too long record is encoded

Cause: the run times of all tasks that are done were kept until the last one was, 16 bytes each; a record that is too long was encoded again with each batch.

Measured: TestMeasuredRunsOfWideStepTakeMemory, whose bound the code before does not have. Steps of up to 1,000 tasks and records that are stored are as before.

--- a/core/dispatch/job.go
+++ b/core/dispatch/job.go
@@ -29,6 +29,7 @@
 	revision      cyclamendyke.Revision // Revision of the stored progress record; zero if there is none.
 	onStored      []func()              // Called once the current version is stored.
 	onFinal       []*finalWaiter        // Notified once a final state is stored.
+	encodeAt      time.Duration         // After its record was too long: when it is encoded next.
 	isTooLong     bool                  // Its record was too long to be stored.
 	footprint     int64                 // Its part of Scheduler.heldBytes.
 	runCount      int                   // Number of its runs, in any state.
--- a/core/dispatch/manyoccurrences_test.go
+++ b/core/dispatch/manyoccurrences_test.go
@@ -152,3 +152,18 @@
 		})
 	}
 }
+
+// TestMeasuredRunsOfWideStepTakeMemory ends far more tasks of a step than are kept to learn from.
+func TestMeasuredRunsOfWideStepTakeMemory(t *testing.T) {
+	is := is.New(t)
+	sim := wideFleet(t)
+	sim.elect()
+	w := wideStep("wide")
+	w.Steps[0].Estimate = 200 * time.Millisecond
+	sim.submit(w)
+	sim.run(2 * time.Second)
+	step := sim.sched.jobs["wide"].open[0].steps[0]
+	is.True(step.done.Count() > 5*maxMeasuredRuns)
+	is.Equal(len(step.measured), maxMeasuredRuns)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -26,9 +26,10 @@
 
 // The forms of long lists in records. Short ones are stored as earlier versions did, who may take over.
 const (
-	maxListedSteps = 500       // Longest list of steps that are done.
-	maxListedTasks = 1000      // Longest list of a step's tasks that are done.
-	maxRecordBytes = 900 << 10 // A longer record is not stored, since the store would refuse it and all others of its batch.
+	maxListedSteps    = 500         // Longest list of steps that are done.
+	maxListedTasks    = 1000        // Longest list of a step's tasks that are done.
+	tooLongRetryDelay = time.Second // Between two attempts to encode a record that is too long.
+	maxRecordBytes    = 900 << 10   // A longer record is not stored, since the store would refuse it and all others of its batch.
 )
 
 // FinalRecord is what is stored of a workflow in a final state.
@@ -99,7 +100,7 @@
 	isFull := false
 	for _, final := range []bool{true, false} {
 		for _, j := range s.dirty {
-			if isFull || j.storing || j.state.IsFinal() != final {
+			if isFull || j.storing || j.state.IsFinal() != final || !final && s.now < j.encodeAt {
 				continue
 			}
 			record, err := s.encode(j)
@@ -143,8 +144,9 @@
 	}
 }
 
-// logTooLong logs once that the record of a workflow is too long to be stored. Others are stored.
+// logTooLong logs once that the record of a workflow is too long to be stored, which is tried again later. Others are stored.
 func (s *Scheduler) logTooLong(j *job, bytes int) {
+	j.encodeAt = s.now + tooLongRetryDelay
 	if !j.isTooLong {
 		j.isTooLong = true
 		s.cfg.LogDecision(Decision{Event: EventRecordTooLong, Workflow: j.spec.ID, Count: bytes})
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -14,6 +14,7 @@
 	speedWeightDecay = 6.0                    // Comparisons after which the weight has halved.
 	maxSpeedChange   = 0.7                    // Largest change of the slowness by one comparison.
 	minMeasuredTime  = 150 * time.Millisecond // In shorter runs the delay of the report counts for too much.
+	maxMeasuredRuns  = 1000                   // Of one step; more would tell no more.
 )
 
 // speed is what is known of how fast a target runs tasks.
@@ -39,6 +40,9 @@
 		return
 	}
 	s.learnEstimateError(r, runTime)
+	if len(r.step.measured) >= maxMeasuredRuns {
+		return
+	}
 	m := measuredRun{r.target, runTime}
 	r.step.measured = append(r.step.measured, m)
 	r.step.measuredWork += m.work()
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -38,7 +38,7 @@
 	claims         []*claim
 	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
 	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
-	measured       []measuredRun // Its tasks that are done, until all are.
+	measured       []measuredRun // Its first tasks that are done, until all are.
 	measuredWork   float64       // Sum of their work.
 }
 
