Hold an acknowledgement only when a start may have ended

Cause: since an acknowledgement, and the renewal that takes it along, waited for the outcome of each start, also of one that had just been sent; on a busy target there is nearly always one.

--- a/core/dispatch/start.go
+++ b/core/dispatch/start.go
@@ -58,14 +58,16 @@
 // Started handles the answer to a start; kind is empty if the target accepted it, with clock as the time on its clock, or zero if
 // that is not known.
 func (s *Scheduler) Started(info cyclamendyke.Target, order cyclamendyke.StartOrder, kind cyclamendyke.Kind, clock time.Duration) {
+	key := runKey{order.Task, order.Run}
 	if t := s.targets[info.ID]; t != nil {
-		t.startsSent = max(0, t.startsSent-1)
+		r := t.runs[key]
+		t.startAnswered(key, r == nil || r.starts.inFlight <= 1)
 	}
 	t := s.answeringTarget(info.ID, kind)
 	if t == nil {
 		return
 	}
-	r := t.runs[runKey{order.Task, order.Run}]
+	r := t.runs[key]
 	sent := s.now
 	if r != nil {
 		sent = r.starts.sentAt
--- a/core/dispatch/startrepeat.go
+++ b/core/dispatch/startrepeat.go
@@ -42,7 +42,7 @@
 func (s *Scheduler) sendStart(r *run) {
 	r.starts.sentAt = s.now
 	r.starts.inFlight++
-	r.target.startsSent++
+	r.target.startSent(runKey{r.taskName(), r.number}, s.now)
 	s.passStarts++
 	leaseLeft := r.starts.order.Until - r.target.clockNow(s.now)
 	s.emit(StartCommand{Target: r.starts.target, Order: r.starts.order, LeaseLeft: max(1, leaseLeft)})
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -42,7 +42,7 @@
 	servingRuns   int                    // Runs of steps with a latency target.
 	fillerRuns    int                    // Runs of fillers.
 	stepRuns      map[*stepRun]int       // Number of runs of each step.
-	startsSent    int                    // Requests to start a run without an outcome.
+	sentStarts                           // Requests to start a run without an outcome.
 	projectedFree cyclamendyke.Resources // Free now or soon, less what earlier steps of this pass have taken.
 	asked         []askedRoom            // Room that requests for advice in flight count on.
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
