Give the second target of the final-list test its own list of runs

Cause: the test's i-2 answered each renewal with an empty list, though it had accepted a start. The scheduler took the run for lost and started it again, 705 times in ten seconds in a run with logs, and the test, which looks every 10 ms for exactly one start, saw it only if it looked in time.

i-2 is a target of its own now, which lists what it has run.

--- a/node/finallist_test.go
+++ b/node/finallist_test.go
@@ -20,9 +20,10 @@
 	"cyclamendyke/io/member"
 )
 
-// vanishingTargets are targets of which i-1 vanishes once it has accepted a start.
+// vanishingTargets are two targets, of which i-1 vanishes once it has accepted a start.
 type vanishingTargets struct {
-	*fakeTarget
+	*fakeTarget             // i-1.
+	other       *fakeTarget // i-2.
 	hasVanished *atomic.Bool
 	calls       atomic.Int64 // Calls by one member.
 }
@@ -31,7 +32,7 @@
 func (v *vanishingTargets) Renew(ctx context.Context, target cyclamendyke.Target, renewal cyclamendyke.Renewal) (cyclamendyke.Listing, error) {
 	v.calls.Add(1)
 	if target.ID != "i-1" {
-		return cyclamendyke.Listing{Clock: bootTime()}, ctx.Err()
+		return v.other.Renew(ctx, target, renewal)
 	}
 	listing, err := v.fakeTarget.Renew(ctx, target, renewal)
 	if v.hasVanished.Load() {
@@ -43,16 +44,18 @@
 // Start fails for a target that has vanished.
 func (v *vanishingTargets) Start(ctx context.Context, target cyclamendyke.Target, order cyclamendyke.StartOrder) (time.Duration, error) {
 	v.calls.Add(1)
-	if target.ID == "i-1" && v.hasVanished.Swap(true) {
+	if target.ID != "i-1" {
+		return v.other.Start(ctx, target, order)
+	}
+	if v.hasVanished.Swap(true) {
 		return 0, cyclamendyke.KindUnavailable
 	}
 	return v.fakeTarget.Start(ctx, target, order)
 }
 
-func (v *vanishingTargets) startsOf(id cyclamendyke.WorkflowID) int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.starts[cyclamendyke.TaskName{Workflow: id}]
+// startsOf returns how often a workflow's only task was started on either target.
+func (v *vanishingTargets) startsOf(id string) int {
+	return v.fakeTarget.startsOf(id) + v.other.startsOf(id)
 }
 
 // logBuffer keeps what nodes log.
@@ -93,8 +96,9 @@
 	lines := &logBuffer{}
 	c.log = lines
 	hasVanished := &atomic.Bool{}
-	firstTargets := &vanishingTargets{fakeTarget: c.target, hasVanished: hasVanished}
-	secondTargets := &vanishingTargets{fakeTarget: c.target, hasVanished: hasVanished}
+	other := &fakeTarget{starts: map[cyclamendyke.TaskName]int{}}
+	firstTargets := &vanishingTargets{fakeTarget: c.target, other: other, hasVanished: hasVanished}
+	secondTargets := &vanishingTargets{fakeTarget: c.target, other: other, hasVanished: hasVanished}
 	store := &cutStore{BatchStore: c.store.As("first")}
 	first := c.start("first", store, firstTargets, 0)
 	eventually(t, "the first term", func() bool { return epochOf(first) == 1 })
