Renew leases beside a scheduler whose pass takes longer than they last

Cause: renewals, and the statements about leases that they need, were decided on the goroutine that makes the passes, so that they waited for whatever it did.

Change: a goroutine of its own (node/leasekeeper.go) looks every 100 ms whether the scheduler has sent renewals within a fifth of the longest grant (1.45 s where targets accept 10 s). If not, it asks each target that answered, extends its lease by a reading of its clock that is at most 1.5 s old, and stores the rounds. In a large fleet the members that carry out orders call the targets. The ledger of leases has a lock now and is all that the two share: a target that the scheduler takes for silent gets no lease from either, its entry counts leases that were granted beside it, and each step of the scheduler first takes over what was learnt and granted. A statement counts as stored when it is, not when the scheduler hears of it.

TestLongRunIsLostWhileSchedulerIsStalled fails without the renewals, and without what is taken over. TestSilentEntryIgnoresLateLease fails if an entry does not count them.

--- a/core/dispatch/finallist.go
+++ b/core/dispatch/finallist.go
@@ -29,6 +29,8 @@
 // FinalList returns the list of runs for the next epoch, after this scheduler's last command was carried out
 // or dropped. Before the state was loaded, it says only how long earlier leases can last.
 func (s *Scheduler) FinalList(loaded bool) ([]byte, error) {
+	s.leases.ReleaseAll()
+	s.takeKept()
 	list := &runList{}
 	if loaded {
 		list = s.buildRunList()
--- a/core/dispatch/grants.go
+++ b/core/dispatch/grants.go
@@ -90,8 +90,9 @@
 	return !t.listed && s.now < t.addedAt+listingTime
 }
 
-// TakeLeaseStatement returns the statement to be stored before the next one is taken.
-func (s *Scheduler) TakeLeaseStatement() lease.Statement {
+// TakeLeaseStatement returns the statement to be stored before the next one is taken, or false if one was taken beside this
+// goroutine.
+func (s *Scheduler) TakeLeaseStatement() (lease.Statement, bool) {
 	if !s.leasesStated {
 		s.leasesStated = true
 		for _, t := range s.targets {
@@ -100,12 +101,12 @@
 			}
 		}
 	}
-	return s.leases.Take(s.now)
+	return s.leases.TakeIfDue(s.now)
 }
 
-// LeaseStatementStored records that the statement that was taken last is stored.
-func (s *Scheduler) LeaseStatementStored() {
-	s.leases.Stored()
+// Leases returns the ledger, which other goroutines may use once SetStoredSilent was called.
+func (s *Scheduler) Leases() *lease.Ledger {
+	return s.leases
 }
 
 // SetStoredSilent sets the list of silent targets that earlier epochs have stored, before the first pass.
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -15,9 +15,11 @@
 	maxAnswerAge    = renewWait + 700*time.Millisecond // A target whose last answer is older gets no new runs.
 )
 
-// Renew returns the renewals that are due. They have a schedule of their own beside the passes, which may be long.
+// Renew returns the renewals that are due. They have a schedule of their own beside the passes, which may be long: while
+// none are due here, and until the next call, others may renew the leases by what the ledger knows of them.
 func (s *Scheduler) Renew() []Command {
 	s.renewAll()
+	s.holdLeases()
 	commands := s.commands
 	s.commands = nil
 	return commands
@@ -94,7 +96,7 @@
 	}
 	t.info.StartedMillis = max(t.info.StartedMillis, listing.StartedMillis)
 	if !t.listed {
-		t.listed, s.lastListedAt = true, s.now
+		t.listed, s.lastListedAt, s.leasesHeldAt = true, s.now, 0
 		s.runListStale = s.runListStale || len(t.earlierRuns) > 0
 		t.leaseUntil = max(t.leaseUntil, listing.Clock+s.earlierLeaseLeft(t))
 		s.logTarget(info.ID, "listed")
@@ -102,7 +104,7 @@
 	}
 	t.expired, t.ended, t.silentRuns = false, false, nil
 	if t.renewFailed {
-		t.renewFailed = false
+		t.renewFailed, s.leasesHeldAt = false, 0
 		s.endSilence(t)
 	}
 	t.answeredAt = s.now
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -56,6 +56,7 @@
 	lastRunNumber      int64
 	leases             *lease.Ledger
 	leasesStated       bool                                    // This epoch has taken a statement about its leases.
+	leasesHeldAt       time.Duration                           // When the ledger last learnt which leases may be renewed beside this goroutine; zero if there is another one since.
 	lastListedAt       time.Duration                           // When a target last answered this epoch for the first time; before that, when the first one was added.
 	silentLeaseEnds    map[cyclamendyke.TargetID]time.Duration // When leases of earlier epochs are over on targets that were silent for them.
 	successorPossible  bool                                    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
@@ -169,6 +170,7 @@
 func (s *Scheduler) Advance(now time.Duration, wall time.Time) {
 	s.now = max(s.now, now)
 	s.wall = wall
+	s.takeKept()
 }
 
 func (s *Scheduler) emit(command Command) {
--- a/core/dispatch/simulatedleases_test.go
+++ b/core/dispatch/simulatedleases_test.go
@@ -26,8 +26,9 @@
 	if !sched.LeaseStatementDue() {
 		return
 	}
-	statement := sched.TakeLeaseStatement()
-	sim.after(sim.writeDelay(), func() { sim.writeStatement(sched, statement) })
+	if statement, isTaken := sched.TakeLeaseStatement(); isTaken {
+		sim.after(sim.writeDelay(), func() { sim.writeStatement(sched, statement) })
+	}
 }
 
 // writeStatement writes a statement, later if the store is away, unless another scheduler was elected meanwhile.
@@ -43,9 +44,8 @@
 	sim.putStatement(statement)
 	sim.after(simLatency, func() {
 		if sim.sched == sched {
-			sched.Advance(sim.now, sim.wall())
-			sched.LeaseStatementStored()
-			sim.pass(sched)
+			sched.Leases().Stored()
+			sim.answer(sched, func() {})
 		}
 	})
 }
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -57,8 +57,9 @@
 	adviceTimeouts int           // Requests that members gave up.
 	violations     []string
 	passes         int
-	passDue        bool          // A pass is scheduled.
-	noPasses       bool          // No pass is made.
+	passDue        bool // A pass is scheduled.
+	noPasses       bool // No pass is made.
+	stalls         simStalls
 	passTime       time.Duration // Real time spent in all passes.
 
 	logDecision     func(Decision) // Called for each decision of schedulers elected from now on; may be nil.
@@ -291,7 +292,7 @@
 }
 
 func (sim *simulation) pass(sched *Scheduler) {
-	if !sim.acts(sched) || sim.noPasses {
+	if !sim.acts(sched) || sim.noPasses || sim.stalledFor(sched) > 0 {
 		return
 	}
 	sched.Advance(sim.now, sim.wall())
@@ -299,7 +300,11 @@
 		sched.SetTargetsAsOf(sim.now)
 	}
 	began := time.Now()
-	commands := sched.Run()
+	var commands []Command
+	if sim.stalls.areDrawn {
+		commands = sched.Renew()
+	}
+	commands = append(commands, sched.Run()...)
 	sim.passTime += time.Since(began)
 	sim.passes++
 	for _, command := range commands {
--- a/core/dispatch/simulationcalls_test.go
+++ b/core/dispatch/simulationcalls_test.go
@@ -89,6 +89,10 @@
 	if !sim.acts(sched) {
 		return
 	}
+	if left := sim.stalledFor(sched); left > 0 {
+		sim.after(left, func() { sim.answer(sched, handle) })
+		return
+	}
 	sched.Advance(sim.now, sim.wall())
 	handle()
 	if sim.passDue {
--- a/core/dispatch/takeover_test.go
+++ b/core/dispatch/takeover_test.go
@@ -197,6 +197,9 @@
 		if hasFinalLists {
 			sim.drawAsking(rt)
 		}
+		if sim.stalls.areDrawn && rapid.Bool().Draw(rt, "stalled") {
+			sim.stall(sim.randomTime(simLongestStall))
+		}
 		sim.injectFault(rapid.IntRange(0, lastFault).Draw(rt, "trouble"))
 		sim.run(time.Duration(rapid.IntRange(50, 1500).Draw(rt, "pause")) * time.Millisecond)
 	}
--- a/core/lease/ledger.go
+++ b/core/lease/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"cyclamendyke"
@@ -26,9 +27,10 @@
 }
 
 // Ledger decides which leases a scheduler may grant, and what it must store for that. All times are those of its
-// process's clock.
+// process's clock. Several goroutines may use it.
 type Ledger struct {
 	cfg         LedgerConfig
+	mu          sync.Mutex // Guards all that follows.
 	entries     map[cyclamendyke.TargetID]*entry
 	number      int64 // Of the last round taken.
 	serial      int64 // The last one given.
@@ -36,6 +38,8 @@
 	isStoring   bool          // A statement has been taken and is not stored yet.
 	grantUntil  time.Duration // Latest end of leases that the stored rounds allow.
 	listChanged bool          // The list differs from the last one taken.
+
+	keeping
 }
 
 // entry is the state of one entry of the list.
@@ -61,6 +65,8 @@
 // SetSilent enters a target whose leases are over at leaseEnd, and returns false if it is in the list already. From now on
 // no lease is allowed on it.
 func (l *Ledger) SetSilent(id cyclamendyke.TargetID, leaseEnd, now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	e := l.entries[id]
 	switch {
 	case e != nil && e.isWanted:
@@ -69,6 +75,7 @@
 		e = &entry{}
 		l.entries[id] = e
 	}
+	leaseEnd = max(leaseEnd, l.release(id))
 	if !e.isTaken {
 		l.serial++
 		left := max(0, leaseEnd-now)
@@ -89,6 +96,8 @@
 
 // ClearSilent takes a target off the list. Leases are allowed on it once that is stored.
 func (l *Ledger) ClearSilent(id cyclamendyke.TargetID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	e := l.entries[id]
 	if e == nil || !e.isWanted {
 		return
@@ -106,6 +115,8 @@
 
 // Silent returns the targets that the next statement names.
 func (l *Ledger) Silent() []cyclamendyke.TargetID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var ids []cyclamendyke.TargetID
 	for id, e := range l.entries {
 		if e.isWanted {
@@ -117,11 +128,23 @@
 
 // GrantEnd returns the latest end of a lease that may be granted on a target, or false if none may be.
 func (l *Ledger) GrantEnd(id cyclamendyke.TargetID) (time.Duration, bool) {
-	return l.grantUntil, len(l.entries) == 0 || l.entries[id] == nil
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.grantUntil, l.mayGrant(id)
+}
+
+func (l *Ledger) mayGrant(id cyclamendyke.TargetID) bool {
+	return len(l.entries) == 0 || l.entries[id] == nil
 }
 
 // Due reports whether a statement should be stored now.
 func (l *Ledger) Due(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.isDue(now)
+}
+
+func (l *Ledger) isDue(now time.Duration) bool {
 	switch {
 	case l.isStoring:
 		return false
@@ -133,6 +156,22 @@
 
 // Take returns the next statement, which must be stored before another one is taken.
 func (l *Ledger) Take(now time.Duration) Statement {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.take(now)
+}
+
+// TakeIfDue returns the next statement as Take, or false if none should be stored now.
+func (l *Ledger) TakeIfDue(now time.Duration) (Statement, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.isDue(now) {
+		return Statement{}, false
+	}
+	return l.take(now), true
+}
+
+func (l *Ledger) take(now time.Duration) Statement {
 	l.number++
 	l.takenAt, l.isStoring = now, true
 	statement := Statement{Round: Round{l.cfg.Epoch, l.number}, SilentChanged: l.listChanged || l.number == 1}
@@ -149,6 +188,8 @@
 
 // Stored records that the statement that was taken last is stored.
 func (l *Ledger) Stored() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.isStoring = false
 	l.grantUntil = l.takenAt + l.cfg.LongestGrant
 	for _, e := range l.entries {
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -29,13 +29,14 @@
 	evacuationDelay time.Duration         // In their settings.
 	maxConfigAge    time.Duration         // In their settings.
 	memoryBytes     int64                 // In their settings.
+	maxLease        time.Duration         // In their settings.
 	submitted       int                   // Workflows that complete has submitted.
 }
 
 func newTestCluster(t testing.TB) *testCluster {
 	c := &testCluster{
 		t: t, store: kv.New(kv.Config{}), target: &fakeTarget{starts: map[cyclamendyke.TaskName]int{}},
-		servers: map[cyclamendyke.MemberName]*member.Server{}, log: io.Discard,
+		servers: map[cyclamendyke.MemberName]*member.Server{}, log: io.Discard, maxLease: 10 * time.Second,
 	}
 	c.put(jsonCodec{}.ConfigKey(), testFleet())
 	c.put("targets/i-1", cyclamendyke.Target{ID: "i-1", Service: "s", Address: "x", Capacity: cyclamendyke.Resources{Cores: 16000}})
@@ -103,7 +104,7 @@
 		c.t.Fatal(err)
 	}
 	n := New(Config{
-		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, MemoryBytes: c.memoryBytes, Bounds: cyclamendyke.Bounds{MaxLease: 10 * time.Second, EvacuationDelay: c.evacuationDelay, MaxConfigAge: c.maxConfigAge}},
+		Settings: cyclamendyke.FleetSettings{Node: name, Zone: c.zone, Cores: cores, MemoryBytes: c.memoryBytes, Bounds: cyclamendyke.Bounds{MaxLease: c.maxLease, EvacuationDelay: c.evacuationDelay, MaxConfigAge: c.maxConfigAge}},
 		Address:  listener.Addr().String(), Store: store, Targets: targets, Codec: jsonCodec{},
 		Log: log.New(c.log), RequestLog: newDiscardRequestLog(),
 		Metrics: NewMetrics(prometheus.NewRegistry(), func() float64 { return 0 }),
--- a/node/delegator.go
+++ b/node/delegator.go
@@ -123,6 +123,9 @@
 		return m.Name == settings.Node || now < d.suspendedUntil[m.Name]
 	})
 	d.executors.assign(settings.Cores, members, d.term.sched.TargetsByZone())
+	if keeper := d.term.keeper.Load(); keeper != nil {
+		keeper.executors.Store(d.executors.copied())
+	}
 }
 
 // suspend stops delegating to a member for suspensionTime.
--- a/node/executors.go
+++ b/node/executors.go
@@ -60,6 +60,11 @@
 	}
 }
 
+// copied returns the selected executors for another goroutine; selecting anew does not change them.
+func (e *executors) copied() *executors {
+	return &executors{byZone: e.byZone, all: e.all, assigned: map[cyclamendyke.TargetID]memberRecord{}}
+}
+
 // forTarget returns the member that calls a target, or false if the scheduler calls it itself.
 func (e *executors) forTarget(target cyclamendyke.Target) (memberRecord, bool) {
 	if m, ok := e.assigned[target.ID]; ok {
--- a/node/leasestatements.go
+++ b/node/leasestatements.go
@@ -31,13 +31,28 @@
 	round, silent cyclamendyke.Revision
 }
 
-// storeLeaseStatement starts storing a statement about leases, if one is due.
+// storeLeaseStatement starts storing a statement about leases, if one is due, with what the work takes of the memory.
 func (t *term) storeLeaseStatement() {
 	if !t.sched.LeaseStatementDue() {
 		return
 	}
-	statement := t.sched.TakeLeaseStatement()
-	batch, err := t.statementBatch(statement)
+	statement, isTaken := t.sched.TakeLeaseStatement()
+	if !isTaken {
+		return
+	}
+	held := t.sched.HeldBytes()
+	if !backlog.IsWorthStating(held, t.statedHeld, backlog.Limit(t.node.cfg.Settings.MemoryBytes)) {
+		t.storeStatement(statement, nil)
+		return
+	}
+	t.statedHeld = held
+	t.storeStatement(statement, &held)
+}
+
+// storeStatement starts storing a statement about leases that was taken; held is what the work takes of the memory, or nil. The
+// goroutine that has taken the statement calls it.
+func (t *term) storeStatement(statement lease.Statement, held *int64) {
+	batch, err := t.statementBatch(statement, held)
 	if err != nil {
 		t.node.cfg.Log.Error("cannot encode statement about leases", "err", err)
 		return
@@ -48,7 +63,7 @@
 
 // statementBatch returns the batch that stores a statement. A late attempt to write an earlier one must not undo it, so that
 // each expects the one before.
-func (t *term) statementBatch(statement lease.Statement) (cyclamendyke.Batch, error) {
+func (t *term) statementBatch(statement lease.Statement, held *int64) (cyclamendyke.Batch, error) {
 	batch := cyclamendyke.Batch{Guards: []cyclamendyke.Guard{{Key: epochKey, Expected: t.election.revision}}}
 	put := func(key string, value any, expected cyclamendyke.Revision, always bool) error {
 		text, err := json.Marshal(value)
@@ -59,9 +74,8 @@
 	if statement.SilentChanged && err == nil {
 		err = put(leaseSilentKey, statement.Silent, t.leaseRevisions.silent, false)
 	}
-	if held := t.sched.HeldBytes(); backlog.IsWorthStating(held, t.statedHeld, backlog.Limit(t.node.cfg.Settings.MemoryBytes)) && err == nil {
-		t.statedHeld = held
-		err = put(heldKey, held, 0, true)
+	if held != nil && err == nil {
+		err = put(heldKey, *held, 0, true)
 	}
 	if !t.election.areLeasesBounded && err == nil {
 		err = put(leaseEpochKey, t.epoch, 0, true)
@@ -84,17 +98,18 @@
 			}
 		}
 		if isApplied {
-			t.post(func() { t.statementStored(revision, silentChanged) })
+			t.statementStored(revision, silentChanged)
 			return
 		}
 		sleep(t.ctx, commitRetryDelay)
 	}
 }
 
+// statementStored notes that the statement that was taken last is stored. Whoever takes the next one sees the revisions.
 func (t *term) statementStored(revision cyclamendyke.Revision, silentChanged bool) {
 	t.leaseRevisions.round = revision
 	if silentChanged {
 		t.leaseRevisions.silent = revision
 	}
-	t.sched.LeaseStatementStored()
+	t.sched.Leases().Stored()
 }
--- a/node/load.go
+++ b/node/load.go
@@ -96,6 +96,8 @@
 	t.loadRunList(snapshot.runList)
 	t.sched.SetStoredSilent(t.election.leases.silent)
 	t.limitEarlierLeases()
+	t.keeper.Store(newLeaseKeeper(t, t.sched.Leases()))
+	t.wg.Go(t.keeper.Load().run)
 	t.loaded = true
 	t.node.cfg.Log.Info("term started", "epoch", t.epoch, "work", len(snapshot.work), "targets", len(snapshot.targetDescriptions), "took", bootTime()-t.election.requestedAt)
 	for _, change := range t.deferred {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,8 @@
 	DelegatedOrders *prometheus.CounterVec
 	// PassSeconds is the duration of scheduling passes in seconds.
 	PassSeconds prometheus.Histogram
+	// LatePasses counts how often this scheduler renewed no leases for so long that they were renewed beside it.
+	LatePasses prometheus.Counter
 	// StorePathState is the state of this VM's own path to the store, one of storePathStates.
 	StorePathState *prometheus.GaugeVec
 	// StoredSubmissions counts accepted submissions by the path by which they were stored.
@@ -122,6 +124,9 @@
 		EvacuatedZones: prometheus.NewGaugeVec(prometheus.GaugeOpts{
 			Name: "cyclamendyke_fleet_evacuated_zones", Help: "1 for each availability zone that operators evacuate.",
 		}, []string{"zone"}),
+		LatePasses: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_late_passes_total", Help: "Times that leases were renewed beside a scheduler that was late.",
+		}),
 		StartsHeldBack: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cyclamendyke_fleet_held_starts_total", Help: "Starts that this process did not send at the last moment, by reason.",
 		}, []string{"reason"}),
@@ -142,7 +147,7 @@
 		}),
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.SilentTargets, m.UnusableTargets,
-		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.LatePasses, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
 	m.ConfigVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "cyclamendyke_fleet_config_version", Help: "Version of the configuration in force.",
 	})
--- a/node/orderexecutor.go
+++ b/node/orderexecutor.go
@@ -120,8 +120,21 @@
 	if t == nil || t.epoch != outcomes.Epoch {
 		return member.NewError("carried", member.KindNotScheduler, nil)
 	}
+	var late, regular []member.Outcome
+	for _, outcome := range outcomes.Outcomes {
+		if outcome.Number&lateOrder != 0 {
+			late = append(late, outcome)
+		} else {
+			regular = append(regular, outcome)
+		}
+	}
+	if keeper := t.keeper.Load(); keeper != nil {
+		for _, outcome := range late {
+			keeper.outcome(outcome)
+		}
+	}
 	t.post(func() {
-		for _, outcome := range outcomes.Outcomes {
+		for _, outcome := range regular {
 			t.delegator.complete(outcome)
 		}
 	})
--- a/node/term.go
+++ b/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cyclamendyke"
@@ -34,6 +35,9 @@
 	wg       sync.WaitGroup
 	endOnce  sync.Once
 	final    *finalList
+	keeper   atomic.Pointer[leaseKeeper] // Nil until the state is loaded.
+
+	leaseRevisions leaseRevisions // Only who has taken a statement that is not stored uses them.
 
 	// Only the control goroutine uses the fields below.
 	sched              *dispatch.Scheduler
@@ -48,7 +52,6 @@
 	heldSubmissions    []member.Submission              // Stored work that waits until the lease is certainly valid.
 	heldCancellations  []cyclamendyke.Entry             // Stored cancellations of held work.
 	sightings          *lease.Sightings                 // Of what the store said of leases when this term began.
-	leaseRevisions     leaseRevisions
 	statedHeld         int64                            // What was last stored of the memory that the work takes.
 	unusable           map[cyclamendyke.TargetID]bool   // Described targets whose descriptions cannot be used.
 	claiming           map[cyclamendyke.WorkflowID]bool // Workflows that are reserved for a later epoch, until the store says otherwise.
