Give targets the time to answer after a scheduler was busy

What callers would see: a task that is done starts again (TWICE).

Cause: a target that may hold ends that nobody else knows gets 12.5 s after its lease to come back. A scheduler that was busy for the last seconds of them had asked nobody meanwhile, and took its own silence for the target's: it gave the target up in the pass right after, milliseconds before the answer.

--- a/core/dispatch/keptleases_test.go
+++ b/core/dispatch/keptleases_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"cyclamendyke"
+	"cyclamendyke/core/lease"
 )
 
 // TestInvariantsWithStalledSchedulers keeps schedulers busy for seconds under all faults of targets, while their leases are
@@ -46,3 +47,36 @@
 	}
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestSchedulerTakesItsOwnSilenceForTargets has a VM that has done a task come back while the scheduler is busy, which ends only
+// after the time that such a VM has to come back.
+func TestSchedulerTakesItsOwnSilenceForTargets(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 2)
+	sim.stalls.areDrawn = true
+	lapsed := 0
+	sim.logDecision = func(d Decision) {
+		if d.Event == EventEnded && d.Reason == string(cyclamendyke.EndLeaseExpired) {
+			lapsed++
+		}
+	}
+	sim.elect()
+	sim.submit(workflow("w", cyclamendyke.Step{Count: 1, Need: cores(1), Estimate: 500 * time.Millisecond}))
+	sim.run(100 * time.Millisecond)
+	is.Equal(sim.starts, 1)
+	for _, v := range sim.vms {
+		v.unreachable = len(v.runs) > 0
+	}
+	sim.run(lease.Longest(sim.maxLease) + returnTime(sim.bounds()) - 3*time.Second)
+	sim.after(time.Second, func() {
+		for _, v := range sim.vms {
+			v.unreachable = false
+		}
+	})
+	sim.stall(5 * time.Second)
+	sim.run(8 * time.Second)
+	is.Equal(sim.status("w"), cyclamendyke.WorkflowCompleted)
+	is.Equal(lapsed, 0) // Its task would have been free to start again.
+	is.Equal(sim.starts, 1)
+	is.Equal(len(sim.violations), 0)
+}
--- a/core/dispatch/knowntarget.go
+++ b/core/dispatch/knowntarget.go
@@ -92,14 +92,21 @@
 }
 
 // mayHaveUnlistedRuns reports whether runs of an earlier epoch, or ends that still count, may be left on a
-// target without being known. While a successor is possible, it may have renewed the lease of one that does not answer.
+// target without being known.
 func (s *Scheduler) mayHaveUnlistedRuns(t *target) bool {
 	if t.hasUnlistedIncarnation() {
-		return s.successorPossible || s.now < s.earlierRunsEndBy(t)
+		return !s.mayGiveUp() || s.now < s.earlierRunsEndBy(t)
 	}
 	return !t.expired && !t.allEndsListed
 }
 
+// mayGiveUp reports whether a target that has not answered for long enough is given up now. While a successor is possible, it
+// may have renewed the target's lease. After a time in which this scheduler was busy and asked nobody, a target that is back
+// gets the time to answer, since what it has done must not start again.
+func (s *Scheduler) mayGiveUp() bool {
+	return !s.successorPossible && s.now >= s.attentiveFrom
+}
+
 // hasUnlistedIncarnation reports whether an incarnation of the target has not answered this epoch.
 func (t *target) hasUnlistedIncarnation() bool {
 	return t.announced != nil || !t.listed && !t.expired
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -57,6 +57,8 @@
 	leases             *lease.Ledger
 	leasesStated       bool                                    // This epoch has taken a statement about its leases.
 	leasesHeldAt       time.Duration                           // When the ledger last learnt which leases may be renewed beside this goroutine; zero if there is another one since.
+	renewedAt          time.Duration                           // When Renew was last called.
+	attentiveFrom      time.Duration                           // From when silence counts as a target's own, after a time in which none was asked.
 	lastListedAt       time.Duration                           // When a target last answered this epoch for the first time; before that, when the first one was added.
 	silentLeaseEnds    map[cyclamendyke.TargetID]time.Duration // When leases of earlier epochs are over on targets that were silent for them.
 	successorPossible  bool                                    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
--- a/core/dispatch/targetend.go
+++ b/core/dispatch/targetend.go
@@ -126,7 +126,7 @@
 // checkTargets handles targets whose lease has expired, and checks all remaining runs.
 func (s *Scheduler) checkTargets() {
 	for id, t := range s.targets {
-		if !t.expired && !s.successorPossible && s.now > s.runsEndBy(t) {
+		if !t.expired && s.mayGiveUp() && s.now > s.runsEndBy(t) {
 			s.expire(t)
 		}
 		// The record of a target must outlive the ends that are read from the target alone.
