Learn no run times from what is told right after a scheduler was busy

What callers would see: a task that is done starts again (TWICE) after a takeover.

Cause: a run's time is taken when its end is told. While a scheduler is busy for seconds, ends wait, so that a task of 0.9 s seemed to take 4.7 s. The step's next run was then said to work certainly until after its target's lease, in which case the lapse voids all earlier ends there, and the successor did not wait for the target. The class is that of: time that passed while nobody listened.

The time is noted when the scheduler next learns anything, not when it next renews.

--- a/core/dispatch/keptleases_test.go
+++ b/core/dispatch/keptleases_test.go
@@ -80,3 +80,25 @@
 	is.Equal(sim.starts, 1)
 	is.Equal(len(sim.violations), 0)
 }
+
+// TestBusyTimeOfSchedulerCountsAsRunTime has a task end while the scheduler is busy; the step's next task must not be taken to
+// work for as long.
+func TestBusyTimeOfSchedulerCountsAsRunTime(t *testing.T) {
+	is := is.New(t)
+	sim := limitedFleet(t, 1, 1)
+	sim.stalls.areDrawn = true
+	sim.elect()
+	sim.submit(workflow("w", cyclamendyke.Step{Count: 2, Need: cores(10), Estimate: 500 * time.Millisecond}))
+	sim.run(100 * time.Millisecond)
+	is.Equal(sim.starts, 1)
+	sim.stall(8 * time.Second)
+	sim.run(8*time.Second + 100*time.Millisecond)
+	is.Equal(sim.starts, 2)
+	for _, target := range sim.sched.targets {
+		for _, r := range target.runs {
+			is.True(r.worksUntil() < r.startedAt+500*time.Millisecond)
+		}
+	}
+	sim.run(time.Second)
+	is.Equal(sim.status("w"), cyclamendyke.WorkflowCompleted)
+}
--- a/core/dispatch/renewal.go
+++ b/core/dispatch/renewal.go
@@ -18,9 +18,6 @@
 // Renew returns the renewals that are due. They have a schedule of their own beside the passes, which may be long: while
 // none are due here, and until the next call, others may renew the leases by what the ledger knows of them.
 func (s *Scheduler) Renew() []Command {
-	if s.renewedAt != 0 && s.now >= s.renewedAt+renewWait {
-		s.attentiveFrom = s.now + silenceTime
-	}
 	s.renewedAt = s.now
 	s.renewAll()
 	s.holdLeases()
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -58,7 +58,7 @@
 	leasesStated       bool                                    // This epoch has taken a statement about its leases.
 	leasesHeldAt       time.Duration                           // When the ledger last learnt which leases may be renewed beside this goroutine; zero if there is another one since.
 	renewedAt          time.Duration                           // When Renew was last called.
-	attentiveFrom      time.Duration                           // From when silence counts as a target's own, after a time in which none was asked.
+	attentiveFrom      time.Duration                           // From when silence and the times of ends count as the targets' own, after a time in which none was asked.
 	lastListedAt       time.Duration                           // When a target last answered this epoch for the first time; before that, when the first one was added.
 	silentLeaseEnds    map[cyclamendyke.TargetID]time.Duration // When leases of earlier epochs are over on targets that were silent for them.
 	successorPossible  bool                                    // Another scheduler may have been elected, and may have renewed the leases of silent targets.
@@ -172,6 +172,9 @@
 func (s *Scheduler) Advance(now time.Duration, wall time.Time) {
 	s.now = max(s.now, now)
 	s.wall = wall
+	if s.renewedAt != 0 && s.now >= s.renewedAt+renewWait {
+		s.attentiveFrom = s.now + silenceTime
+	}
 	s.takeKept()
 }
 
--- a/core/dispatch/speed.go
+++ b/core/dispatch/speed.go
@@ -33,9 +33,13 @@
 //
 // It leaves out runs that resumed from a checkpoint, which did a part of the work only, gangs, whose
 // members all take as long as the slowest, runs that started on a cold target, which says nothing of
-// the time after, runs whose start was repeated, which may have begun late, and runs that this epoch has not seen begin.
+// the time after, runs whose start was repeated, which may have begun late, and runs that this epoch has not seen begin. Nor does
+// it keep what is told right after this scheduler was busy: such a run may have ended long before.
 func (s *Scheduler) measure(r *run) {
 	runTime := s.now - r.startedAt
+	if s.now < s.attentiveFrom {
+		return
+	}
 	if r.startedAt == 0 || r.step.spec.Gang || r.resumed || r.adopted || r.startedCold || r.starts.repeats > 0 || runTime < minMeasuredTime {
 		return
 	}
