--- a/core/lease/keeping.go
+++ b/core/lease/keeping.go
@@ -51,8 +51,8 @@
 	hasRestarted bool          // Another incarnation has answered.
 }
 
-// Hold replaces the leases that may be renewed beside the scheduler, which has sent its own renewals now. All targets are to
-// answer. What was granted beside it since Kept was called is not forgotten.
+// Hold replaces the leases that may be renewed beside the scheduler, which has sent its own renewals now. It names targets that
+// answer. What was granted beside the scheduler since Kept was last called is not forgotten.
 func (l *Ledger) Hold(holdings []Holding, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
