Bound what callers make a process hold by one budget

Cause: nothing bounded what callers make it hold. Bodies were read whole, each into a buffer that doubles, and decoded into a list that is some 80 times as large (87,000 empty steps in 256 KiB); heads could be a megabyte; receive buffers grew to megabytes, which count as memory; connections had no number and no time. The configuration's max_header_bytes, header_timeout_ms and idle_timeout_ms were read and never used.

core/callers keeps one account of all callers: a quarter of the VM's memory, and of the descriptors for connections half less those for probes, the rest of which remain to the store, the targets and the members. io/callerconn wraps the listeners and handlers of net/http with it. A connection is charged its receive buffer (16 KiB, set on the listener) and its goroutine; a head by its bytes and lines; a body as it arrives, in pieces; decoding before it begins, by what the body can become. When room is short, the connection goes whose unfinished request holds the most for the longest; a complete request is not given up, and a large one that finds no room is refused with 429 and Retry-After, or 504 if an earlier attempt may have stored it. The limits of the configuration are in force. [callers] in the settings changes the project's own.

--- a/fleet.go
+++ b/fleet.go
@@ -76,6 +76,16 @@
 	Store       string // Address of the store.
 	Adviser     string // Address of the advice service; empty if there is none.
 	MemoryBytes int64
+	Descriptors int     // How many file descriptors the process may have open; zero if that is not known.
 	Cores       float64 // Processor time available to the process, in cores.
 	Bounds      Bounds
+	Callers     CallerSettings
+}
+
+// CallerSettings bound what callers can make a process hold; a zero value stands for the default.
+type CallerSettings struct {
+	MemoryPercent int           // Part of the memory that connections and unfinished requests may take.
+	Connections   int           // How many may be open.
+	BodyTimeout   time.Duration // Longest time in which a body must arrive, if the caller waits longer than that.
+	WriteTimeout  time.Duration // After which a response that is not read is given up.
 }
--- a/node/intake.go
+++ b/node/intake.go
@@ -52,6 +52,8 @@
 		return refuse(cyclamendyke.IntakeTooLarge), err
 	case cyclamendyke.KindInvalid:
 		return refuse(cyclamendyke.IntakeInvalid), err
+	case cyclamendyke.KindLimited:
+		return n.refuseForCallers(request.id), err
 	default:
 		return n.storePaths.refusal(request.id), err
 	}
--- a/node/intakebudget.go
+++ b/node/intakebudget.go
@@ -39,8 +39,20 @@
 	return reply, NewError("store", cyclamendyke.KindLimited, errNoMemory)
 }
 
-// refusedForMemory is the reason of a refused submission in the metrics.
-const refusedForMemory = "memory"
+// The reasons of refused submissions in the metrics.
+const (
+	refusedForMemory  = "memory"
+	refusedForCallers = "callers"
+)
+
+// refuseForCallers returns the reply to a submission that was not read or decoded, since callers hold too much or it came too slowly.
+func (n *Node) refuseForCallers(id cyclamendyke.WorkflowID) cyclamendyke.IntakeReply {
+	if n.isInDoubt(id) {
+		return refuse(cyclamendyke.IntakeUnknown)
+	}
+	n.cfg.Metrics.RefusedSubmissions.WithLabelValues(refusedForCallers).Inc()
+	return refuse(cyclamendyke.IntakeLimited)
+}
 
 // isStored reports whether the store holds a workflow, or the final state of one, from an earlier attempt.
 func (n *Node) isStored(ctx context.Context, id cyclamendyke.WorkflowID) (bool, error) {
--- a/node/main.go
+++ b/node/main.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"cyclamendyke"
+	"cyclamendyke/io/callerconn"
 	"cyclamendyke/io/member"
 )
 
@@ -66,18 +67,19 @@
 	front, ready, member, metrics net.Listener
 }
 
-func listen(settings cyclamendyke.FleetSettings) (listeners, error) {
+func listen(settings cyclamendyke.FleetSettings, guard *callerconn.Guard) (listeners, error) {
 	var all listeners
 	for _, l := range []struct {
 		to      *net.Listener
 		address string
+		listen  func(address string) (net.Listener, error)
 	}{
-		{&all.front, settings.Front},
-		{&all.ready, settings.Ready},
-		{&all.member, fmt.Sprintf("%s:%d", settings.IP, settings.Ports[0])},
-		{&all.metrics, fmt.Sprintf("%s:%d", settings.IP, settings.Ports[0]+1)},
+		{&all.front, settings.Front, guard.Listen},
+		{&all.ready, settings.Ready, guard.ListenForProbes},
+		{&all.member, fmt.Sprintf("%s:%d", settings.IP, settings.Ports[0]), listenForMembers},
+		{&all.metrics, fmt.Sprintf("%s:%d", settings.IP, settings.Ports[0]+1), guard.ListenForProbes},
 	} {
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := l.listen(l.address)
 		if err != nil {
 			return all, NewError("listen", cyclamendyke.KindUnavailable, err)
 		}
@@ -86,19 +88,27 @@
 	return all, nil
 }
 
+// listenForMembers listens for other members, which have no limits.
+func listenForMembers(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
 // serve runs the process until it is stopped or a server fails.
 func serve(platform Platform, settings cyclamendyke.FleetSettings, logger *log.Logger, logWriter *asyncWriter) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	all, err := listen(settings)
+	registry := prometheus.NewRegistry()
+	guard := callerconn.New(callerconn.Config{Settings: settings, Log: logger, Metrics: callerconn.NewMetrics(registry)})
+	defer guard.Close()
+	all, err := listen(settings, guard)
 	if err != nil {
 		return err
 	}
-	registry := prometheus.NewRegistry()
 	cfg := Config{
 		Settings: settings, Address: all.member.Addr().String(), Log: logger,
 		RequestLog: newRequestLog(logWriter, string(settings.Node), time.Now),
 		Metrics:    NewMetrics(registry, func() float64 { return float64(logWriter.dropped.Load()) }),
+		SetLimits:  guard.SetLimits,
 	}
 	platform.Connect(settings, &cfg)
 	cfg.Store = instrumentedStore{store: cfg.Store, metrics: cfg.Metrics}
@@ -112,6 +122,7 @@
 	servers := append(platform.Serve(all.front, all.ready, Intake{n}, n.Ready), metricsServer)
 	failures := make(chan error, len(servers))
 	for _, server := range servers {
+		guard.Attach(server.Server)
 		go func() { failures <- server.Start(context.Background()) }()
 	}
 	logger.Info("serving", "zone", settings.Zone, "front", settings.Front, "member", cfg.Address, "store", settings.Store)
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	Log        *log.Logger // For the process's own state; not limited in rate.
 	RequestLog *RequestLog // For requests, orders and decisions; limited in rate.
 	Metrics    *Metrics
+	SetLimits  func(cyclamendyke.CallerLimits) // Called with the limits of each configuration; may be nil.
 }
 
 // Node is one entry VM's process: a member of the fleet that may become its scheduler.
--- a/node/operators.go
+++ b/node/operators.go
@@ -131,6 +131,9 @@
 			break
 		}
 	}
+	if n.cfg.SetLimits != nil {
+		n.cfg.SetLimits(fleet.Limits)
+	}
 	n.cfg.Metrics.ConfigVersion.Set(float64(fleet.Version))
 	n.cfg.Log.Info("configuration applied", "version", fleet.Version, "queues", len(fleet.Queues), "teams", len(fleet.Teams), "config-age", n.operatorsAge())
 	if t := n.term.Load(); t != nil {
