Give up no response that is only being written

A connection may be told to go while its response is being written, since the caller may not read. One whose write has just begun could be chosen too, if its request was large: the caller then lost the answer to a request that was handled. Writes count as stuck after 100 ms now; TestCallerThatDoesNotReadKeepsItsConnection checks both sides of it and fails without the change.

--- a/core/callers/budget_test.go
+++ b/core/callers/budget_test.go
@@ -169,6 +169,7 @@
 	is.True(deaf.Begin(false))
 	is.True(open(b, port, time.Second).Connection == nil) // A request that is handled is not given up.
 	deaf.BeginWrite(time.Second)
+	is.True(open(b, port, time.Second+writeGrace-1).Connection == nil) // Its response is only being written.
 	is.True(open(b, port, 2*time.Second).Connection != nil)
 	is.True(deaf.transport.aborted)
 }
--- a/core/callers/connection.go
+++ b/core/callers/connection.go
@@ -39,13 +39,16 @@
 	sinceBeforeWrite time.Duration
 }
 
-// servedWorth is how many times as long a connection may wait that has had a response.
-const servedWorth = 4
+// The rules for which connections go first.
+const (
+	servedWorth = 4                      // How many times as long a connection may wait that has had a response.
+	writeGrace  = 100 * time.Millisecond // A write that takes longer waits for the caller to read.
+)
 
 // burden returns how much the connection is in the way of others: what it holds, times how long. It is zero for a connection that must
 // not be told to go.
 func (c *Connection) burden(now time.Duration) float64 {
-	if c.state == handling || c.state == leaving {
+	if c.state == handling || c.state == leaving || c.state == writing && now-c.since < writeGrace {
 		return 0
 	}
 	burden := float64(c.bytes) * float64(now-c.since+time.Millisecond)
