--- a/core/dispatch/crashedrun.go
+++ b/core/dispatch/crashedrun.go
@@ -1,8 +1,10 @@
 package dispatch
 
 import (
-	"cyclamendyke/core/crash"
 	"time"
+
+	"cyclamendyke/core/crash"
+	"cyclamendyke/core/progress"
 )
 
 // crashedRun is a run that a target had, or may have had, when its incarnation ended.
@@ -21,7 +23,7 @@
 }
 
 func (r *crashedRun) isDone() bool {
-	if r.index == gangTask {
+	if r.index == progress.Gang {
 		return r.step.isDone()
 	}
 	return r.step.done.Has(r.index)
@@ -29,7 +31,7 @@
 
 // name returns the name of the task, or of the gang's step.
 func (r *crashedRun) name() string {
-	if r.index == gangTask {
+	if r.index == progress.Gang {
 		return r.step.name().String()
 	}
 	return r.step.taskName(r.index).String()
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -4,6 +4,7 @@
 	"fmt"
 
 	"cyclamendyke/core/crash"
+	"cyclamendyke/core/progress"
 )
 
 // crashHistory returns the crashes under a task, or under its gang, to be changed.
@@ -34,7 +35,7 @@
 // crashIndex returns the index under which a task's crashes are kept: its own, or that of its gang.
 func (step *stepRun) crashIndex(index int) int {
 	if step.spec.Gang {
-		return gangTask
+		return progress.Gang
 	}
 	return index
 }
--- a/core/dispatch/endedjob.go
+++ b/core/dispatch/endedjob.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/progress"
 )
 
 // endedJob is a workflow whose final state is stored.
@@ -32,7 +33,7 @@
 	}
 	s.forgetAt = s.now + forgetInterval
 	for id, j := range s.endedJobs {
-		if s.now-j.at >= s.cfg.Bounds.StatusRetention+expiryMargin {
+		if s.now-j.at >= s.cfg.Bounds.StatusRetention+progress.ExpiryMargin {
 			delete(s.endedJobs, id)
 		}
 	}
--- a/core/dispatch/listedcrashes.go
+++ b/core/dispatch/listedcrashes.go
@@ -3,6 +3,7 @@
 import (
 	"cyclamendyke"
 	"cyclamendyke/core/crash"
+	"cyclamendyke/core/progress"
 )
 
 // listedCrashes are the crashes under a task or a gang, as a list of runs tells the next epoch.
@@ -33,7 +34,7 @@
 			out = append(out, listedCrashes{StepName: step.name(), Task: index, Crashes: crashes})
 		}
 	}
-	add(gangTask, step.gangCrashes.Crashes)
+	add(progress.Gang, step.gangCrashes.Crashes)
 	for i, task := range step.tasks.All() {
 		add(i, task.crashes.Crashes)
 	}
--- a/core/dispatch/loadrecord.go
+++ b/core/dispatch/loadrecord.go
@@ -5,6 +5,7 @@
 
 	"cyclamendyke"
 	"cyclamendyke/core/indexset"
+	"cyclamendyke/core/progress"
 )
 
 // Load applies the stored progress of a submitted workflow.
@@ -17,7 +18,7 @@
 	if len(value) == 0 {
 		return nil
 	}
-	var stored jobRecord
+	var stored progress.Workflow
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return NewError("load", cyclamendyke.KindInvalid, err)
 	}
@@ -25,7 +26,7 @@
 		j.state = stored.State
 		j.finalAt = s.now
 		j.started = true
-		s.markDirty(j) // So that it is stored as a FinalRecord.
+		s.markDirty(j) // So that it is stored as a final record.
 		return nil
 	}
 	s.loadProgress(j, &stored)
@@ -33,7 +34,7 @@
 }
 
 // loadProgress applies the stored progress of a workflow that has not ended.
-func (s *Scheduler) loadProgress(j *job, stored *jobRecord) {
+func (s *Scheduler) loadProgress(j *job, stored *progress.Workflow) {
 	j.started = j.started || !stored.Over.IsZero()
 	for _, over := range stored.Over.All() {
 		for number := over[0]; number <= min(over[1], j.spec.Occurrences()-1); number++ {
@@ -44,7 +45,7 @@
 		done := indexset.NewBits(len(j.spec.Steps))
 		done.AddBytes(open.Done)
 		for step := range done.All() {
-			s.loadStep(j, stepRecord{Occurrence: open.Occurrence, Step: step, AllDone: true})
+			s.loadStep(j, progress.Step{Occurrence: open.Number, Step: step, AllDone: true})
 		}
 	}
 	for _, r := range stored.Steps {
@@ -56,7 +57,7 @@
 }
 
 // loadStep applies the stored progress of a step, unless the workflow has no such step or its occurrence is over.
-func (s *Scheduler) loadStep(j *job, r stepRecord) {
+func (s *Scheduler) loadStep(j *job, r progress.Step) {
 	j.hasCrashes = j.hasCrashes || len(r.Crashes) > 0
 	if !j.hasTask(cyclamendyke.TaskName{Occurrence: r.Occurrence, Step: r.Step}) || j.over.Has(r.Occurrence) {
 		return
@@ -86,7 +87,7 @@
 }
 
 // load applies the stored progress of the step's tasks.
-func (step *stepRun) load(r stepRecord) {
+func (step *stepRun) load(r progress.Step) {
 	done := indexset.NewBits(step.spec.Count)
 	done.AddBytes(r.DoneBits)
 	for _, i := range r.Done {
@@ -95,8 +96,8 @@
 	for i := range done.All() {
 		step.taskDone(i)
 	}
-	step.failedRuns = r.FailedRuns[gangTask]
-	step.gangCrashes.Crashes = r.Crashes[gangTask]
+	step.failedRuns = r.FailedRuns[progress.Gang]
+	step.gangCrashes.Crashes = r.Crashes[progress.Gang]
 	for i, runs := range r.FailedRuns {
 		if step.isOpenTask(i) {
 			step.tasks.At(i).failedRuns = runs
--- a/core/dispatch/record.go
+++ b/core/dispatch/record.go
@@ -6,24 +6,9 @@
 	"time"
 
 	"cyclamendyke"
-	"cyclamendyke/core/crash"
-	"cyclamendyke/core/indexset"
+	"cyclamendyke/core/progress"
 )
 
-// jobRecord is the progress of an unfinished workflow as it is stored.
-type jobRecord struct {
-	State cyclamendyke.WorkflowState `json:"state,omitempty"` // Set only by earlier versions, which stored final states here too.
-	Steps []stepRecord               `json:"steps,omitempty"`
-	Over  indexset.Ranges            `json:"over,omitzero"`        // Occurrences of which all steps are done, if they are too many for Steps.
-	Open  []openRecord               `json:"steps-done,omitempty"` // By occurrence that is not over: its steps that are done, if these are too many for Steps.
-}
-
-// openRecord names the steps of an occurrence that are done.
-type openRecord struct {
-	Occurrence int    `json:"k,omitempty"`
-	Done       []byte `json:"done"` // As of indexset.Bits.
-}
-
 // The forms of long lists in records. Short ones are stored as earlier versions did, who may take over.
 const (
 	maxListedSteps    = 500         // Longest list of steps that are done.
@@ -32,40 +17,7 @@
 	maxRecordBytes    = 900 << 10   // A longer record is not stored, since the store would refuse it and all others of its batch.
 )
 
-// FinalRecord is what is stored of a workflow in a final state.
-type FinalRecord struct {
-	State   cyclamendyke.WorkflowState `json:"state"`
-	Team    cyclamendyke.TeamName      `json:"team"`
-	EndedAt time.Time                  `json:"ended"`
-}
-
-// Expired reports whether the record need no longer be kept.
-func (r FinalRecord) Expired(now time.Time, bounds cyclamendyke.Bounds) bool {
-	return now.Sub(r.EndedAt) >= bounds.StatusRetention+expiryMargin
-}
-
-// expiryMargin keeps final states longer than promised, for callers that repeat a request late and
-// for clocks that differ.
-const expiryMargin = time.Minute
-
-// stepRecord is the progress of one step; a step without progress is left out.
-type stepRecord struct {
-	Occurrence  int                    `json:"k,omitempty"`
-	Step        int                    `json:"s,omitempty"`
-	AllDone     bool                   `json:"all,omitempty"`
-	Done        []int                  `json:"done,omitempty"`
-	DoneBits    []byte                 `json:"done-bits,omitempty"` // As of indexset.Bits; replaces Done if that is long.
-	FailedRuns  map[int][]int64        `json:"fails,omitempty"`     // By task; those of a gang are under gangTask.
-	Checkpoints map[int]checkpoint     `json:"saved,omitempty"`
-	Crashes     map[int][]crash.Record `json:"crashes,omitempty"` // By task; those of a gang are under gangTask.
-}
-
-type checkpoint = string
-
-// gangTask is the key of a gang's failed runs in stepRecord.FailedRuns.
-const gangTask = -1
-
-// Record is one record to be stored: of a workflow's progress or, if Final is set, the FinalRecord
+// Record is one record to be stored: of a workflow's progress or, if Final is set, the final record
 // that replaces all that is stored of the workflow.
 type Record struct {
 	ID       cyclamendyke.WorkflowID
@@ -124,26 +76,20 @@
 func (s *Scheduler) encode(j *job) (Record, error) {
 	record := Record{ID: j.spec.ID, Final: j.state.IsFinal(), Expected: j.revision, version: j.version}
 	if record.Final {
-		value, err := json.Marshal(FinalRecord{State: j.state, Team: j.spec.Team, EndedAt: s.wall.Add(j.finalAt - s.now)})
+		value, err := json.Marshal(progress.Final{State: j.state, Team: j.spec.Team, EndedAt: s.wall.Add(j.finalAt - s.now)})
 		record.Value = value
 		return record, err
 	}
 	content := j.record()
 	value, err := json.Marshal(content)
 	if len(value) > maxRecordBytes {
-		content.dropCheckpoints() // Work is lost then, but nothing that is done.
+		content.DropCheckpoints() // Work is lost then, but nothing that is done.
 		value, err = json.Marshal(content)
 	}
 	record.Value = value
 	return record, err
 }
 
-func (r *jobRecord) dropCheckpoints() {
-	for i := range r.Steps {
-		r.Steps[i].Checkpoints = nil
-	}
-}
-
 // logTooLong logs once that the record of a workflow is too long to be stored, which is tried again later. Others are stored.
 func (s *Scheduler) logTooLong(j *job, bytes int) {
 	j.encodeAt = s.now + tooLongRetryDelay
@@ -188,8 +134,8 @@
 	}
 }
 
-func (j *job) record() jobRecord {
-	var out jobRecord
+func (j *job) record() progress.Workflow {
+	var out progress.Workflow
 	j.recordOver(&out)
 	for _, occ := range j.open {
 		if j.over.Has(occ.number) {
@@ -201,26 +147,26 @@
 }
 
 // record records the progress of an occurrence that is not over.
-func (o *occurrence) record(out *jobRecord) {
+func (o *occurrence) record(out *progress.Workflow) {
 	if o.done.Count() > maxListedSteps {
-		out.Open = append(out.Open, openRecord{Occurrence: o.number, Done: o.done.Bytes()})
+		out.Open = append(out.Open, progress.Occurrence{Number: o.number, Done: o.done.Bytes()})
 	} else {
 		for index := range o.done.All() {
-			out.Steps = append(out.Steps, stepRecord{Occurrence: o.number, Step: index, AllDone: true})
+			out.Steps = append(out.Steps, progress.Step{Occurrence: o.number, Step: index, AllDone: true})
 		}
 	}
 	for _, step := range o.steps {
 		if step == nil || o.done.Has(step.index) {
 			continue
 		}
-		if progress, ok := step.record(); ok {
-			out.Steps = append(out.Steps, progress)
+		if record := step.record(); !record.IsEmpty() {
+			out.Steps = append(out.Steps, record)
 		}
 	}
 }
 
 // recordOver records the occurrences that are over.
-func (j *job) recordOver(out *jobRecord) {
+func (j *job) recordOver(out *progress.Workflow) {
 	if j.over.Count()*len(j.spec.Steps) > maxListedSteps {
 		out.Over = j.over
 		return
@@ -228,19 +174,17 @@
 	for _, over := range j.over.All() {
 		for number := over[0]; number <= over[1]; number++ {
 			for step := range j.spec.Steps {
-				out.Steps = append(out.Steps, stepRecord{Occurrence: number, Step: step, AllDone: true})
+				out.Steps = append(out.Steps, progress.Step{Occurrence: number, Step: step, AllDone: true})
 			}
 		}
 	}
 }
 
-// record returns the step's progress, and whether there is any.
-func (step *stepRun) record() (stepRecord, bool) {
-	out := stepRecord{Occurrence: step.occ.number, Step: step.index}
-	if len(step.failedRuns) > 0 {
-		out.setFailedRuns(gangTask, step.failedRuns)
-	}
-	out.setCrashes(gangTask, step.gangCrashes.Crashes)
+// record returns the step's progress.
+func (step *stepRun) record() progress.Step {
+	out := progress.Step{Occurrence: step.occ.number, Step: step.index}
+	out.SetFailedRuns(progress.Gang, step.failedRuns)
+	out.SetCrashes(progress.Gang, step.gangCrashes.Crashes)
 	if step.done.Count() > maxListedTasks {
 		out.DoneBits = step.done.Bytes()
 	} else {
@@ -250,33 +194,9 @@
 		if step.done.Has(i) {
 			continue
 		}
-		if len(t.failedRuns) > 0 {
-			out.setFailedRuns(i, t.failedRuns)
-		}
-		out.setCrashes(i, t.crashes.Crashes)
-		if t.checkpoint != "" {
-			if out.Checkpoints == nil {
-				out.Checkpoints = map[int]checkpoint{}
-			}
-			out.Checkpoints[i] = t.checkpoint
-		}
-	}
-	return out, step.done.Count()+len(out.FailedRuns)+len(out.Checkpoints)+len(out.Crashes) > 0
-}
-
-func (r *stepRecord) setCrashes(index int, crashes []crash.Record) {
-	if len(crashes) == 0 {
-		return
+		out.SetFailedRuns(i, t.failedRuns)
+		out.SetCrashes(i, t.crashes.Crashes)
+		out.SetCheckpoint(i, t.checkpoint)
 	}
-	if r.Crashes == nil {
-		r.Crashes = map[int][]crash.Record{}
-	}
-	r.Crashes[index] = crashes
-}
-
-func (r *stepRecord) setFailedRuns(index int, runs []int64) {
-	if r.FailedRuns == nil {
-		r.FailedRuns = map[int][]int64{}
-	}
-	r.FailedRuns[index] = runs
+	return out
 }
--- a/core/dispatch/remaining.go
+++ b/core/dispatch/remaining.go
@@ -11,8 +11,8 @@
 	minOverdueRemaining = 100 * time.Millisecond // Least time for which an overdue run is expected to go on, so that its target never counts as free.
 )
 
-// progress is a run's progress as its target has reported it.
-type progress struct {
+// percentages is a run's progress as its target has reported it.
+type percentages struct {
 	percent      int           // Last reported percentage of the task's work.
 	at           time.Duration // When the percentage last changed.
 	firstPercent int           // Percentage from which the pace is measured: the first reported, if the run resumed from a checkpoint.
@@ -20,12 +20,12 @@
 }
 
 // begin starts the measurement of the pace at a percentage.
-func (p *progress) begin(percent int, now time.Duration) {
-	*p = progress{percent: percent, at: now, firstPercent: percent, firstAt: now}
+func (p *percentages) begin(percent int, now time.Duration) {
+	*p = percentages{percent: percent, at: now, firstPercent: percent, firstAt: now}
 }
 
 // report records a percentage from a listing.
-func (p *progress) report(percent int, now time.Duration) {
+func (p *percentages) report(percent int, now time.Duration) {
 	if percent == p.percent {
 		return
 	}
@@ -67,14 +67,14 @@
 
 // remaining estimates the time left from the pace so far. It is unknown before enough progress was
 // reported, and once the run should have ended.
-func (p *progress) remaining(now time.Duration) (time.Duration, bool) {
+func (p *percentages) remaining(now time.Duration) (time.Duration, bool) {
 	end, known := p.expectedEnd()
 	return end - now, known && end > now
 }
 
 // perPercent returns the time that the run has taken for a percent of its work, if it has reported
 // enough progress.
-func (p *progress) perPercent() (time.Duration, bool) {
+func (p *percentages) perPercent() (time.Duration, bool) {
 	made := p.percent - p.firstPercent
 	if made < minKnownPercent || p.at <= p.firstAt {
 		return 0, false
@@ -83,7 +83,7 @@
 }
 
 // expectedEnd returns when the run ends if it keeps its pace, if that is known.
-func (p *progress) expectedEnd() (time.Duration, bool) {
+func (p *percentages) expectedEnd() (time.Duration, bool) {
 	perPercent, known := p.perPercent()
 	return p.at + time.Duration(100-p.percent)*perPercent, known
 }
--- a/core/dispatch/run.go
+++ b/core/dispatch/run.go
@@ -28,7 +28,7 @@
 	startedAt      time.Duration // When it was ordered or adopted, or when its start became uncertain.
 	starts         startOrders   // The requests to start it; empty if it was adopted.
 	confirmedAt    time.Duration // When the target confirmed that it runs.
-	progress       progress
+	progress       percentages
 	checkpoint     string  // Last reported checkpoint, at first the one that it was started from.
 	load           float64 // Last reported load: for a serving task, its tail latency in milliseconds.
 	pace           int     // Last ordered percentage of full speed.
--- a/core/dispatch/simulatedstore_test.go
+++ b/core/dispatch/simulatedstore_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamendyke"
+	"cyclamendyke/core/progress"
 )
 
 const (
@@ -154,7 +155,7 @@
 		sim.progress[r.ID] = storedProgress{r.Value, sim.revision}
 		return
 	}
-	var final FinalRecord
+	var final progress.Final
 	if err := json.Unmarshal(r.Value, &final); err != nil {
 		sim.t.Fatal(err)
 	}
--- a/core/dispatch/simulation_test.go
+++ b/core/dispatch/simulation_test.go
@@ -10,6 +10,7 @@
 	"cyclamendyke"
 	"cyclamendyke/core/invariant"
 	"cyclamendyke/core/lease"
+	"cyclamendyke/core/progress"
 )
 
 const (
@@ -46,7 +47,7 @@
 	fleet          *cyclamendyke.FleetConfig
 	workflows      map[cyclamendyke.WorkflowID]storedWorkflow
 	progress       map[cyclamendyke.WorkflowID]storedProgress
-	finals         map[cyclamendyke.WorkflowID]FinalRecord
+	finals         map[cyclamendyke.WorkflowID]progress.Final
 	vms            map[cyclamendyke.TargetID]*vm
 	history        map[cyclamendyke.TaskName]*taskHistory
 	teamUsed       map[cyclamendyke.TeamName]cyclamendyke.Resources
@@ -138,7 +139,7 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: time.Hour,
 		workflows: map[cyclamendyke.WorkflowID]storedWorkflow{}, progress: map[cyclamendyke.WorkflowID]storedProgress{},
 		storedTargets: map[cyclamendyke.TargetID]storedTarget{},
-		finals:        map[cyclamendyke.WorkflowID]FinalRecord{},
+		finals:        map[cyclamendyke.WorkflowID]progress.Final{},
 		vms:           map[cyclamendyke.TargetID]*vm{}, history: map[cyclamendyke.TaskName]*taskHistory{},
 		teamUsed:  map[cyclamendyke.TeamName]cyclamendyke.Resources{},
 		fleet:     &cyclamendyke.FleetConfig{Version: 1},
--- a/node/cleanup.go
+++ b/node/cleanup.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"cyclamendyke"
-	"cyclamendyke/core/dispatch"
+	"cyclamendyke/core/progress"
 )
 
 // The timing of removing the final states that need no longer be kept.
@@ -47,7 +47,7 @@
 	now := time.Now()
 	batch := t.newCleanupBatch()
 	for _, entry := range entries {
-		var record dispatch.FinalRecord
+		var record progress.Final
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
 			t.node.cfg.Log.Error("cannot decode final state", "key", entry.Key, "revision", entry.Revision, "err", err)
 			continue
--- a/node/cleanup_test.go
+++ b/node/cleanup_test.go
@@ -11,7 +11,7 @@
 	"github.com/matryer/is"
 
 	"cyclamendyke"
-	"cyclamendyke/core/dispatch"
+	"cyclamendyke/core/progress"
 )
 
 // keysBelow returns the keys of the store that start with prefix.
@@ -60,7 +60,7 @@
 	n := c.startNode("only")
 	eventually(t, "the first term", func() bool { return epochOf(n) == 1 })
 	put := func(id string, age time.Duration) {
-		c.put(donePrefix+id, dispatch.FinalRecord{State: cyclamendyke.WorkflowCompleted, EndedAt: time.Now().Add(-age)})
+		c.put(donePrefix+id, progress.Final{State: cyclamendyke.WorkflowCompleted, EndedAt: time.Now().Add(-age)})
 	}
 	put("a1", time.Second)
 	put("a2", time.Hour)
--- a/node/query.go
+++ b/node/query.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 
 	"cyclamendyke"
-	"cyclamendyke/core/dispatch"
+	"cyclamendyke/core/progress"
 	"cyclamendyke/io/member"
 )
 
@@ -100,7 +100,7 @@
 	if err != nil {
 		return member.WorkflowStatus{}, err
 	}
-	var record dispatch.FinalRecord
+	var record progress.Final
 	if err := json.Unmarshal(done.Value, &record); err != nil {
 		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindInvalid, err)
 	}
