--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -65,7 +65,7 @@
 	}
 	s.markDirty(j)
 	j.hasCrashes, j.crashVersion = true, j.version
-	r.step.stableUntil = s.now + r.step.stableTargetWait()
+	r.step.stableUntil = s.now + stableTargetWait
 	s.logCountedCrash(t, r, alone)
 	if !history.Blamed() {
 		return false
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -38,12 +38,11 @@
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
 	s.projectFree()
-	s.passStarts = 0
-	s.placeOverdueTrials()
 	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{}}
 	steps := s.active.sorted(s.rank)
 	resumed := slices.Index(steps, s.resumeAt)
 	s.resumeAt = nil
+	s.passStarts = 0
 	if s.cfg.PassTime != nil {
 		pass.began = s.cfg.PassTime()
 	}
@@ -103,9 +102,6 @@
 // placeStep starts those of a step's waiting tasks that find a target, and makes room for the others.
 func (s *Scheduler) placeStep(step *stepRun, queue *cyclamendyke.Queue, waiting []int, pass *placementPass) {
 	trusted, suspected := step.splitSuspected(waiting)
-	if len(suspected) > 0 {
-		s.waitForTrial(step)
-	}
 	step.needsStable = false
 	unplaced := len(waiting)
 	switch {
@@ -127,7 +123,7 @@
 		pass.noRoom.add(queue.Service, step.spec.Reserved())
 	}
 	if len(suspected) == 0 {
-		s.makeRoom(step, queue, unplaced, pass) // Nothing is stopped for a task that may crash its target, and room is kept only for its trial.
+		s.makeRoom(step, queue, unplaced, pass) // Nothing is stopped or kept for a task that may crash its target.
 	}
 	s.wantMissingTickets(step, queue, unplaced, pass.noProjectedRoom)
 }
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -111,7 +111,7 @@
 	s.dropClaims(step)
 	var options []claimOption
 	for _, t := range s.usableByService[queue.Service] {
-		if v, hasVerdict := step.advice.verdicts[t.info.ID]; queue.Advice != nil && hasVerdict && !v.allowed || !s.eligible(step, queue, t) || s.isUnstableFor(step, t) {
+		if v, hasVerdict := step.advice.verdicts[t.info.ID]; queue.Advice != nil && hasVerdict && !v.allowed || !s.eligible(step, queue, t) {
 			continue
 		}
 		limit := count
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -70,9 +70,8 @@
 	lagsIgnored        map[cyclamendyke.ServiceName]bool      // So many targets seem to lag that the estimates are wrong; computed in each pass.
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	claims             []*claim
-	resumeAt           *stepRun   // The first step that the last pass did not reach; nil if it has reached all.
-	trialWaiters       []*stepRun // Steps with suspects that wait for a trial, or have waited.
-	passStarts         int        // Requests to start a run in the present pass.
+	resumeAt           *stepRun // The first step that the last pass did not reach; nil if it has reached all.
+	passStarts         int      // Requests to start a run in the present pass.
 	roomIndex          roomIndex
 	allowedParts       map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
 	usableByService    map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -29,7 +29,6 @@
 	gangCrashes    crash.History
 	needsStable    bool          // A suspected task waits for a target whose machine has not crashed lately.
 	stableUntil    time.Duration // How long suspected tasks wait for such a target.
-	trialWait      trialWait
 	advice         stepAdvice
 	rankKey        rankKey
 	haste          float64 // How much it gains by a fast target, from -1 to 1.
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -14,12 +14,11 @@
 // Tasks that last may share a trial, so that not each of them has to wait for a target of its own. If no crash comes, all are trusted;
 // after one, none of them shares another trial.
 type trial struct {
-	tasks     []trialTask
-	isShared  bool          // Others may join.
-	isOverdue bool          // It goes before all other work, since its tasks have waited for long.
-	began     bool          // A task was started.
-	beganAt   time.Duration // When the first one was.
-	until     time.Duration // When the reservation lapses if no task has been started.
+	tasks    []trialTask
+	isShared bool          // Others may join.
+	began    bool          // A task was started.
+	beganAt  time.Duration // When the first one was.
+	until    time.Duration // When the reservation lapses if no task has been started.
 }
 
 // trialTask is a task, or a gang, that is tried.
@@ -35,12 +34,11 @@
 
 // The rules for trials.
 const (
-	lastingStableWait = 2 * time.Second        // How long a suspected task that lasts waits for a machine that has not crashed lately.
-	stableTargetWait  = overdueTrialWait       // How long another one does; then it claims room there.
-	trialReservation  = 200 * time.Millisecond // Renewed in each pass in which the task waits for its target.
-	maxTrialShare     = 0.5                    // Part of a service's targets that are kept for trials at a time.
-	maxTrialTasks     = 16                     // Tasks that share a trial.
-	joinTime          = 100 * time.Millisecond // How long after its begin a task may join a trial.
+	stableTargetWait = 2 * time.Second        // How long a suspected task waits for a machine that has not crashed lately.
+	trialReservation = 200 * time.Millisecond // Renewed in each pass in which the task waits for its target.
+	maxTrialShare    = 0.5                    // Part of a service's targets that are kept for trials at a time.
+	maxTrialTasks    = 16                     // Tasks that share a trial.
+	joinTime         = 100 * time.Millisecond // How long after its begin a task may join a trial.
 )
 
 // splitSuspected returns a step's waiting tasks that may run beside others, and those to be tried apart.
@@ -81,8 +79,7 @@
 		s.logUnplaced(step, "no target with room and a ticket to be tried on")
 		return false
 	}
-	step.trialWait.isBlocked = others.reached(len(distinct(chosen)))
-	if step.trialWait.isBlocked || !slices.ContainsFunc(chosen, func(t *target) bool { return t.trial != nil }) && s.mustLetOthersBeTried(step, queue.Service) {
+	if others.reached(len(distinct(chosen))) {
 		s.logUnplaced(step, "other tasks are being tried apart")
 		return true
 	}
@@ -98,7 +95,6 @@
 	if !s.haveNotRestarted(chosen...) {
 		return true
 	}
-	step.endTrialWait()
 	number := s.nextRunNumber()
 	for i, t := range chosen {
 		s.start(step, members[i], t, number)
--- a/core/dispatch/trialtargets.go
+++ b/core/dispatch/trialtargets.go
@@ -35,11 +35,7 @@
 	step := task.step
 	var kept, free []*target
 	var others otherTrials
-	if step.trialWait.isOverdue {
-		step.needsStable = s.hasStableMachine(step, queue)
-	} else {
-		step.needsStable = s.now < step.stableUntil && s.hasStableTarget(step, queue)
-	}
+	step.needsStable = s.now < step.stableUntil && s.hasStableTarget(step, queue)
 	for _, t := range s.targets {
 		if t.info.Service != queue.Service || !s.ready(t) || s.evacuated(t) {
 			continue
@@ -87,21 +83,9 @@
 	return best
 }
 
-// stableTargetWait returns how long suspected tasks of the step wait for a machine that has not crashed lately.
-func (step *stepRun) stableTargetWait() time.Duration {
-	if step.spec.LongRunning {
-		return lastingStableWait
-	}
-	return stableTargetWait
-}
-
-// hasStableTarget reports whether any target with room for a task of the step, which advice may allow, has a machine that has not crashed
-// lately.
+// hasStableTarget reports whether any target with room for a task of the step has a machine that has not crashed lately.
 func (s *Scheduler) hasStableTarget(step *stepRun, queue *cyclamendyke.Queue) bool {
 	for _, t := range s.targets {
-		if v, hasVerdict := step.advice.verdicts[t.info.ID]; queue.Advice != nil && hasVerdict && !v.allowed {
-			continue
-		}
 		if s.ready(t) && !s.evacuated(t) && s.eligible(step, queue, t) && s.fitsNow(step, t, 0) && !s.crashedLately(t) {
 			return true
 		}
