Show that gangs are given up after crashes of minions

Cause: a crash of a minion counts against the gang or task that worked there, and after three or four of them its job is ended as failed, although no run has ended failed and max_attempts isn't reached.

No code of the project changes.

--- a/review/rig3/minion.go
+++ b/review/rig3/minion.go
@@ -118,6 +118,9 @@
 			r.timer.Stop()
 		}
 		m.w.runEnded(mn.id, r.task, r.run, "lost with its minion")
+		if m.w.gangs.sizeOf(r.task) > 0 {
+			m.w.gangs.left(r, "lost")
+		}
 	}
 	mn.runs = map[string]*taskRun{}
 	close(mn.stop)
@@ -179,6 +182,9 @@
 	close(mn.changed)
 	mn.changed = make(chan struct{})
 	mn.m.w.runEnded(mn.id, r.task, r.run, how)
+	if mn.m.w.gangs.sizeOf(r.task) > 0 {
+		mn.m.w.gangs.left(r, how)
+	}
 }
 
 type order struct {
@@ -258,6 +264,10 @@
 	r := &taskRun{task: o.Task, run: o.Run, began: time.Now(), lasts: time.Duration(float64(ms)*(0.98+0.02*rand.Float64())) * time.Millisecond}
 	mn.runs[o.Task] = r
 	mn.m.w.runBegan(mn.id, o.Task, o.Run, o.Spec)
+	if mn.m.w.gangs.sizeOf(o.Task) > 0 {
+		mn.m.w.gangs.join(mn, r)
+		return
+	}
 	if r.lasts > 0 {
 		r.timer = time.AfterFunc(r.lasts, func() {
 			mn.mu.Lock()
--- a/review/rig3/world.go
+++ b/review/rig3/world.go
@@ -47,6 +47,8 @@
 	record   *os.File
 	began    time.Time
 
+	gangs gangs
+
 	mu   sync.Mutex
 	runs []*runRecord
 	key  map[string]string
@@ -64,7 +66,8 @@
 var current *world
 
 func newWorld(recordPath string) *world {
-	w := &world{began: time.Now(), key: map[string]string{}}
+	w := &world{began: time.Now(), key: map[string]string{},
+		gangs: gangs{sizes: map[string]int{}, runs: map[gangRun]*gang{}}}
 	current = w
 	var err error
 	if w.record, err = os.Create(recordPath); err != nil {
