Store a tombstone before a cancellation says there is no such workflow

Cause: the answer came from a read of the store while writes that create the job were in doubt; one of them was carried out later and its conditions still held.

The answer now comes once a tombstone is stored under the key of the final state, whose absence all creating writes demand. A job handed in afterwards replaces it if its VM had heard of it when the job arrived, and is refused with a time to come back otherwise. Many cancellations of unknown jobs share writes.

--- a/core/progress/final.go
+++ b/core/progress/final.go
@@ -11,6 +11,9 @@
 	State   cyclamendyke.WorkflowState `json:"state"`
 	Team    cyclamendyke.TeamName      `json:"team"`
 	EndedAt time.Time                  `json:"ended"`
+	// IsTombstone says that no such workflow was stored when its cancellation was answered. It is not shown; writes of the
+	// workflow that were sent before must fail.
+	IsTombstone bool `json:"tombstone,omitempty"`
 }
 
 // ExpiryMargin keeps final states longer than promised, for callers that repeat a request late and
--- a/core/storepath/members.go
+++ b/core/storepath/members.go
@@ -89,14 +89,14 @@
 func (p *Paths) recordMember(now time.Duration, member Member, outcome Outcome) {
 	h := p.members[member.Name]
 	h.zone = member.Zone
-	if outcome == Answered || outcome == Refused {
+	if outcome == Answered || outcome == Refused || outcome == Cancelled {
 		h.answeredAt = now
 	}
 	switch outcome {
 	case Answered:
 		h.storedAt, h.isUnreachable = now, false
 		p.noMemberUntil = 0
-	case Abandoned, Rejected:
+	case Abandoned, Rejected, Cancelled:
 	default:
 		h.failedAt, h.isUnreachable = now, outcome != Refused
 	}
--- a/core/storepath/outcome.go
+++ b/core/storepath/outcome.go
@@ -10,6 +10,7 @@
 	Unreachable                // The call was not sent, since there was no connection; it had no effect.
 	Unknown                    // The call may take effect.
 	Rejected                   // The path works, but the store does not take this write by any path; it had no effect.
+	Cancelled                  // The path works, and the store shows that the work was cancelled: no attempt of this write has or takes effect.
 	Abandoned                  // The caller gave up, which says nothing about the path; the call may take effect.
 )
 
--- a/core/storepath/write.go
+++ b/core/storepath/write.go
@@ -25,11 +25,12 @@
 
 // The reasons of a refusal.
 const (
-	ReasonNoPath   Reason = "no-path"  // The own path is broken and no member was worth asking.
-	ReasonMembers  Reason = "members"  // No member that was asked stored it.
-	ReasonStore    Reason = "store"    // The store refused it, and there is no other member.
-	ReasonRejected Reason = "rejected" // The store does not take this write.
-	ReasonDeadline Reason = "deadline" // The caller's deadline passed.
+	ReasonNoPath    Reason = "no-path"   // The own path is broken and no member was worth asking.
+	ReasonMembers   Reason = "members"   // No member that was asked stored it.
+	ReasonStore     Reason = "store"     // The store refused it, and there is no other member.
+	ReasonRejected  Reason = "rejected"  // The store does not take this write.
+	ReasonCancelled Reason = "cancelled" // The work was cancelled while it was being stored.
+	ReasonDeadline  Reason = "deadline"  // The caller's deadline passed.
 )
 
 // Step is what to do next for a write.
@@ -64,7 +65,8 @@
 	isStored bool
 	isOver   bool // The caller has been answered.
 
-	isRejected bool // The store does not take it by any path.
+	isRejected  bool // The store does not take it by any path.
+	isCancelled bool // The store shows that none of its attempts has or takes effect.
 }
 
 // NewWrite returns the write of a workflow whose caller must be answered by the deadline.
@@ -80,6 +82,9 @@
 		w.isOver = true
 		return Step{Kind: StepStored}
 	}
+	if w.isCancelled {
+		return w.giveUp(now, ReasonCancelled)
+	}
 	if w.isRejected {
 		return w.giveUp(now, ReasonRejected)
 	}
@@ -134,9 +139,13 @@
 		}
 	}
 	w.isRejected = w.isRejected || outcome == Rejected
-	if outcome == Answered {
+	switch outcome {
+	case Answered:
 		w.isStored = true
 		w.paths.doubts.settle(w.id)
+	case Cancelled:
+		w.isCancelled = true
+		w.paths.doubts.settle(w.id)
 	}
 }
 
@@ -218,12 +227,12 @@
 
 // giveUp ends a write that no attempt has stored.
 func (w *Write) giveUp(now time.Duration, reason Reason) Step {
-	if len(w.asked) > 0 && !w.isRejected && !w.paths.hasStoringMember(now) {
+	if len(w.asked) > 0 && !w.isRejected && !w.isCancelled && !w.paths.hasStoringMember(now) {
 		w.paths.noMemberUntil = max(w.paths.noMemberUntil, now+w.paths.spread(noMemberFor))
 	}
 	w.isOver = true
 	for _, a := range w.attempts {
-		if a.writing && (!a.ended || a.outcome.mayTakeEffect()) {
+		if a.writing && !w.isCancelled && (!a.ended || a.outcome.mayTakeEffect()) {
 			w.paths.Doubt(now, w.id)
 		}
 	}
--- a/io/member/error.go
+++ b/io/member/error.go
@@ -30,6 +30,7 @@
 	cyclamendyke.KindUnavailable: -32003,
 	cyclamendyke.KindUnknown:     -32004,
 	cyclamendyke.KindLimited:     -32005,
+	cyclamendyke.KindConflict:    -32006,
 	cyclamendyke.KindInvalid:     jrpc2.InvalidParams,
 }
 
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -56,8 +56,23 @@
 	return err
 }
 
-// storeCancellation stores the cancellation of a workflow, unless it has ended.
+// maxCancelTries limits how often the cancellation of a workflow begins anew that is stored while its tombstone is written.
+const maxCancelTries = 3
+
+// storeCancellation stores the cancellation of a workflow, unless it has ended. It returns KindNotFound if the store holds no such
+// workflow and none of the writes sent so far can create it any more.
 func (n *Node) storeCancellation(ctx context.Context, id cyclamendyke.WorkflowID) error {
+	var err error
+	for range maxCancelTries {
+		err = n.storeCancellationOnce(ctx, id)
+		if !errors.Is(err, errIsStored) {
+			return err
+		}
+	}
+	return NewError("cancel", cyclamendyke.KindUnknown, err)
+}
+
+func (n *Node) storeCancellationOnce(ctx context.Context, id cyclamendyke.WorkflowID) error {
 	if n.storeDown() {
 		return NewError("cancel", cyclamendyke.KindUnavailable, errOwnPathDown)
 	}
@@ -79,7 +94,7 @@
 		work, err = replacedWork(current, work)
 	}
 	if cyclamendyke.KindOf(err) == cyclamendyke.KindNotFound {
-		_, err = n.storedFinalStatus(ctx, id)
+		return n.bury(ctx, id)
 	}
 	return err
 }
--- a/node/follow.go
+++ b/node/follow.go
@@ -24,6 +24,7 @@
 type confirmations struct {
 	mu     sync.Mutex
 	newest map[string]confirmation
+	seen   cyclamendyke.Revision // The newest of the store that this process knows of.
 }
 
 // record records a confirmation; older ones change nothing.
@@ -33,10 +34,25 @@
 	if c.newest == nil {
 		c.newest = map[string]confirmation{}
 	}
+	c.seen = max(c.seen, revision)
 	known := c.newest[prefix]
 	c.newest[prefix] = confirmation{max(known.asOf, asOf), max(known.revision, revision)}
 }
 
+// see records a revision of the store that an answer has shown.
+func (c *confirmations) see(revision cyclamendyke.Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seen = max(c.seen, revision)
+}
+
+// seenRevision returns the newest revision of the store that this process knows of: every change up to it was made before.
+func (c *confirmations) seenRevision() cyclamendyke.Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seen
+}
+
 // of returns the newest confirmation of a prefix, which is empty if it was never read.
 func (c *confirmations) of(prefix string) confirmation {
 	c.mu.Lock()
--- a/node/intakebudget.go
+++ b/node/intakebudget.go
@@ -59,9 +59,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	for _, key := range []string{workKey(id), doneKey(id)} {
-		_, err := n.cfg.Store.Get(ctx, key)
+		entry, err := n.cfg.Store.Get(ctx, key)
 		if err == nil {
-			return true, nil
+			return !isTombstone(entry), nil
 		}
 		if cyclamendyke.KindOf(err) != cyclamendyke.KindNotFound {
 			return false, err
--- a/node/keys.go
+++ b/node/keys.go
@@ -16,6 +16,7 @@
 	leaseSilentKey     = systemPrefix + "leases/silent" // The targets on which none is granted.
 	leaseEpochKey      = systemPrefix + "leases/epoch"  // The epoch of the last scheduler that stores the above, if all before it did.
 	heldKey            = systemPrefix + "held"          // The memory that the scheduler's unfinished work takes, in bytes.
+	tombstonesKey      = systemPrefix + "tombstones"    // Written together with tombstones, so that all members see the store's revision.
 	membersPrefix      = systemPrefix + "members/"
 	workPrefix         = "work/" // Followed by the workflow's identifier.
 	cancelSuffix       = "/cancel"
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -28,6 +28,8 @@
 	StoredSubmissions *prometheus.CounterVec
 	// RefusedSubmissions counts submissions that were refused for want of the store or of memory, by reason.
 	RefusedSubmissions *prometheus.CounterVec
+	// Tombstones counts the tombstones written for cancelled workflows that were not stored.
+	Tombstones prometheus.Counter
 	// SubmitSeconds is the duration of submissions in seconds, by result.
 	SubmitSeconds *prometheus.HistogramVec
 	// UnstoredEnds is the number of ends that this scheduler knows and has not stored yet.
@@ -102,6 +104,9 @@
 		RefusedSubmissions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cyclamendyke_fleet_refused_submissions_total", Help: "Submissions refused for want of the store or of memory, by reason.",
 		}, []string{"reason"}),
+		Tombstones: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cyclamendyke_fleet_tombstones_total", Help: "Tombstones written for cancelled workflows that were not stored.",
+		}),
 		SubmitSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "cyclamendyke_fleet_submit_seconds", Help: "Submissions by result.", Buckets: storeCallBuckets,
 		}, []string{"result"}),
@@ -147,7 +152,7 @@
 		}),
 	}
 	registry.MustRegister(m.Requests, m.Decisions, m.Terms, m.DroppedLogLines, m.StoreCallSeconds, m.DelegatedOrders, m.PassSeconds, m.UnstoredEnds, m.RunListBytes, m.SilentTargets, m.UnusableTargets,
-		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.LatePasses, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds)
+		m.FinalLists, m.EvacuatedZones, m.StartsHeldBack, m.LatePasses, m.StorePathState, m.StoredSubmissions, m.RefusedSubmissions, m.SubmitSeconds, m.Tombstones)
 	m.ConfigVersion = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "cyclamendyke_fleet_config_version", Help: "Version of the configuration in force.",
 	})
--- a/node/node.go
+++ b/node/node.go
@@ -51,6 +51,7 @@
 	storePaths  *storePaths
 	reach       schedulerReach     // Whether the scheduler answers.
 	writes      singleflight.Group // Submissions that are being stored.
+	tombstones  tombstones         // Of workflows that were cancelled here and are not stored.
 	checks      singleflight.Group // Checks of the own path to the store.
 	leaving     atomic.Bool        // The process is shutting down.
 	lastClaim   roleClaim          // The claim of the role that had no answer; only the election goroutine uses it.
@@ -64,6 +65,7 @@
 	n.wg.Go(n.followOperators)
 	n.wg.Go(n.confirmOperators)
 	n.wg.Go(n.runElections)
+	n.wg.Go(n.writeTombstones)
 	return n
 }
 
@@ -75,6 +77,7 @@
 	n.dir.log, n.dir.budget = cfg.Log, backlog.NewBudget(backlog.Limit(cfg.Settings.MemoryBytes))
 	n.evacuations.codec, n.evacuations.log, n.evacuations.metrics = cfg.Codec, cfg.Log, cfg.Metrics
 	n.dir.changed = make(chan struct{}, 1)
+	n.tombstones.wake = make(chan struct{}, 1)
 	return n
 }
 
--- a/node/query.go
+++ b/node/query.go
@@ -104,6 +104,9 @@
 	if err := json.Unmarshal(done.Value, &record); err != nil {
 		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindInvalid, err)
 	}
+	if record.IsTombstone {
+		return member.WorkflowStatus{}, NewError("status", cyclamendyke.KindNotFound, nil)
+	}
 	return member.WorkflowStatus{State: record.State, Team: record.Team}, nil
 }
 
--- a/node/storepath.go
+++ b/node/storepath.go
@@ -121,8 +121,10 @@
 		return storepath.Unreachable
 	}
 	switch cyclamendyke.KindOf(err) {
-	case cyclamendyke.KindInvalid, cyclamendyke.KindTooLarge, cyclamendyke.KindConflict:
+	case cyclamendyke.KindInvalid, cyclamendyke.KindTooLarge:
 		return storepath.Rejected
+	case cyclamendyke.KindConflict:
+		return storepath.Cancelled
 	}
 	return storepath.Refused
 }
--- a/workflow.go
+++ b/workflow.go
@@ -27,6 +27,8 @@
 	// AfterEpoch is the last epoch whose scheduler must not start it, since the entry VM that stored it could not
 	// reach that scheduler. Zero if any scheduler may.
 	AfterEpoch uint64 `json:"after-epoch,omitempty"`
+	// AsOf is the store's revision that the VM knew when the workflow arrived there; not stored.
+	AsOf Revision `json:"as-of,omitempty"`
 	// QueueSettings are those of its queue when it was accepted, for schedulers that find no such queue in the
 	// configuration. Nil if an earlier version has stored it.
 	QueueSettings *QueueSettings `json:"queue-settings,omitempty"`
