--- a/core/crash/record.go
+++ b/core/crash/record.go
@@ -15,6 +15,8 @@
 	MostMillis    int64                 `json:"most-ms"`             // From the start's order until the target did not answer.
 	Uncertain     bool                  `json:"uncertain,omitempty"` // The run may not have begun.
 	Explained     bool                  `json:"explained,omitempty"` // Another task that ran there is to blame.
+	Members       []int                 `json:"members,omitempty"`   // Of a gang: those that ran there.
+	Whole         bool                  `json:"whole,omitempty"`     // All members ran there.
 	Alone         bool                  `json:"alone,omitempty"`     // Nothing else there was suspected, had begun lately, or explains it.
 }
 
--- a/core/dispatch/crash.go
+++ b/core/dispatch/crash.go
@@ -67,10 +67,11 @@
 	j.hasCrashes, j.crashVersion = true, j.version
 	r.step.stableUntil = s.now + stableTargetWait
 	s.logCountedCrash(t, r, alone)
-	if !history.Blamed() {
+	evidence := history.Evidence()
+	if len(evidence) == 0 {
 		return false
 	}
-	s.explainCrashes(history)
+	s.explainCrashes(&crash.History{Crashes: evidence})
 	s.finish(j, cyclamendyke.WorkflowFailed)
 	return true
 }
@@ -79,7 +80,7 @@
 func (r *crashedRun) crashOf(t *target, alone bool) crash.Record {
 	return crash.Record{
 		Target: t.info.ID, StartedMillis: t.info.StartedMillis, Run: r.number, LeastMillis: r.least.Milliseconds(), MostMillis: r.most.Milliseconds(),
-		Uncertain: !r.certain, Alone: alone,
+		Uncertain: !r.certain, Members: r.members, Whole: len(r.members) == r.step.spec.Count, Alone: alone,
 	}
 }
 
--- a/core/dispatch/crashedrun.go
+++ b/core/dispatch/crashedrun.go
@@ -11,6 +11,7 @@
 type crashedRun struct {
 	step    *stepRun
 	index   int           // As of stepRun.crashIndex.
+	members []int         // Of a gang: those that ran on the target.
 	number  int64         // Of the run; zero if unknown.
 	least   time.Duration // From the start's order until the target was last known to work.
 	most    time.Duration // From the start's order until the target did not answer.
@@ -41,10 +42,14 @@
 func (s *Scheduler) crashedRuns(t *target) []crashedRun {
 	var out []crashedRun
 	add := func(r crashedRun) {
-		for _, known := range out {
-			if known.step == r.step && known.index == r.index {
-				return // Another member of the gang, or another run of the task.
+		for i, known := range out {
+			if known.step != r.step || known.index != r.index {
+				continue
 			}
+			if known.number == r.number {
+				out[i].members = append(out[i].members, r.members...)
+			}
+			return // Another member of the gang, or another run of the task.
 		}
 		out = append(out, r)
 	}
@@ -72,7 +77,7 @@
 		workedUntil, silentAt = r.target.workedUntil, r.target.silentAt
 	}
 	out := crashedRun{
-		step: r.step, index: r.step.crashIndex(r.taskIndex), number: r.number,
+		step: r.step, index: r.step.crashIndex(r.taskIndex), members: r.step.crashMembers(r.taskIndex), number: r.number,
 		least: max(0, workedUntil-r.startedAt), most: max(0, silentAt-r.startedAt),
 		certain: r.confirmedAt != 0 || workedUntil > r.startedAt,
 	}
@@ -88,6 +93,6 @@
 // earlierCrashedRun describes a run that an earlier epoch may have left on a target.
 func (step *stepRun) earlierCrashedRun(r earlierRun) crashedRun {
 	return crashedRun{
-		step: step, index: step.crashIndex(r.task.Index), least: r.worked, most: max(unknownAge, r.worked), certain: r.worksUntil != 0,
+		step: step, index: step.crashIndex(r.task.Index), members: step.crashMembers(r.task.Index), least: r.worked, most: max(unknownAge, r.worked), certain: r.worksUntil != 0,
 	}
 }
--- a/core/dispatch/crashhistory.go
+++ b/core/dispatch/crashhistory.go
@@ -40,6 +40,14 @@
 	return index
 }
 
+// crashMembers returns what a crash under a task names as the member of its gang, which is nil if it has none.
+func (step *stepRun) crashMembers(index int) []int {
+	if step.spec.Gang {
+		return []int{index}
+	}
+	return nil
+}
+
 // crashesStored reports whether the next epoch would know of all crashes under a task.
 func (step *stepRun) crashesStored(index int) bool {
 	return len(step.crashes(index).Crashes) == 0 || step.job.storedVersion >= step.job.crashVersion
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -57,6 +57,7 @@
 	return &stepRun{
 		job: occ.job, occ: occ, index: index, spec: spec, tasks: paged.NewList[task](spec.Count),
 		done: indexset.NewBits(spec.Count), waiting: indexset.FullBits(spec.Count), zoneRuns: map[cyclamendyke.ZoneName]int{},
+		gangCrashes: crash.History{MayLack: occ.job.inherited},
 	}
 }
 
