Let one waiting step of a service reserve room, whole, in turn

Cause: any two steps of a pass could claim what they found, also less than all they need, and suspects could claim nothing, so that those waits had no bound.

Each service has a line (core/reserve): one step at a time holds room, for all members of its gang or for one task, on the targets that are free first, those on trial included; it is placed first in each pass, and gives the turn up when there are too few targets. Suspects ask too, and get every second turn once they have waited four seconds. Others use reserved room if they end before, if they last, or if less than half of the service is in use, after a second of waiting. A step with reserved room is no longer skipped since smaller work found none.

--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -18,7 +18,7 @@
 	FreshTime         = 300 * time.Millisecond // A run that has worked for longer is not the first to be suspected.
 	QuickCrash        = 100 * time.Millisecond // Crashes that soon after the start are no coincidence if they repeat.
 	MaxBlamedAge      = 10 * time.Second       // A run that has worked for longer is not suspected at all.
-	maxTrialTime      = 2 * time.Second        // A task that crashes its targets later is known by the number of crashes.
+	MaxTrialTime      = 2 * time.Second        // A task that crashes its targets later is known by the number of crashes.
 	suspiciousCrashes = 2                      // From so many crashes on a task is tried apart, however long it had worked.
 	certainCrashes    = 3                      // So many crashes, the last one apart from others, are the task's fault, however long it had worked.
 	ForgetAfter       = time.Minute            // A run that has worked for that long makes earlier crashes count for nothing.
@@ -75,7 +75,7 @@
 	for _, c := range h.Crashes {
 		longest = max(longest, c.Most())
 	}
-	return min(longest+FreshTime, maxTrialTime)
+	return min(longest+FreshTime, MaxTrialTime)
 }
 
 // Blamed reports whether the crashes are the task's fault, or too many to try again. Crashes that others explain
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -14,14 +14,17 @@
 	need   cyclamendyke.Resources
 	from   time.Duration // When the task is expected to start; until then shorter runs may use the room.
 	until  time.Duration // When the claim expires.
+
+	isPreempted bool // The room is being freed by preemption.
 }
 
 // claim reserves room for one task of a step on a target; from is when the task is expected to start.
-func (s *Scheduler) claim(step *stepRun, t *target, from, ttl time.Duration) {
+func (s *Scheduler) claim(step *stepRun, t *target, from, ttl time.Duration) *claim {
 	c := &claim{step: step, target: t, need: step.spec.Reserved(), from: from, until: s.now + ttl}
 	t.claims = append(t.claims, c)
 	step.claims = append(step.claims, c)
 	s.claims = append(s.claims, c)
+	return c
 }
 
 // expireClaims drops the claims that have expired.
@@ -54,11 +57,11 @@
 }
 
 // available returns the free resources of a target that no other step claims before a task of the
-// step would have ended; if step is nil, it subtracts all claims.
+// step would have ended, or that the step need not leave idle for longer; if step is nil, it subtracts all claims.
 func (s *Scheduler) available(step *stepRun, t *target) cyclamendyke.Resources {
 	free := t.free()
 	for _, c := range t.claims {
-		if c.step == step || step != nil && s.endsBefore(step, t, c.from) {
+		if c.step == step || step != nil && (s.endsBefore(step, t, c.from) || s.mayUseReserved(step, t, c)) {
 			continue
 		}
 		free = free.Sub(c.need)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -9,10 +10,11 @@
 
 // placementPass is what one pass over the waiting steps has found so far.
 type placementPass struct {
-	noRoom          noFitCache // Needs that fit on no target.
-	noProjectedRoom noFitCache // Needs that fit on none with the room expected soon.
-	noRoomNow       noFitCache // Needs for which a step waits for room.
-	waitClaims      int        // Steps that have tried to claim room for which they wait.
+	noRoom          noFitCache                       // Needs that fit on no target.
+	noProjectedRoom noFitCache                       // Needs that fit on none with the room expected soon.
+	noRoomNow       noFitCache                       // Needs for which a step waits for room.
+	placed          map[*stepRun]bool                // Steps that were placed ahead of their rank.
+	reserveAttempts map[cyclamendyke.ServiceName]int // Steps for which room to reserve was looked for.
 	victims         map[victimKey]bool
 	began           time.Duration // On the clock of Config.PassTime.
 	timeUsed        float64       // Part of maxPassTime that was used at the last look at the clock.
@@ -38,8 +40,9 @@
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
 	s.projectFree()
-	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{}}
+	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{}, reserveAttempts: map[cyclamendyke.ServiceName]int{}, placed: map[*stepRun]bool{}}
 	steps := s.active.sorted(s.rank)
+	s.placeHolders(pass)
 	resumed := slices.Index(steps, s.resumeAt)
 	s.resumeAt = nil
 	s.passStarts = 0
@@ -55,17 +58,39 @@
 			s.resumeAt = steps[i]
 			return
 		}
-		step := steps[i]
-		queue := step.job.queue(s)
-		if queue == nil || s.service(queue.Service) == nil {
-			continue
+		if !pass.placed[steps[i]] {
+			s.place(steps[i], pass)
 		}
-		if waiting := s.placeable(step, queue); len(waiting) > 0 {
-			s.placeStep(step, queue, waiting, pass)
+	}
+}
+
+// placeHolders places the steps that have reserved room before all others, so that what is free by now goes to them.
+func (s *Scheduler) placeHolders(pass *placementPass) {
+	for _, service := range slices.Sorted(maps.Keys(s.lines)) {
+		step, isHeld := s.lines[service].Holder()
+		switch {
+		case !isHeld:
+		case !step.active:
+			s.dropClaims(step)
+			s.lines[service].Leave(step)
+		default:
+			pass.placed[step] = true
+			s.place(step, pass)
 		}
 	}
 }
 
+// place starts what can start of a step's tasks.
+func (s *Scheduler) place(step *stepRun, pass *placementPass) {
+	queue := step.job.queue(s)
+	if queue == nil || s.service(queue.Service) == nil {
+		return
+	}
+	if waiting := s.placeable(step, queue); len(waiting) > 0 {
+		s.placeStep(step, queue, waiting, pass)
+	}
+}
+
 // passUsed returns how much of its limits the present pass has used before its next step; one and more is all.
 func (s *Scheduler) passUsed(pass *placementPass) float64 {
 	if s.cfg.PassTime != nil && pass.steps > 0 && pass.steps%stepsPerCheck == 0 {
@@ -79,6 +104,7 @@
 func (s *Scheduler) placeable(step *stepRun, queue *cyclamendyke.Queue) []int {
 	waiting := s.startableTasks(step)
 	if len(waiting) == 0 {
+		s.leaveLine(step, queue)
 		step.enterPhase(s.now, step.runPhase())
 		s.prefetchAdvice(step)
 		s.startSpeculative(step, queue)
@@ -92,7 +118,7 @@
 	}
 	admitted := s.admitted(step, waiting)
 	if len(admitted) == 0 {
-		s.dropClaims(step)
+		s.leaveLine(step, queue)
 		step.enterPhase(s.now, phaseLimit)
 		s.logUnplaced(step, "team limit reached")
 	}
@@ -102,10 +128,10 @@
 // placeStep starts those of a step's waiting tasks that find a target, and makes room for the others.
 func (s *Scheduler) placeStep(step *stepRun, queue *cyclamendyke.Queue, waiting []int, pass *placementPass) {
 	trusted, suspected := step.splitSuspected(waiting)
-	step.needsStable = false
+	step.needsStable, step.hasSuspects = false, len(suspected) > 0
 	unplaced := len(waiting)
 	switch {
-	case queue.Advice == nil && pass.noRoom.has(queue.Service, step.spec.Reserved()):
+	case queue.Advice == nil && len(step.claims) == 0 && pass.noRoom.has(queue.Service, step.spec.Reserved()):
 		s.logUnplaced(step, "no room")
 	case step.spec.Gang:
 		unplaced = s.placeGang(step, queue, len(suspected) > 0)
@@ -114,16 +140,23 @@
 	}
 	if unplaced == 0 {
 		step.enterPhase(s.now, phaseStart)
-		s.dropClaims(step)
+		step.unplacedSince = 0
+		s.leaveLine(step, queue)
 		s.prefetchAdvice(step)
 		return
 	}
+	if step.unplacedSince == 0 {
+		step.unplacedSince = s.now
+	}
 	s.enterWaitPhase(step, queue, unplaced, pass.noRoomNow)
 	if queue.Advice == nil && len(step.claims) == 0 && !s.fitsAnywhere(step, queue) {
 		pass.noRoom.add(queue.Service, step.spec.Reserved())
 	}
-	if len(suspected) == 0 {
-		s.makeRoom(step, queue, unplaced, pass) // Nothing is stopped or kept for a task that may crash its target.
+	switch {
+	case len(suspected) == 0:
+		s.makeRoom(step, queue, unplaced, pass)
+	case s.now-step.unplacedSince > trialReserveDelay:
+		s.takeTurn(step, queue, pass) // Nothing is stopped for a task that may crash its target.
 	}
 	s.wantMissingTickets(step, queue, unplaced, pass.noProjectedRoom)
 }
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -76,7 +76,7 @@
 			r.step.tasks.At(r.taskIndex).preemptions++
 			s.stop(r, "preempted")
 		}
-		s.claim(step, option.target, s.now, ttl)
+		s.claim(step, option.target, s.now, ttl).isPreempted = true
 	}
 	return len(options)
 }
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -8,20 +8,9 @@
 	"cyclamendyke"
 )
 
-// The rules for claims, which reserve room for a step that waits for it.
-const (
-	waitClaimTTL   = time.Second            // Lifetime of a claim on room that frees up as runs end; renewed while the step waits.
-	waitClaimDelay = 300 * time.Millisecond // How long a step waits before it may claim room that frees up as runs end.
-	maxWaitClaims  = 2                      // Steps per pass that may claim room that frees up as runs end.
-)
-
 // makeRoom preempts runs for an urgent step, unless there may be room that it has not asked about; for a
-// gang or a wide task that has waited for some time, it claims the room that frees up as runs end.
+// gang or a wide task that has waited for some time, it reserves the room that frees up as runs end, once it has the turn.
 func (s *Scheduler) makeRoom(step *stepRun, queue *cyclamendyke.Queue, unplaced int, pass *placementPass) {
-	count := 1
-	if step.spec.Gang {
-		count = unplaced
-	}
 	if s.now < step.preemptedUntil && (step.spec.Gang || len(step.claims) >= unplaced) {
 		return
 	}
@@ -37,9 +26,8 @@
 	if queue.Priority == 0 && !step.spec.Gang {
 		return
 	}
-	if pass.waitClaims < maxWaitClaims && s.now-step.releasedAt > waitClaimDelay && (step.spec.Gang || s.wide(step, queue)) {
-		pass.waitClaims++
-		s.claimEarliest(step, queue, count)
+	if s.now-step.releasedAt > reserveDelay && (step.spec.Gang || s.wide(step, queue)) {
+		s.takeTurn(step, queue, pass)
 	}
 }
 
@@ -105,39 +93,6 @@
 	return anyEligible
 }
 
-// claimEarliest replaces the step's claims by claims on the targets where its tasks are expected to
-// fit earliest.
-func (s *Scheduler) claimEarliest(step *stepRun, queue *cyclamendyke.Queue, count int) {
-	s.dropClaims(step)
-	var options []claimOption
-	for _, t := range s.usableByService[queue.Service] {
-		if v, hasVerdict := step.advice.verdicts[t.info.ID]; queue.Advice != nil && hasVerdict && !v.allowed || !s.eligible(step, queue, t) {
-			continue
-		}
-		limit := count
-		if step.spec.MaxPerTarget > 0 {
-			limit = min(limit, step.spec.MaxPerTarget)
-		}
-		for _, at := range s.fitTimes(step, t, limit) {
-			options = append(options, claimOption{t, at})
-		}
-	}
-	slices.SortFunc(options, func(a, b claimOption) int {
-		return cmp.Or(cmp.Compare(a.fitsAt, b.fitsAt), cmp.Compare(a.target.info.ID, b.target.info.ID))
-	})
-	options = options[:min(count, len(options))]
-	for _, option := range options {
-		step.claimedFrom = options[len(options)-1].fitsAt
-		s.claim(step, option.target, step.claimedFrom, waitClaimTTL)
-	}
-}
-
-// claimOption is a target with the time at which one more task of a step is expected to fit there.
-type claimOption struct {
-	target *target
-	fitsAt time.Duration
-}
-
 // fitTimes estimates when the first, second and each further task of the step fits on a target, given
 // all claims there; it returns at most limit times.
 func (s *Scheduler) fitTimes(step *stepRun, t *target, limit int) []time.Duration {
--- a/core/dispatch/scheduler.go
+++ b/core/dispatch/scheduler.go
@@ -9,6 +9,7 @@
 	"cyclamendyke/core/forecast"
 	"cyclamendyke/core/invariant"
 	"cyclamendyke/core/lease"
+	"cyclamendyke/core/reserve"
 )
 
 // Config configures a Scheduler.
@@ -70,8 +71,10 @@
 	lagsIgnored        map[cyclamendyke.ServiceName]bool      // So many targets seem to lag that the estimates are wrong; computed in each pass.
 	headrooms          map[cyclamendyke.ServiceName]*headroom // Computed in each pass.
 	claims             []*claim
-	resumeAt           *stepRun // The first step that the last pass did not reach; nil if it has reached all.
-	passStarts         int      // Requests to start a run in the present pass.
+	lines              map[cyclamendyke.ServiceName]*reserve.Line[*stepRun] // Who may reserve room.
+	usedShares         map[cyclamendyke.ServiceName]float64                 // Computed in each pass.
+	resumeAt           *stepRun                                             // The first step that the last pass did not reach; nil if it has reached all.
+	passStarts         int                                                  // Requests to start a run in the present pass.
 	roomIndex          roomIndex
 	allowedParts       map[cyclamendyke.QueueName]*allowedPart // Part of the targets that advice allows.
 	usableByService    map[cyclamendyke.ServiceName][]*target  // Computed in each pass.
@@ -129,6 +132,8 @@
 		droppedTargets:     map[string]*target{},
 		knownRecords:       map[cyclamendyke.TargetID]*knownRecord{},
 		forecasts:          map[cyclamendyke.ServiceName]*forecast.Forecast{},
+		lines:              map[cyclamendyke.ServiceName]*reserve.Line[*stepRun]{},
+		usedShares:         map[cyclamendyke.ServiceName]float64{},
 		headrooms:          map[cyclamendyke.ServiceName]*headroom{},
 		lastRunNumber:      int64(cfg.Epoch) * runsPerEpoch,
 		startRepeatTokens:  startRepeatBurst,
@@ -196,6 +201,7 @@
 	s.checkTrials()
 	s.updateLagging()
 	s.resetRoomIndex()
+	clear(s.usedShares)
 	s.updateHeadroom()
 	s.placeAll()
 	s.requestAdvice()
