--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -10,7 +10,7 @@
 //   - state: job, occurrences, occurrence, steprun, run, target, team, active (core/stepgraph, core/indexset and core/paged hold what is long)
 //   - one pass over what waits: scheduler (Run), place, rank, share, phases
 //   - which target: choose, nofit, roomindex, cold, speed, lagging, draining, evacuation
-//   - making room: room, claim, preempt, headroom, projection (core/forecast expects the urgent work)
+//   - making room: room, claim, reservation (core/reserve), preempt, headroom, projection (core/forecast expects the urgent work)
 //   - tickets: advice, advicerequests, advicetargets, adviceuse, tickets
 //   - starting, following and stopping runs: start, startrepeat, renewal, listing, acknowledgement, ends, stop, remaining, speculative, pace
 //   - targets that fall silent, restart or leave: silence, targetend, lateorder, knowntarget, capacityage
