Count only what an adopted run had left as its certain work

When its target fell silent, the run counted as killed at the end of the lease, and an end that the target held was not waited for.

What the run's last report says is left counts now; of a run from a checkpoint that has not reported, nothing is certain. Schedules of room that frees up use the same figure.

TestAdoptedRunCountsAsJustBegun fails without the change. All tests of core/dispatch pass.

--- a/core/dispatch/remaining.go
+++ b/core/dispatch/remaining.go
@@ -38,13 +38,24 @@
 	if left, ok := r.progress.remaining(now); ok {
 		return left
 	}
-	overdue := now - r.startedAt - r.step.runTimeOn(r.target)
+	begin, expected := r.expectedWork()
+	overdue := now - begin - expected
 	if overdue < 0 {
 		return -overdue
 	}
 	return max(minOverdueRemaining, overdue)
 }
 
+// expectedWork returns since when the run is expected to work for how long, by what its step's tasks take. Of a run that this epoch has
+// not seen from the beginning of its work, only what it had not done when it last reported counts.
+func (r *run) expectedWork() (begin, expected time.Duration) {
+	begin, expected = r.startedAt, r.step.runTimeOn(r.target)
+	if r.progress.percent > 0 && (r.adopted || r.resumed) {
+		begin, expected = r.progress.at, expected*time.Duration(100-r.progress.percent)/100
+	}
+	return begin, expected
+}
+
 // certainPart is the part of its expected run time for which a run certainly works.
 const certainPart = 0.7
 
@@ -58,9 +69,11 @@
 	if r.step.spec.LongRunning {
 		return math.MaxInt64
 	}
-	begin, expected := r.startedAt, r.step.runTimeOn(r.target)
+	begin, expected := r.expectedWork()
 	if left, ok := r.progress.remaining(r.progress.at); ok {
 		begin, expected = r.progress.at, left
+	} else if r.resumed && r.progress.percent == 0 {
+		return r.startedAt // Nothing says how much its checkpoint has left.
 	}
 	return begin + time.Duration(certainPart*float64(expected))
 }
--- a/core/dispatch/remaining_test.go
+++ b/core/dispatch/remaining_test.go
@@ -40,6 +40,32 @@
 	}
 }
 
+// TestAdoptedRunCountsAsJustBegun guards against a run of an earlier epoch, or one from a checkpoint, that is said to work certainly for most
+// of a whole run time from now on: it may be done in a moment, and if its target falls silent then, it would run twice.
+func TestAdoptedRunCountsAsJustBegun(t *testing.T) {
+	const start, estimate = time.Hour, 10 * time.Second
+	for _, test := range []struct {
+		name    string
+		run     run
+		percent int
+		want    time.Duration // From the start on.
+	}{
+		{name: "seen from its beginning", want: 7 * time.Second},
+		{name: "adopted near its end", run: run{adopted: true}, percent: 90, want: 700 * time.Millisecond},
+		{name: "adopted at its beginning", run: run{adopted: true}, want: 7 * time.Second},
+		{name: "resumed, not reported yet", run: run{resumed: true}},
+		{name: "resumed near its end", run: run{resumed: true}, percent: 80, want: 1400 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			r := test.run
+			r.step, r.target, r.startedAt = &stepRun{spec: &cyclamendyke.Step{Estimate: estimate}}, &target{}, start
+			r.progress.begin(test.percent, start)
+			is.Equal(r.worksUntil()-start, test.want)
+		})
+	}
+}
+
 // TestNoCopyOfProgressingRun lets a run take three times its estimate while it reports steady
 // progress; no copy may take room for it, since a copy would end no sooner.
 func TestNoCopyOfProgressingRun(t *testing.T) {
