Begin the wait for reserved room anew after a team's limit, name when a step may ask again

A step that its team's limit had held back counted that time as waiting beside reserved room, and might use it at once. Starts of the steps placed first count against the limit of their own pass.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -40,15 +40,18 @@
 func (s *Scheduler) placeAll() {
 	s.expireClaims()
 	s.projectFree()
-	pass := &placementPass{noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{}, reserveAttempts: map[cyclamendyke.ServiceName]int{}, placed: map[*stepRun]bool{}}
+	pass := &placementPass{
+		noRoom: noFitCache{}, noProjectedRoom: noFitCache{}, noRoomNow: noFitCache{}, victims: map[victimKey]bool{},
+		placed: map[*stepRun]bool{}, reserveAttempts: map[cyclamendyke.ServiceName]int{},
+	}
 	steps := s.active.sorted(s.rank)
-	s.placeHolders(pass)
 	resumed := slices.Index(steps, s.resumeAt)
 	s.resumeAt = nil
 	s.passStarts = 0
 	if s.cfg.PassTime != nil {
 		pass.began = s.cfg.PassTime()
 	}
+	s.placeHolders(pass)
 	for i := 0; i < len(steps); i++ {
 		used := s.passUsed(pass)
 		switch {
@@ -118,6 +121,7 @@
 	}
 	admitted := s.admitted(step, waiting)
 	if len(admitted) == 0 {
+		step.unplacedSince = 0
 		s.leaveLine(step, queue)
 		step.enterPhase(s.now, phaseLimit)
 		s.logUnplaced(step, "team limit reached")
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -15,11 +15,11 @@
 	trialReserveDelay   = time.Second            // How long suspects do, which wait for other reasons first.
 	impossibleFor       = time.Second            // A step for which there are too few targets does not ask again for so long.
 	maxReserveAttempts  = 2                      // Steps of a service for which room is looked for in one pass.
-	turnGuarantee       = 4 * time.Second
-	overdueTrialWait    = 4 * time.Second
-	reservationPatience = time.Second
-	reservationSoon     = 500 * time.Millisecond
-	busyShare           = 0.5
+	turnGuarantee       = 4 * time.Second        // For so long a more urgent step may take a turn over.
+	overdueTrialWait    = 4 * time.Second        // How long suspects wait before they get every second turn.
+	reservationPatience = time.Second            // How long work waits beside reserved room that idles.
+	reservationSoon     = 500 * time.Millisecond // What starts within that time is left its room for longer.
+	busyShare           = 0.5                    // Part of a service in use from which on idle room may be kept from work that ends.
 )
 
 // reservationOverride says which work may use reserved room.
@@ -54,7 +54,7 @@
 func (s *Scheduler) takeTurn(step *stepRun, queue *cyclamendyke.Queue, pass *placementPass) {
 	line := s.line(queue.Service)
 	claimant := reserve.Claimant[*stepRun]{ID: step, Urgency: queue.Priority, Since: step.unplacedSince, IsTrial: step.hasSuspects}
-	if !line.Has(step) && (s.now < step.impossibleUntil || pass.reserveAttempts[queue.Service] >= maxReserveAttempts) || !line.Ask(s.now, claimant) {
+	if !line.Has(step) && (s.now < step.mayReserveAt || pass.reserveAttempts[queue.Service] >= maxReserveAttempts) || !line.Ask(s.now, claimant) {
 		return
 	}
 	pass.reserveAttempts[queue.Service]++
@@ -65,7 +65,7 @@
 	}
 	chosen, at, ok := reserve.Earliest(s.places(step, queue, count), count)
 	if !ok {
-		step.impossibleUntil = s.now + impossibleFor
+		step.mayReserveAt = s.now + impossibleFor
 		line.Leave(step)
 		return
 	}
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -12,37 +12,37 @@
 
 // stepRun is one step of one occurrence.
 type stepRun struct {
-	job             *job
-	occ             *occurrence
-	index           int
-	spec            *cyclamendyke.Step
-	tasks           paged.List[task]              // Of what tasks have beside being done; of most there is nothing.
-	done            indexset.Bits                 // Tasks that are done.
-	waiting         indexset.Bits                 // Tasks that are not done and have no run.
-	runs            int                           // Number of runs of its tasks.
-	zoneRuns        map[cyclamendyke.ZoneName]int // Number of runs of its tasks in each availability zone.
-	released        bool                          // Its occurrence is due and its preceding steps are done.
-	active          bool                          // Released, with tasks that are not done.
-	inActiveList    bool                          // Present in activeSteps.steps.
-	releasedAt      time.Duration
-	failedRuns      []int64 // Numbers of a gang's failed runs.
-	gangCrashes     crash.History
-	needsStable     bool          // A suspected task waits for a target whose machine has not crashed lately.
-	stableUntil     time.Duration // How long suspected tasks wait for such a target.
-	advice          stepAdvice
-	rankKey         rankKey
-	haste           float64 // How much it gains by a fast target, from -1 to 1.
-	unplacedReason  string  // Last logged reason for not being placed.
-	phase           phase
-	phaseSince      time.Duration
-	claims          []*claim
-	unplacedSince   time.Duration // Since when some of its tasks find no place; zero if none does.
-	impossibleUntil time.Duration // Until then it does not ask for room to reserve, since there were too few targets.
-	hasSuspects     bool          // Some of its waiting tasks are to be tried apart.
-	claimedFrom     time.Duration // When it is expected to start on the targets that it claims.
-	preemptedUntil  time.Duration // Until then its claims are on room freed by preemption.
-	measured        []measuredRun // Its first tasks that are done, until all are.
-	measuredWork    float64       // Sum of their work.
+	job            *job
+	occ            *occurrence
+	index          int
+	spec           *cyclamendyke.Step
+	tasks          paged.List[task]              // Of what tasks have beside being done; of most there is nothing.
+	done           indexset.Bits                 // Tasks that are done.
+	waiting        indexset.Bits                 // Tasks that are not done and have no run.
+	runs           int                           // Number of runs of its tasks.
+	zoneRuns       map[cyclamendyke.ZoneName]int // Number of runs of its tasks in each availability zone.
+	released       bool                          // Its occurrence is due and its preceding steps are done.
+	active         bool                          // Released, with tasks that are not done.
+	inActiveList   bool                          // Present in activeSteps.steps.
+	releasedAt     time.Duration
+	failedRuns     []int64 // Numbers of a gang's failed runs.
+	gangCrashes    crash.History
+	needsStable    bool          // A suspected task waits for a target whose machine has not crashed lately.
+	stableUntil    time.Duration // How long suspected tasks wait for such a target.
+	advice         stepAdvice
+	rankKey        rankKey
+	haste          float64 // How much it gains by a fast target, from -1 to 1.
+	unplacedReason string  // Last logged reason for not being placed.
+	phase          phase
+	phaseSince     time.Duration
+	claims         []*claim
+	unplacedSince  time.Duration // Since when some of its tasks find no place; zero if none does.
+	mayReserveAt   time.Duration // When it may ask for room to reserve again, after there were too few targets.
+	hasSuspects    bool          // Some of its waiting tasks are to be tried apart.
+	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
+	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
+	measured       []measuredRun // Its first tasks that are done, until all are.
+	measuredWork   float64       // Sum of their work.
 }
 
 // task is what is known of one task of a step beside whether it is done.
