Leave the holder of reserved room its start, and small suspects out of the line for four seconds

Causes: the holder of the turn was placed before all others in each pass, so that it also asked for advice before them; and each suspect that only waited for others to be tried took a turn, beyond the half of the targets that trials may keep.

The holder goes first only once all its room is free. Reserved room counts as idle from when it is free, and a holder that is about to start keeps it for a second. Small suspects ask for the turn after four seconds, and are bound by the limit on trials.

The tests of trials, claims and idle room pass.

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -81,3 +81,17 @@
 	}
 	return s.now+time.Duration((1+backfillMargin)*float64(step.runTimeOn(t))) < at
 }
+
+// claimsAreFree reports whether all the room that a step claims is free by now.
+func (step *stepRun) claimsAreFree() bool {
+	claimed := plan{}
+	for _, c := range step.claims {
+		claimed[c.target]++
+	}
+	for t, count := range claimed {
+		if !step.spec.Reserved().Scale(int64(count)).FitsIn(t.free()) {
+			return false
+		}
+	}
+	return len(claimed) > 0
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -76,7 +76,7 @@
 		case !step.active:
 			s.dropClaims(step)
 			s.lines[service].Leave(step)
-		default:
+		case step.claimsAreFree():
 			pass.placed[step] = true
 			s.place(step, pass)
 		}
@@ -159,7 +159,7 @@
 	switch {
 	case len(suspected) == 0:
 		s.makeRoom(step, queue, unplaced, pass)
-	case s.now-step.unplacedSince > trialReserveDelay:
+	case s.now-step.unplacedSince > s.trialReserveDelay(step, queue):
 		s.takeTurn(step, queue, pass) // Nothing is stopped for a task that may crash its target.
 	}
 	s.wantMissingTickets(step, queue, unplaced, pass.noProjectedRoom)
--- a/core/dispatch/reservation.go
+++ b/core/dispatch/reservation.go
@@ -12,13 +12,13 @@
 const (
 	reservationTTL      = time.Second            // Renewed while the step waits.
 	reserveDelay        = 300 * time.Millisecond // How long a step waits before it may reserve room.
-	trialReserveDelay   = time.Second            // How long suspects do, which wait for other reasons first.
+	wideTrialDelay      = time.Second            // How long wide suspects and gangs do, which wait for other reasons first.
 	impossibleFor       = time.Second            // A step for which there are too few targets does not ask again for so long.
 	maxReserveAttempts  = 2                      // Steps of a service for which room is looked for in one pass.
 	turnGuarantee       = 4 * time.Second        // For so long a more urgent step may take a turn over.
 	overdueTrialWait    = 4 * time.Second        // How long suspects wait before they get every second turn.
-	reservationPatience = time.Second            // How long work waits beside reserved room that idles.
-	reservationSoon     = 500 * time.Millisecond // What starts within that time is left its room for longer.
+	reservationPatience = time.Second            // How long reserved room may idle beside work that waits.
+	reservationSoon     = 500 * time.Millisecond // A holder that starts within that time is left its room.
 	busyShare           = 0.5                    // Part of a service in use from which on idle room may be kept from work that ends.
 )
 
@@ -44,11 +44,20 @@
 // leaveLine ends a step's turn and drops what it claims.
 func (s *Scheduler) leaveLine(step *stepRun, queue *cyclamendyke.Queue) {
 	s.dropClaims(step)
+	step.soonSince = 0
 	if line := s.lines[queue.Service]; line != nil {
 		line.Leave(step)
 	}
 }
 
+// trialReserveDelay returns how long a step's suspects wait before they may reserve room for a trial. Small ones mostly find some.
+func (s *Scheduler) trialReserveDelay(step *stepRun, queue *cyclamendyke.Queue) time.Duration {
+	if step.spec.Gang || s.wide(step, queue) {
+		return wideTrialDelay
+	}
+	return overdueTrialWait
+}
+
 // takeTurn reserves room for all members of a step's gang, or for one task, where they are expected to fit earliest, if it is the step's
 // turn. It holds no part of what it needs: if the targets that there are can't have room for all, the turn goes on.
 func (s *Scheduler) takeTurn(step *stepRun, queue *cyclamendyke.Queue, pass *placementPass) {
@@ -65,7 +74,7 @@
 	}
 	chosen, at, ok := reserve.Earliest(s.places(step, queue, count), count)
 	if !ok {
-		step.mayReserveAt = s.now + impossibleFor
+		step.mayReserveAt, step.soonSince = s.now+impossibleFor, 0
 		line.Leave(step)
 		return
 	}
@@ -73,11 +82,27 @@
 		s.dropClaims(lost)
 	}
 	step.claimedFrom = at
+	switch {
+	case at-s.now > reservationSoon:
+		step.soonSince = 0
+	case step.soonSince == 0:
+		step.soonSince = s.now
+	}
 	for _, place := range chosen {
-		s.claim(step, s.targets[place.Target], at, reservationTTL)
+		t := s.targets[place.Target]
+		t.noteReserved(s.now, step.spec.Reserved())
+		s.claim(step, t, at, reservationTTL)
 	}
 }
 
+// noteReserved notes that room for a need is reserved on the target, so that it is known since when that idles.
+func (t *target) noteReserved(now time.Duration, need cyclamendyke.Resources) {
+	if now-t.reservedAt > reservationTTL || !need.FitsIn(t.free()) {
+		t.reservedIdle = now
+	}
+	t.reservedAt = now
+}
+
 // places returns where and when tasks of a step are expected to fit, at most count on each target. A target that is kept for a trial
 // counts from the end of that on.
 func (s *Scheduler) places(step *stepRun, queue *cyclamendyke.Queue, count int) []reserve.Place[cyclamendyke.TargetID] {
@@ -117,7 +142,11 @@
 	if c.isPreempted || step.unplacedSince == 0 {
 		return false
 	}
-	return reservationOverride.Allows(s.now, c.from, s.now-step.unplacedSince, step.spec.LongRunning, s.usedShare(t.info.Service))
+	idle := reserve.Idle{For: s.now - max(step.unplacedSince, t.reservedIdle), StartIn: c.from - s.now}
+	if c.step.soonSince != 0 {
+		idle.SoonFor = s.now - c.step.soonSince
+	}
+	return reservationOverride.Allows(idle, step.spec.LongRunning, s.usedShare(t.info.Service))
 }
 
 // usedShare returns the largest part of a resource of a service's ready targets that is in use.
--- a/core/dispatch/steprun.go
+++ b/core/dispatch/steprun.go
@@ -38,6 +38,7 @@
 	claims         []*claim
 	unplacedSince  time.Duration // Since when some of its tasks find no place; zero if none does.
 	mayReserveAt   time.Duration // When it may ask for room to reserve again, after there were too few targets.
+	soonSince      time.Duration // Since when it is expected to start soon on the room that it has reserved; zero if it is not.
 	hasSuspects    bool          // Some of its waiting tasks are to be tried apart.
 	claimedFrom    time.Duration // When it is expected to start on the targets that it claims.
 	preemptedUntil time.Duration // Until then its claims are on room freed by preemption.
--- a/core/dispatch/target.go
+++ b/core/dispatch/target.go
@@ -48,6 +48,8 @@
 	orphans       map[runKey]bool        // Runs that belong to no workflow; they make the target unusable.
 
 	lastStartAt  time.Duration // When a start was last ordered here.
+	reservedAt   time.Duration // When room here was last reserved.
+	reservedIdle time.Duration // Since when such room is free and idles.
 	avoided      bool          // Its machine crashes on its own.
 	trial        *trial        // Nothing but this trial's task is started here; nil if there is none.
 	blockedUntil time.Duration // Nothing is placed here before then.
--- a/core/dispatch/trial.go
+++ b/core/dispatch/trial.go
@@ -66,11 +66,11 @@
 }
 
 // tryApart starts a task, or all members of a gang, on targets on which nothing has begun lately. It keeps the
-// targets until then, and reports whether there is room and few enough others are being tried.
+// targets until then, and reports whether there is room, for a gang also whether few enough others are being tried.
 func (s *Scheduler) tryApart(step *stepRun, queue *cyclamendyke.Queue, members []int) bool {
 	task := trialTask{step, step.crashIndex(members[0])}
 	chosen, others := s.chooseForTrial(queue, task, len(members))
-	if s.hasTurn(step, queue) {
+	if step.spec.Gang && s.hasTurn(step, queue) {
 		others = otherTrials{} // The targets whose trials end are kept for it.
 	}
 	if chosen == nil || others.reached(len(distinct(chosen))) {
@@ -84,7 +84,7 @@
 	}
 	if others.reached(len(distinct(chosen))) {
 		s.logUnplaced(step, "other tasks are being tried apart")
-		return false
+		return !step.spec.Gang // A gang may need so many targets that it must have the turn.
 	}
 	quiet := true
 	for _, t := range chosen {
--- a/core/reserve/places.go
+++ b/core/reserve/places.go
@@ -25,15 +25,23 @@
 
 // Override says who may use room that is reserved, so that it does not stand idle for long.
 type Override struct {
-	Patience time.Duration // How long work waits for room that is reserved before it may use it.
-	Soon     time.Duration // Room for a start within that time is given away only after twice the patience, as starts may be later than expected.
+	Patience time.Duration // How long room that is reserved may idle before others may use it.
+	Soon     time.Duration // Room for a start within that time is left to the holder, unless it has been about to start for as long as Patience.
 	Busy     float64       // Part of a service's capacity in use from which on only work that lasts may use reserved room.
 }
 
-// Allows reports whether work that has waited for some time may use room that is reserved for a start at a given time.
-func (o Override) Allows(now, startAt, waited time.Duration, lasts bool, used float64) bool {
-	if !lasts && used >= o.Busy || waited < o.Patience {
+// Idle describes room that is reserved and free.
+type Idle struct {
+	For     time.Duration // How long it has idled while the work that asks has waited.
+	StartIn time.Duration // When the holder is expected to start.
+	SoonFor time.Duration // For how long it has been expected to start soon.
+}
+
+// Allows reports whether work may use room that is reserved; lasts says that the work does not end by itself, and used what part of the
+// service's capacity is in use.
+func (o Override) Allows(idle Idle, lasts bool, used float64) bool {
+	if !lasts && used >= o.Busy || idle.For < o.Patience {
 		return false
 	}
-	return startAt > now+o.Soon || waited >= 2*o.Patience
+	return idle.StartIn > o.Soon || idle.SoonFor >= o.Patience
 }
--- a/core/reserve/reserve_test.go
+++ b/core/reserve/reserve_test.go
@@ -70,27 +70,27 @@
 	is.Equal(at, time.Duration(3))
 }
 
-// TestReservedRoomStandsIdle guards against work that waits beside idle room.
+// TestReservedRoomStandsIdle guards against work that waits beside idle room, and against a holder that loses its room as it starts.
 func TestReservedRoomStandsIdle(t *testing.T) {
 	rule := Override{Patience: time.Second, Soon: 500 * time.Millisecond, Busy: 0.5}
+	long := Idle{For: time.Second, StartIn: 8 * time.Second}
 	for _, test := range []struct {
 		name    string
-		startAt time.Duration
-		waited  time.Duration
+		idle    Idle
 		lasts   bool
 		used    float64
 		allowed bool
 	}{
-		{name: "has not waited", startAt: 8 * time.Second, lasts: true},
-		{name: "lasts, in a busy service", startAt: 8 * time.Second, waited: time.Second, lasts: true, used: 0.9, allowed: true},
-		{name: "ends, in a busy service", startAt: 8 * time.Second, waited: time.Second, used: 0.5},
-		{name: "ends, in a service with idle room", startAt: 8 * time.Second, waited: time.Second, used: 0.4, allowed: true},
-		{name: "the holder starts soon", startAt: 500 * time.Millisecond, waited: time.Second, lasts: true},
-		{name: "the holder was to start soon", startAt: 500 * time.Millisecond, waited: 2 * time.Second, lasts: true, allowed: true},
+		{name: "has not idled", idle: Idle{StartIn: 8 * time.Second}, lasts: true},
+		{name: "lasts, in a busy service", idle: long, lasts: true, used: 0.9, allowed: true},
+		{name: "ends, in a busy service", idle: long, used: 0.5},
+		{name: "ends, in a service with idle room", idle: long, used: 0.4, allowed: true},
+		{name: "the holder starts soon", idle: Idle{For: 9 * time.Second, StartIn: 500 * time.Millisecond, SoonFor: 100 * time.Millisecond}, lasts: true},
+		{name: "the holder was to start soon", idle: Idle{For: 9 * time.Second, StartIn: 100 * time.Millisecond, SoonFor: time.Second}, lasts: true, allowed: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(rule.Allows(0, test.startAt, test.waited, test.lasts, test.used), test.allowed)
+			is.Equal(rule.Allows(test.idle, test.lasts, test.used), test.allowed)
 		})
 	}
 }
